--- /dev/null
+++ b/Makefile
@@ -0,0 +1,43 @@
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+
+.PHONY: setup format lint test demo bench binary proto clean
+
+setup: $(STAMP)
+
+$(STAMP): requirements.lock pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --requirement requirements.lock
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation --editable .
+	touch $(STAMP)
+
+format: $(STAMP)
+	$(BIN)/black src tests bench
+	$(BIN)/ruff check --fix src tests bench
+
+lint: $(STAMP)
+	$(BIN)/black --check --quiet src tests bench
+	$(BIN)/ruff check src tests bench
+
+test: $(STAMP)
+	$(BIN)/python -m tests
+
+demo: $(STAMP)
+	$(BIN)/python -m bench.demo
+
+bench: $(STAMP)
+	$(BIN)/python -m bench
+
+binary: $(STAMP)
+	mkdir -p dist
+	$(BIN)/shiv --compressed --no-deps --reproducible --site-packages build/binary \
+		--console-script bronzerudder --output-file dist/bronzerudder .
+
+proto: $(STAMP)
+	$(BIN)/python -m grpc_tools.protoc --proto_path=src --python_out=src --grpc_python_out=src \
+		$$(find src -name '*.proto')
+
+clean:
+	rm -rf $(VENV) build dist
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Demonstration and measurements; not part of the shipped package."""
--- /dev/null
+++ b/src/bronzerudder/__init__.py
@@ -0,0 +1,1 @@
+"""A load balancer for expert-parallel model groups."""
--- /dev/null
+++ b/src/bronzerudder/__main__.py
@@ -0,0 +1,9 @@
+"""Runs the command line as ``python -m bronzerudder``."""
+
+from __future__ import annotations
+
+import sys
+
+from bronzerudder.cli.main import main
+
+sys.exit(main())
--- /dev/null
+++ b/src/bronzerudder/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/src/bronzerudder/platform/api.py
@@ -0,0 +1,128 @@
+"""What the system needs from the platform: an object store and a list of instances."""
+
+from __future__ import annotations
+
+import abc
+import enum
+from typing import NamedTuple
+
+from bronzerudder.platform.errors import StoreError
+
+MAX_VALUE_BYTES = 1_000_000
+ABSENT_VERSION = 0
+
+
+class StoredObject(NamedTuple):
+    """One object as the platform holds it.
+
+    Parameters
+    ----------
+    kind, name : str
+        Together the key.
+    version : int
+        Version of the last write; versions rise over the whole store, so a later write of any
+        object has a greater version.
+    value : bytes
+        At most `MAX_VALUE_BYTES`.
+    """
+
+    kind: str
+    name: str
+    version: int
+    value: bytes
+
+
+class Change(NamedTuple):
+    """One write or deletion seen by a watch; a deletion has no ``value``."""
+
+    kind: str
+    name: str
+    version: int
+    value: bytes | None
+
+
+class Listing(NamedTuple):
+    """All objects of a kind, and the store version that the listing reflects."""
+
+    objects: tuple[StoredObject, ...]
+    version: int
+
+
+class ChangeBatch(NamedTuple):
+    """Changes after a version, in order; ``version`` is where the next watch starts.
+
+    ``truncated`` says that history before the oldest kept change was asked for, so that the
+    caller must list again.
+    """
+
+    changes: tuple[Change, ...]
+    version: int
+    truncated: bool = False
+
+
+class ObjectStore(abc.ABC):
+    """Versioned objects with conditional updates and watches.
+
+    Every method returns `StoreError` in place of its result when it fails.
+    """
+
+    @abc.abstractmethod
+    async def get(self, kind: str, name: str) -> StoredObject | StoreError:
+        """Read one object."""
+
+    @abc.abstractmethod
+    async def put(self, kind: str, name: str, value: bytes, if_version: int) -> int | StoreError:
+        """Write an object if its version is still ``if_version``.
+
+        Parameters
+        ----------
+        if_version : int
+            `ABSENT_VERSION` when the object must not exist yet.
+
+        Returns
+        -------
+        int or StoreError
+            The new version; ``CONFLICT`` when the version differs.
+        """
+
+    @abc.abstractmethod
+    async def delete(self, kind: str, name: str, if_version: int) -> int | StoreError:
+        """Delete an object if its version is still ``if_version``; return the new store version."""
+
+    @abc.abstractmethod
+    async def list(self, kind: str) -> Listing | StoreError:
+        """Read all objects of a kind."""
+
+    @abc.abstractmethod
+    async def watch(
+        self, kind: str, after_version: int, timeout_s: float
+    ) -> ChangeBatch | StoreError:
+        """Wait for changes of a kind after a version.
+
+        Returns an empty batch when nothing changed within ``timeout_s`` seconds.
+        """
+
+
+class InstanceState(enum.Enum):
+    """State of an instance in the platform's list."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+class Instance(NamedTuple):
+    """One instance in the platform's list; ``address`` is ``host:port``."""
+
+    name: str
+    role: str
+    address: str
+    failure_domain: str
+    state: InstanceState
+
+
+class InstanceList(abc.ABC):
+    """The platform's list of live and leaving instances; it lags reality."""
+
+    @abc.abstractmethod
+    async def instances(self) -> tuple[Instance, ...] | StoreError:
+        """Read the list."""
