Add the HTTP serving frame

Cause: stand-ins, entries and the admin port all serve HTTP on ports bound to 0 and stop on a signal; one place for it. Ruled out: a web framework, as a plain ASGI callable is enough. Before: no server. Conclusion: hypercorn takes a bound socket by descriptor, so no port is guessed.

--- /dev/null
+++ b/src/bronzerudder/processes/__init__.py
@@ -0,0 +1,1 @@
+"""Puts the parts of each process together and runs it."""
--- /dev/null
+++ b/src/bronzerudder/web/listener.py
@@ -0,0 +1,30 @@
+"""Binds listeners and tells the parent where they are."""
+
+from __future__ import annotations
+
+import json
+import socket
+
+BACKLOG = 1024
+
+
+def bind_listener(host: str, port: int) -> socket.socket:
+    """Bind a TCP listener; port 0 takes a free one."""
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    listener = socket.socket(family, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind((host, port))
+    listener.listen(BACKLOG)
+    listener.setblocking(False)
+    return listener
+
+
+def format_address(listener: socket.socket) -> str:
+    """Return the listener's ``host:port``."""
+    host, port = listener.getsockname()[:2]
+    return f"{host}:{port}"
+
+
+def announce_listening(address: str, **more: str) -> None:
+    """Print the line by which whoever started this process learns its addresses."""
+    print(json.dumps({"event": "listening", "address": address, **more}), flush=True)
--- /dev/null
+++ b/src/bronzerudder/web/server.py
@@ -0,0 +1,59 @@
+"""Runs an ASGI application on a bound listener."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+from hypercorn.asyncio import serve
+from hypercorn.config import Config
+
+DEFAULT_DRAIN_TIMEOUT_S = 30.0
+KEEP_ALIVE_TIMEOUT_S = 75.0
+MAX_STREAMS_PER_CONNECTION = 1_000
+
+
+async def serve_http(
+    app: Callable[..., Any],
+    listener: socket.socket,
+    stopping: anyio.Event,
+    drain_timeout_s: float = DEFAULT_DRAIN_TIMEOUT_S,
+) -> None:
+    """Serve until ``stopping`` is set, then let requests in flight finish.
+
+    Parameters
+    ----------
+    app : callable
+        An ASGI application that accepts the ``http`` scope.
+    listener : socket.socket
+        A bound, listening socket; closed on return.
+    stopping : anyio.Event
+        Starts the graceful shutdown.
+    drain_timeout_s : float
+        How long requests in flight may take after that, in seconds.
+    """
+    config = Config()
+    config.bind = [f"fd://{listener.fileno()}"]
+    config.graceful_timeout = drain_timeout_s
+    config.keep_alive_timeout = KEEP_ALIVE_TIMEOUT_S
+    config.h2_max_concurrent_streams = MAX_STREAMS_PER_CONNECTION
+    config.include_server_header = False
+    config.accesslog = None
+    config.errorlog = None
+    await serve(_without_lifespan(app), config, shutdown_trigger=stopping.wait, mode="asgi")
+
+
+def _without_lifespan(app: Callable[..., Any]) -> Callable[..., Any]:
+    async def wrapped(scope: dict[str, Any], receive: Any, send: Any) -> None:
+        if scope["type"] != "lifespan":
+            await app(scope, receive, send)
+            return
+        while True:
+            message = await receive()
+            await send({"type": message["type"] + ".complete"})
+            if message["type"] == "lifespan.shutdown":
+                return
+
+    return wrapped
