Add the stand-in engine

Cause: the whole path needs an engine that streams, resumes and cancels. Ruled out: a pure fake in the test process, since each part is to be a process of its own. Hypercorn leaves the task that runs it marked as cancelled (seen: exit code 1 with a CancelledError after a clean stop), so the server runs in a child task (after: exit code 0). Before: no engine.

--- /dev/null
+++ b/src/bronzerudder/cli/process.py
@@ -0,0 +1,37 @@
+"""Invocations that run a process from a settings file."""
+
+from __future__ import annotations
+
+import importlib
+import sys
+
+import anyio
+
+from bronzerudder.cli.api import EXIT_USAGE, Invocation
+from bronzerudder.cli.documents import read_document
+from bronzerudder.settings import SettingsError
+
+
+class ProcessInvocation(Invocation):
+    """Checks a settings file, then runs a process until it is told to stop.
+
+    Parameters
+    ----------
+    settings : str
+        Path of the settings file.
+    module : str
+        Module that has the settings' type as ``SETTINGS`` and the coroutine function ``run``;
+        imported only when the command runs, so that each process loads what its role needs.
+    """
+
+    def __init__(self, settings: str, module: str) -> None:
+        self._settings = settings
+        self._module = module
+
+    def _run(self) -> int:
+        module = importlib.import_module(self._module)
+        document = read_document(str(self._settings), module.SETTINGS)
+        if isinstance(document, SettingsError):
+            print(f"{self._settings}: {document}", file=sys.stderr)
+            return EXIT_USAGE
+        return anyio.run(module.run, document)
--- /dev/null
+++ b/src/bronzerudder/standin/engine/settings.py
@@ -0,0 +1,25 @@
+"""Settings of the stand-in engine."""
+
+from __future__ import annotations
+
+from typing import Annotated, NotRequired, TypedDict
+
+import msgspec
+
+Port = Annotated[int, msgspec.Meta(ge=0, le=65535)]
+
+
+class EngineSettings(TypedDict):
+    """Settings of one stand-in engine.
+
+    A prompt that holds ``crash_text`` ends the process, as a request that kills its backend
+    server does.
+    """
+
+    host: str
+    port: Port
+    step_time_s: NotRequired[Annotated[float, msgspec.Meta(gt=0, le=10)]]
+    prefill_time_per_token_s: NotRequired[Annotated[float, msgspec.Meta(ge=0, le=1)]]
+    max_batch: NotRequired[Annotated[int, msgspec.Meta(ge=1, le=4096)]]
+    default_max_tokens: NotRequired[Annotated[int, msgspec.Meta(ge=1, le=100_000)]]
+    crash_text: NotRequired[str]
--- a/src/bronzerudder/web/server.py
+++ b/src/bronzerudder/web/server.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import functools
+import logging
 import socket
 from collections.abc import Callable
 from typing import Any
@@ -41,8 +43,12 @@
     config.h2_max_concurrent_streams = MAX_STREAMS_PER_CONNECTION
     config.include_server_header = False
     config.accesslog = None
-    config.errorlog = None
-    await serve(_without_lifespan(app), config, shutdown_trigger=stopping.wait, mode="asgi")
+    config.errorlog = logging.getLogger("bronzerudder.web")
+    config.loglevel = "WARNING"
+    run = functools.partial(serve, shutdown_trigger=stopping.wait, mode="asgi")
+    # The server leaves its task marked as cancelled, which the caller's task must not inherit.
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(run, _without_lifespan(app), config)
 
 
 def _without_lifespan(app: Callable[..., Any]) -> Callable[..., Any]:
