Add the agent's execution and both ends of the exchange

Cause: the whole path's hop between entry and agent. An attempt's frames are buffered at the agent until acknowledged, a tombstone makes a refusal final, and a connection that fails is replaced and resumed. Ruled out: a request a call, as an answer could then not move to another connection.

--- /dev/null
+++ b/src/bronzerudder/agent/connection.py
@@ -0,0 +1,265 @@
+"""An entry's connection to one agent, replaced whenever it fails or falls silent."""
+
+from __future__ import annotations
+
+import time
+from typing import NamedTuple
+
+import anyio
+import grpc.aio
+
+from bronzerudder.agent.attempt import RemoteAttempt
+from bronzerudder.frames import exchange_pb2 as pb
+from bronzerudder.frames import exchange_pb2_grpc
+
+HEARTBEAT_INTERVAL_S = 0.5
+SILENCE_TIMEOUT_S = 1.5
+RECONNECT_DELAY_S = 0.1
+MAX_RECONNECT_DELAY_S = 1.0
+RESUME_WINDOW_S = 3.0
+CLOSE_TIMEOUT_S = 0.2
+MAX_FRAMES_PER_BATCH = 256
+CHANNEL_OPTIONS = (
+    # Channels to one address would otherwise share a connection, a silent one included.
+    ("grpc.use_local_subchannel_pool", 1),
+    ("grpc.enable_retries", 0),
+    ("grpc.enable_http_proxy", 0),
+    ("grpc.max_receive_message_length", 16_000_000),
+    ("grpc.initial_reconnect_backoff_ms", 100),
+    ("grpc.max_reconnect_backoff_ms", 1_000),
+)
+
+
+class AgentState(NamedTuple):
+    """What the entry knows of an agent; the time is in monotonic seconds.
+
+    ``incarnation`` is 0 until the agent has first been heard.
+    """
+
+    connected: bool
+    incarnation: int
+    leaving: bool
+    load: pb.Load
+    load_received_at: float
+
+
+class AgentConnection:
+    """Sends attempts to one agent and routes what comes back.
+
+    Parameters
+    ----------
+    address : str
+        ``host:port`` of the agent.
+    entry_id, failure_domain : str
+        Named to the agent.
+    """
+
+    def __init__(self, address: str, entry_id: str, failure_domain: str) -> None:
+        self._address = address
+        self._entry_id = entry_id
+        self._failure_domain = failure_domain
+        self._attempts: dict[tuple[str, int], RemoteAttempt] = {}
+        self._pending: list[pb.EntryFrame] = []
+        self._due = anyio.Event()
+        self._connected = False
+        self._incarnation = 0
+        self._leaving = False
+        self._load = pb.Load()
+        self._load_received_at = 0.0
+        self._last_heard = 0.0
+        self._disconnected_at = anyio.current_time()
+        self._ready = anyio.Event()
+
+    @property
+    def address(self) -> str:
+        """``host:port`` of the agent."""
+        return self._address
+
+    @property
+    def state(self) -> AgentState:
+        """What is known of the agent."""
+        return AgentState(
+            self._connected, self._incarnation, self._leaving, self._load, self._load_received_at
+        )
+
+    @property
+    def outstanding(self) -> int:
+        """Attempts without a final event."""
+        return len(self._attempts)
+
+    async def wait_connected(self, timeout_s: float) -> bool:
+        """Wait until the agent has been heard; tell whether it has."""
+        with anyio.move_on_after(timeout_s):
+            await self._ready.wait()
+        return self._connected
+
+    def start(self, submit: pb.Submit) -> RemoteAttempt:
+        """Send a request to the incarnation of the agent that is now connected."""
+        submit.incarnation = self._incarnation
+        attempt = RemoteAttempt(submit, self._send)
+        self._attempts[submit.request_id, submit.attempt] = attempt
+        self._send(pb.EntryFrame(submit=submit))
+        return attempt
+
+    def forget(self, attempt: RemoteAttempt) -> None:
+        """Take no more frames of an attempt."""
+        self._attempts.pop((attempt.request_id, attempt.number), None)
+
+    async def run(self) -> None:
+        """Keep connected for ever."""
+        delay_s = RECONNECT_DELAY_S
+        while True:
+            began = anyio.current_time()
+            await self._run_once()
+            self._note_disconnected()
+            delay_s = RECONNECT_DELAY_S if self._last_heard > began else delay_s * 2
+            delay_s = min(delay_s, MAX_RECONNECT_DELAY_S)
+            await anyio.sleep(delay_s)
+            self._give_up_on_stale_attempts()
+
+    async def _run_once(self) -> None:
+        channel = grpc.aio.insecure_channel(self._address, options=CHANNEL_OPTIONS)
+        try:
+            call = exchange_pb2_grpc.AgentExchangeStub(channel).Exchange()
+            await self._exchange(call)
+        except grpc.aio.AioRpcError:
+            return
+        finally:
+            with anyio.CancelScope(shield=True), anyio.move_on_after(CLOSE_TIMEOUT_S):
+                await channel.close()
+
+    async def _exchange(self, call: grpc.aio.StreamStreamCall) -> None:
+        self._last_heard = anyio.current_time()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._write_all, call, tasks.cancel_scope)
+            tasks.start_soon(self._watch_silence, tasks.cancel_scope)
+            await self._read_all(call)
+            tasks.cancel_scope.cancel()
+        call.cancel()
+
+    async def _read_all(self, call: grpc.aio.StreamStreamCall) -> None:
+        while True:
+            try:
+                batch = await call.read()
+            except grpc.aio.AioRpcError:
+                return
+            if batch is grpc.aio.EOF:
+                return
+            self._last_heard = anyio.current_time()
+            self._take(batch)
+
+    async def _write_all(self, call: grpc.aio.StreamStreamCall, scope: anyio.CancelScope) -> None:
+        hello = pb.EntryHello(
+            entry_id=self._entry_id,
+            failure_domain=self._failure_domain,
+            # Rises over restarts of this process too.
+            connection=time.time_ns(),
+        )
+        frames = [pb.EntryFrame(hello=hello)]
+        try:
+            while True:
+                await call.write(pb.EntryBatch(frames=frames))
+                frames = await self._next_frames()
+        except (grpc.aio.AioRpcError, grpc.aio.UsageError, anyio.get_cancelled_exc_class()):
+            scope.cancel()
+
+    async def _next_frames(self) -> list[pb.EntryFrame]:
+        while not (self._connected and self._pending):
+            self._due = anyio.Event()
+            with anyio.move_on_after(HEARTBEAT_INTERVAL_S) as quiet:
+                await self._due.wait()
+            if quiet.cancelled_caught:
+                return [pb.EntryFrame(ping=pb.Ping(reply=True))]
+        frames = self._pending[:MAX_FRAMES_PER_BATCH]
+        del self._pending[:MAX_FRAMES_PER_BATCH]
+        for frame in frames:
+            self._mark_sent(frame)
+        return frames
+
+    def _mark_sent(self, frame: pb.EntryFrame) -> None:
+        if frame.WhichOneof("body") != "submit":
+            return
+        attempt = self._attempts.get((frame.submit.request_id, frame.submit.attempt))
+        if attempt is not None:
+            attempt.mark_sent()
+
+    async def _watch_silence(self, scope: anyio.CancelScope) -> None:
+        while anyio.current_time() - self._last_heard < SILENCE_TIMEOUT_S:
+            await anyio.sleep(SILENCE_TIMEOUT_S / 4)
+        scope.cancel()
+
+    def _send(self, frame: pb.EntryFrame) -> None:
+        self._pending.append(frame)
+        self._due.set()
+
+    def _take(self, batch: pb.AgentBatch) -> None:
+        for frame in batch.frames:
+            kind = frame.WhichOneof("body")
+            if kind == "hello":
+                self._take_hello(batch.incarnation, frame.hello)
+            elif kind == "load":
+                self._load = frame.load
+                self._load_received_at = anyio.current_time()
+            elif kind == "leaving":
+                self._leaving = True
+            else:
+                self._take_attempt_frame(frame, kind)
+
+    def _take_hello(self, incarnation: int, hello: pb.AgentHello) -> None:
+        if incarnation != self._incarnation:
+            self._lose_sent_attempts("the agent restarted")
+        self._incarnation = incarnation
+        self._leaving = hello.leaving
+        # Frames that were queued for the earlier connection are superseded by the resumes.
+        resumes = [self._resume(attempt) for attempt in self._attempts.values() if attempt.sent]
+        kept = [frame for frame in self._pending if frame.WhichOneof("body") == "submit"]
+        self._pending = resumes + kept
+        self._connected = True
+        self._ready.set()
+        self._due.set()
+
+    def _resume(self, attempt: RemoteAttempt) -> pb.EntryFrame:
+        resume = pb.Resume(
+            request_id=attempt.request_id,
+            attempt=attempt.number,
+            next_sequence=attempt.next_sequence,
+            incarnation=attempt.submit.incarnation,
+        )
+        return pb.EntryFrame(resume=resume)
+
+    def _take_attempt_frame(self, frame: pb.AgentFrame, kind: str | None) -> None:
+        if kind is None or kind in ("ping", "quarantine"):
+            return
+        body = getattr(frame, kind)
+        attempt = self._attempts.get((body.request_id, body.attempt))
+        if attempt is None:
+            return
+        attempt.take(frame, kind)
+        if attempt.final:
+            self.forget(attempt)
+
+    def _note_disconnected(self) -> None:
+        if self._connected:
+            self._disconnected_at = anyio.current_time()
+        self._connected = False
+        self._ready = anyio.Event()
+        self._lose_unsent_attempts()
+
+    def _lose_unsent_attempts(self) -> None:
+        for attempt in list(self._attempts.values()):
+            if attempt.sent:
+                continue
+            self.forget(attempt)
+            attempt.lose("the connection failed before the request was sent")
+        self._pending = [f for f in self._pending if f.WhichOneof("body") != "submit"]
+
+    def _lose_sent_attempts(self, reason: str) -> None:
+        for attempt in list(self._attempts.values()):
+            if not attempt.sent:
+                continue
+            self.forget(attempt)
+            attempt.lose(reason)
+
+    def _give_up_on_stale_attempts(self) -> None:
+        if anyio.current_time() - self._disconnected_at > RESUME_WINDOW_S:
+            self._lose_sent_attempts("the agent can not be reached")
--- /dev/null
+++ b/src/bronzerudder/agent/pool.py
@@ -0,0 +1,70 @@
+"""Connections to all agents that an entry uses."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import anyio
+from anyio.abc import TaskGroup
+
+from bronzerudder.agent.connection import AgentConnection
+
+RETIRE_INTERVAL_S = 1.0
+
+
+class AgentPool:
+    """Holds one connection for each agent address.
+
+    Parameters
+    ----------
+    entry_id, failure_domain : str
+        Named to the agents.
+    tasks : TaskGroup
+        Runs a task for each connection.
+    """
+
+    def __init__(self, entry_id: str, failure_domain: str, tasks: TaskGroup) -> None:
+        self._entry_id = entry_id
+        self._failure_domain = failure_domain
+        self._tasks = tasks
+        self._connections: dict[str, AgentConnection] = {}
+        self._scopes: dict[str, anyio.CancelScope] = {}
+        self._wanted: frozenset[str] = frozenset()
+
+    @property
+    def connections(self) -> tuple[AgentConnection, ...]:
+        """All connections, those about to be retired included."""
+        return tuple(self._connections.values())
+
+    def get(self, address: str) -> AgentConnection | None:
+        """Return the connection to an address."""
+        return self._connections.get(address)
+
+    def use(self, addresses: Iterable[str]) -> None:
+        """Connect to these agents; others are dropped once nothing is outstanding there."""
+        self._wanted = frozenset(addresses)
+        for address in self._wanted:
+            if address not in self._connections:
+                self._connect(address)
+
+    async def retire_unwanted(self) -> None:
+        """Drop unwanted connections that carry nothing, for ever."""
+        while True:
+            await anyio.sleep(RETIRE_INTERVAL_S)
+            for address, connection in list(self._connections.items()):
+                if address in self._wanted or connection.outstanding:
+                    continue
+                del self._connections[address]
+                self._scopes.pop(address).cancel()
+
+    def _connect(self, address: str) -> None:
+        connection = AgentConnection(address, self._entry_id, self._failure_domain)
+        scope = anyio.CancelScope()
+        self._connections[address] = connection
+        self._scopes[address] = scope
+        self._tasks.start_soon(_run_in_scope, connection, scope)
+
+
+async def _run_in_scope(connection: AgentConnection, scope: anyio.CancelScope) -> None:
+    with scope:
+        await connection.run()
--- /dev/null
+++ b/src/bronzerudder/backend_server/api.py
@@ -0,0 +1,63 @@
+"""What an agent needs from its backend server."""
+
+from __future__ import annotations
+
+import abc
+from typing import NamedTuple
+
+from bronzerudder.backend_server.errors import BackendError
+
+
+class BackendCall(NamedTuple):
+    """One request to the backend server.
+
+    ``request_id`` lets an engine recognize the request when its stream is resumed or cancelled.
+    """
+
+    request_id: str
+    method: str
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+class BackendAnswer(abc.ABC):
+    """An answer that is being received."""
+
+    @property
+    @abc.abstractmethod
+    def status(self) -> int:
+        """HTTP status."""
+
+    @property
+    @abc.abstractmethod
+    def headers(self) -> tuple[tuple[str, str], ...]:
+        """HTTP headers."""
+
+    @abc.abstractmethod
+    async def read(self) -> bytes | None | BackendError:
+        """Read the next part; None at the end."""
+
+    @abc.abstractmethod
+    async def close(self) -> None:
+        """Stop receiving."""
+
+
+class BackendServer(abc.ABC):
+    """The backend server beside this agent."""
+
+    @abc.abstractmethod
+    async def open(self, call: BackendCall) -> BackendAnswer | BackendError:
+        """Send a request and wait for the head of its answer."""
+
+    @abc.abstractmethod
+    async def cancel(self, request_id: str) -> None:
+        """Ask the backend server to stop generating, where it can."""
+
+    @abc.abstractmethod
+    async def probe(self) -> BackendError | None:
+        """Ask on a fresh connection whether the backend server answers."""
+
+    @abc.abstractmethod
+    async def close(self) -> None:
+        """Close all connections."""
--- /dev/null
+++ b/src/bronzerudder/backend_server/http_server.py
@@ -0,0 +1,106 @@
+"""A backend server reached over HTTP."""
+
+from __future__ import annotations
+
+import httpx
+
+from bronzerudder.backend_server.api import BackendAnswer, BackendCall, BackendServer
+from bronzerudder.backend_server.errors import BackendError, BackendErrorKind
+
+CONNECT_TIMEOUT_S = 1.0
+PROBE_TIMEOUT_S = 1.0
+CANCEL_TIMEOUT_S = 1.0
+HOP_BY_HOP = frozenset(
+    ("connection", "content-length", "host", "keep-alive", "te", "transfer-encoding", "upgrade")
+)
+
+
+class HttpAnswer(BackendAnswer):
+    """An answer received over HTTP."""
+
+    def __init__(self, response: httpx.Response) -> None:
+        self._response = response
+        self._parts = response.aiter_raw()
+
+    @property
+    def status(self) -> int:
+        """HTTP status."""
+        return self._response.status_code
+
+    @property
+    def headers(self) -> tuple[tuple[str, str], ...]:
+        """HTTP headers that concern the caller."""
+        items = self._response.headers.multi_items()
+        return tuple((name, value) for name, value in items if name.lower() not in HOP_BY_HOP)
+
+    async def read(self) -> bytes | None | BackendError:
+        """Read the next part; None at the end."""
+        try:
+            return await anext(self._parts, None)
+        except httpx.ReadTimeout:
+            return BackendError(BackendErrorKind.SILENT, "no data within the silence timeout")
+        except httpx.HTTPError as error:
+            return BackendError(BackendErrorKind.BROKEN, f"answer broke off: {error!r}")
+
+    async def close(self) -> None:
+        """Stop receiving."""
+        await self._response.aclose()
+
+
+class HttpBackendServer(BackendServer):
+    """Sends requests to one backend server.
+
+    Parameters
+    ----------
+    url : str
+        Base URL.
+    silence_timeout_s : float or None
+        How long a connection may bring no data before it counts as silent, in seconds; None
+        waits for ever.
+    """
+
+    def __init__(self, url: str, silence_timeout_s: float | None) -> None:
+        self._url = url.rstrip("/")
+        timeout = httpx.Timeout(silence_timeout_s, connect=CONNECT_TIMEOUT_S, pool=None)
+        limits = httpx.Limits(max_connections=None, max_keepalive_connections=64)
+        self._client = httpx.AsyncClient(timeout=timeout, limits=limits, trust_env=False)
+
+    async def open(self, call: BackendCall) -> BackendAnswer | BackendError:
+        """Send a request and wait for the head of its answer."""
+        headers = [(name, value) for name, value in call.headers if name.lower() not in HOP_BY_HOP]
+        headers.append(("x-request-id", call.request_id))
+        request = self._client.build_request(
+            call.method, self._url + call.path, headers=headers, content=call.body
+        )
+        try:
+            return HttpAnswer(await self._client.send(request, stream=True))
+        except (httpx.ConnectError, httpx.ConnectTimeout) as error:
+            return BackendError(BackendErrorKind.UNREACHABLE, f"cannot connect: {error}")
+        except httpx.ReadTimeout:
+            return BackendError(BackendErrorKind.SILENT, "no answer within the silence timeout")
+        except httpx.HTTPError as error:
+            return BackendError(BackendErrorKind.BROKEN, f"no answer: {error!r}")
+
+    async def cancel(self, request_id: str) -> None:
+        """Ask the backend server to stop generating; nothing depends on whether it does."""
+        try:
+            await self._client.post(
+                self._url + "/cancel", json={"request_id": request_id}, timeout=CANCEL_TIMEOUT_S
+            )
+        except httpx.HTTPError:
+            return
+
+    async def probe(self) -> BackendError | None:
+        """Ask on a fresh connection whether the backend server answers."""
+        try:
+            async with httpx.AsyncClient(timeout=PROBE_TIMEOUT_S, trust_env=False) as client:
+                await client.get(self._url + "/healthz")
+        except (httpx.ConnectError, httpx.ConnectTimeout) as error:
+            return BackendError(BackendErrorKind.UNREACHABLE, f"cannot connect: {error}")
+        except httpx.HTTPError as error:
+            return BackendError(BackendErrorKind.SILENT, f"probe failed: {error!r}")
+        return None
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._client.aclose()
--- /dev/null
+++ b/src/bronzerudder/entry/service.py
@@ -0,0 +1,73 @@
+"""The gRPC service that entries connect to."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from typing import Any
+
+import anyio
+
+from bronzerudder.entry.session import EntrySession
+from bronzerudder.execution import Executor
+from bronzerudder.frames import exchange_pb2 as pb
+from bronzerudder.frames import exchange_pb2_grpc
+
+HELLO_TIMEOUT_S = 2.0
+
+
+class ExchangeService(exchange_pb2_grpc.AgentExchangeServicer):
+    """Holds one session for each entry; a newer connection of an entry supersedes the older."""
+
+    def __init__(
+        self, executor: Executor, incarnation: int, agent_id: str, failure_domain: str
+    ) -> None:
+        self._executor = executor
+        self._incarnation = incarnation
+        self._agent_id = agent_id
+        self._failure_domain = failure_domain
+        self._sessions: dict[str, EntrySession] = {}
+
+    @property
+    def sessions(self) -> tuple[EntrySession, ...]:
+        """Open sessions."""
+        return tuple(self._sessions.values())
+
+    def broadcast(self, frame: pb.AgentFrame) -> None:
+        """Send a frame to every connected entry."""
+        for session in self.sessions:
+            session.send(frame)
+
+    async def Exchange(  # noqa: N802
+        self, request_iterator: AsyncIterator[Any], context: Any
+    ) -> None:
+        """Serve one connection until either side ends it."""
+        session = EntrySession(
+            self._executor, self._incarnation, self._agent_id, self._failure_domain
+        )
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._read_all, session, request_iterator)
+                tasks.start_soon(session.report_load)
+                await session.write_all(context)
+                tasks.cancel_scope.cancel()
+        finally:
+            session.close()
+            if self._sessions.get(session.entry_id) is session:
+                del self._sessions[session.entry_id]
+
+    async def _read_all(self, session: EntrySession, batches: AsyncIterator[Any]) -> None:
+        async for batch in batches:
+            known = bool(session.entry_id)
+            session.take(batch)
+            if not known and not self._register(session):
+                break
+        session.close()
+
+    def _register(self, session: EntrySession) -> bool:
+        older = self._sessions.get(session.entry_id)
+        if not session.entry_id or (older and older.connection > session.connection):
+            return False
+        if older is not None:
+            older.close()
+        self._sessions[session.entry_id] = session
+        return True
--- /dev/null
+++ b/src/bronzerudder/entry/session.py
@@ -0,0 +1,118 @@
+"""One connection from an entry."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import anyio
+
+from bronzerudder.execution import Executor
+from bronzerudder.frames import exchange_pb2 as pb
+
+SILENCE_TIMEOUT_S = 5.0
+LOAD_INTERVAL_S = 0.25
+MAX_FRAMES_PER_BATCH = 256
+
+
+class EntrySession:
+    """Carries frames between one entry and the executor.
+
+    Frames that are due together go in one message.
+
+    Parameters
+    ----------
+    executor : Executor
+        Runs what the entry submits.
+    incarnation : int
+        Of this agent process.
+    agent_id, failure_domain : str
+        Named to the entry.
+    """
+
+    def __init__(
+        self, executor: Executor, incarnation: int, agent_id: str, failure_domain: str
+    ) -> None:
+        self._executor = executor
+        self._incarnation = incarnation
+        self._pending: list[pb.AgentFrame] = []
+        self._due = anyio.Event()
+        self._closed = False
+        self._last_heard = anyio.current_time()
+        self._entry_id = ""
+        self._connection = 0
+        hello = pb.AgentHello(
+            agent_id=agent_id, failure_domain=failure_domain, leaving=executor.leaving
+        )
+        self.send(pb.AgentFrame(hello=hello))
+
+    @property
+    def entry_id(self) -> str:
+        """Name of the entry, known from its first frame on."""
+        return self._entry_id
+
+    @property
+    def connection(self) -> int:
+        """Number of this connection, rising for each entry."""
+        return self._connection
+
+    @property
+    def closed(self) -> bool:
+        """Whether frames are neither taken nor sent any more."""
+        return self._closed
+
+    def send(self, frame: pb.AgentFrame) -> None:
+        """Queue a frame."""
+        self._pending.append(frame)
+        self._due.set()
+
+    def close(self) -> None:
+        """Stop; answers wait for the entry's next connection."""
+        self._closed = True
+        self._due.set()
+        self._executor.detach(self.send)
+
+    async def write_all(self, context: Any) -> None:
+        """Write queued frames until the session closes."""
+        while not self._closed:
+            await self._due.wait()
+            self._due = anyio.Event()
+            while self._pending and not self._closed:
+                frames = self._pending[:MAX_FRAMES_PER_BATCH]
+                del self._pending[:MAX_FRAMES_PER_BATCH]
+                await context.write(pb.AgentBatch(incarnation=self._incarnation, frames=frames))
+
+    async def report_load(self) -> None:
+        """Send the load whenever it has changed; close when the entry has gone silent."""
+        sent = None
+        while not self._closed:
+            load = self._executor.build_load()
+            if load != sent:
+                self.send(pb.AgentFrame(load=load))
+                sent = load
+            await anyio.sleep(LOAD_INTERVAL_S)
+            if anyio.current_time() - self._last_heard > SILENCE_TIMEOUT_S:
+                self.close()
+
+    def take(self, batch: pb.EntryBatch) -> None:
+        """Act on a message from the entry; a closed session ignores it."""
+        if self._closed:
+            return
+        self._last_heard = anyio.current_time()
+        for frame in batch.frames:
+            self._take_frame(frame)
+
+    def _take_frame(self, frame: pb.EntryFrame) -> None:
+        kind = frame.WhichOneof("body")
+        if kind == "submit":
+            self._executor.submit(frame.submit, self.send)
+        elif kind == "ack":
+            self._executor.acknowledge(frame.ack)
+        elif kind == "cancel":
+            self._executor.cancel(frame.cancel, self.send)
+        elif kind == "resume":
+            self._executor.resume(frame.resume, self.send)
+        elif kind == "ping" and frame.ping.reply:
+            self.send(pb.AgentFrame(ping=pb.Ping(nonce=frame.ping.nonce)))
+        elif kind == "hello":
+            self._entry_id = frame.hello.entry_id
+            self._connection = frame.hello.connection
--- /dev/null
+++ b/src/bronzerudder/execution/__init__.py
@@ -0,0 +1,18 @@
+"""Runs attempts on the agent's backend server and keeps their answers until acknowledged."""
+
+from __future__ import annotations
+
+from bronzerudder.execution.attempt import Attempt, AttemptKey, AttemptState
+from bronzerudder.execution.executor import Executor, ExecutorLimits
+from bronzerudder.execution.relay import Relay
+from bronzerudder.execution.table import AttemptTable
+
+__all__ = [
+    "Attempt",
+    "AttemptKey",
+    "AttemptState",
+    "AttemptTable",
+    "Executor",
+    "ExecutorLimits",
+    "Relay",
+]
--- /dev/null
+++ b/src/bronzerudder/execution/attempt.py
@@ -0,0 +1,180 @@
+"""One attempt of a request at this agent, with its answer."""
+
+from __future__ import annotations
+
+import collections
+import enum
+from collections.abc import Callable
+from typing import NamedTuple
+
+import anyio
+
+from bronzerudder.frames import exchange_pb2 as pb
+
+BUFFER_LIMIT_BYTES = 1_000_000
+
+Outlet = Callable[[pb.AgentFrame], None]
+
+
+class AttemptKey(NamedTuple):
+    """Identifies an attempt."""
+
+    request_id: str
+    attempt: int
+
+
+class AttemptState(enum.Enum):
+    """How far an attempt has come."""
+
+    QUEUED = "queued"
+    RUNNING = "running"
+    FINISHED = "finished"
+
+
+class _BufferedFrame(NamedTuple):
+    sequence: int
+    frame: pb.AgentFrame
+    size: int
+
+
+class Attempt:
+    """Buffers the frames of an answer until the entry acknowledges them.
+
+    The head has sequence number 0, chunks count from 1, and the final frame follows the last
+    chunk.
+    """
+
+    def __init__(self, key: AttemptKey, submit: pb.Submit, outlet: Outlet, now: float) -> None:
+        self._key = key
+        self._submit = submit
+        self._outlet: Outlet | None = outlet
+        self._detached_at = now
+        self._state = AttemptState.QUEUED
+        self._frames: collections.deque[_BufferedFrame] = collections.deque()
+        self._buffered_bytes = 0
+        self._next_sequence = 0
+        self._room = anyio.Event()
+        self._withdrawn = anyio.Event()
+
+    @property
+    def key(self) -> AttemptKey:
+        """Identity."""
+        return self._key
+
+    @property
+    def submit(self) -> pb.Submit:
+        """The request."""
+        return self._submit
+
+    @property
+    def state(self) -> AttemptState:
+        """How far it has come."""
+        return self._state
+
+    @property
+    def attached(self) -> bool:
+        """Whether a connection carries the answer."""
+        return self._outlet is not None
+
+    @property
+    def detached_at(self) -> float:
+        """Since when no connection has carried the answer, in monotonic seconds."""
+        return self._detached_at
+
+    @property
+    def acknowledged(self) -> bool:
+        """Whether the entry has received the whole answer."""
+        return self._state is AttemptState.FINISHED and not self._frames
+
+    @property
+    def withdrawn(self) -> anyio.Event:
+        """Set once nobody wants the answer any more."""
+        return self._withdrawn
+
+    @property
+    def chunk_count(self) -> int:
+        """Chunks emitted so far."""
+        return max(0, self._next_sequence - 1)
+
+    @property
+    def has_head(self) -> bool:
+        """Whether the head has been emitted."""
+        return self._next_sequence > 0
+
+    def start(self) -> None:
+        """Mark it as running: from here on it may have had an effect."""
+        self._state = AttemptState.RUNNING
+
+    def emit_head(self, status: int, headers: tuple[tuple[str, str], ...]) -> None:
+        """Emit the status and headers."""
+        fields = [pb.Header(name=name, value=value) for name, value in headers]
+        head = pb.Head(status=status, headers=fields, **self._key._asdict())
+        self._emit(pb.AgentFrame(head=head), 0)
+
+    def emit_chunk(self, payload: bytes) -> None:
+        """Emit a part of the body."""
+        chunk = pb.Chunk(sequence=self._next_sequence, payload=payload, **self._key._asdict())
+        self._emit(pb.AgentFrame(chunk=chunk), len(payload))
+
+    def emit_finished(
+        self, state: pb.FinishState, detail: str = "", replayed: bool = False
+    ) -> None:
+        """Emit the final frame."""
+        if self._state is AttemptState.FINISHED:
+            return
+        self._state = AttemptState.FINISHED
+        finished = pb.Finished(
+            chunk_count=self.chunk_count,
+            state=state,
+            detail=detail,
+            replayed=replayed,
+            **self._key._asdict(),
+        )
+        self._emit(pb.AgentFrame(finished=finished), 0)
+
+    def emit_refused(self, refused: pb.Refused) -> None:
+        """Send a refusal; it is repeated from its tombstone where this copy is lost."""
+        self._state = AttemptState.FINISHED
+        if self._outlet is not None:
+            self._outlet(pb.AgentFrame(refused=refused))
+
+    def acknowledge(self, next_sequence: int) -> None:
+        """Drop the frames that the entry has received."""
+        while self._frames and self._frames[0].sequence < next_sequence:
+            self._buffered_bytes -= self._frames.popleft().size
+        self._notify_room()
+
+    def attach(self, outlet: Outlet, next_sequence: int) -> None:
+        """Continue on another connection from a sequence number on."""
+        self.acknowledge(next_sequence)
+        self._outlet = outlet
+        for buffered in self._frames:
+            outlet(buffered.frame)
+
+    def detach(self, outlet: Outlet, now: float) -> None:
+        """Keep frames back until another connection takes over."""
+        if self._outlet is not outlet:
+            return
+        self._outlet = None
+        self._detached_at = now
+
+    def withdraw(self) -> None:
+        """Tell whoever runs it that nobody wants the answer."""
+        self._withdrawn.set()
+        self._notify_room()
+
+    async def wait_for_room(self) -> None:
+        """Wait until the buffer is below its limit."""
+        while self._buffered_bytes > BUFFER_LIMIT_BYTES and not self._withdrawn.is_set():
+            await self._room.wait()
+
+    def _emit(self, frame: pb.AgentFrame, size: int) -> None:
+        self._frames.append(_BufferedFrame(self._next_sequence, frame, size))
+        self._next_sequence += 1
+        self._buffered_bytes += size
+        if self._outlet is not None:
+            self._outlet(frame)
+
+    def _notify_room(self) -> None:
+        room, self._room = self._room, anyio.Event()
+        room.set()
--- /dev/null
+++ b/src/bronzerudder/execution/executor.py
@@ -0,0 +1,251 @@
+"""Admits, runs, cancels and drains the attempts of one agent."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+import anyio
+from anyio.abc import TaskGroup
+
+from bronzerudder.backend_server import BackendError, BackendErrorKind, BackendServer
+from bronzerudder.execution.attempt import Attempt, AttemptKey, AttemptState, Outlet
+from bronzerudder.execution.relay import Relay
+from bronzerudder.execution.table import AttemptTable
+from bronzerudder.frames import exchange_pb2 as pb
+
+ORPHAN_TIMEOUT_S = 10.0
+SWEEP_INTERVAL_S = 1.0
+LEAVING_RETRY_AFTER_MS = 100
+QUEUE_FULL_RETRY_AFTER_MS = 1_000
+BACKEND_DOWN_RETRY_AFTER_MS = 1_000
+
+
+class ExecutorLimits(NamedTuple):
+    """How many attempts run and wait at once."""
+
+    max_running: int
+    max_queued: int
+
+
+class Executor:
+    """The only sender of work to one backend server.
+
+    Parameters
+    ----------
+    backend_server : BackendServer
+        Where the work runs.
+    resumable : bool
+        Whether the backend server resumes streams.
+    limits : ExecutorLimits
+        How much runs and waits at once.
+    tasks : TaskGroup
+        Runs the attempts.
+    incarnation : int
+        Of this process.
+    """
+
+    def __init__(
+        self,
+        backend_server: BackendServer,
+        resumable: bool,
+        limits: ExecutorLimits,
+        tasks: TaskGroup,
+        incarnation: int,
+    ) -> None:
+        self._backend_server = backend_server
+        self._relay = Relay(backend_server, resumable)
+        self._resumable = resumable
+        self._limits = limits
+        self._tasks = tasks
+        self._incarnation = incarnation
+        self._table = AttemptTable()
+        self._slots = anyio.CapacityLimiter(limits.max_running)
+        self._queued = 0
+        self._leaving = False
+        self._backend_up = True
+
+    @property
+    def leaving(self) -> bool:
+        """Whether new work is refused because this agent is about to stop."""
+        return self._leaving
+
+    @property
+    def unfinished(self) -> int:
+        """Attempts that run, wait, or whose answer has not been acknowledged."""
+        return len(self._table)
+
+    def leave(self) -> None:
+        """Refuse new work from now on."""
+        self._leaving = True
+
+    def build_load(self) -> pb.Load:
+        """Describe how busy the backend server is."""
+        tokens = sum(attempt.submit.estimated_tokens for attempt in self._table)
+        return pb.Load(
+            outstanding_requests=len(self._table),
+            outstanding_tokens=tokens,
+            queued_requests=self._queued,
+            backend_up=self._backend_up,
+        )
+
+    def submit(self, submit: pb.Submit, outlet: Outlet) -> None:
+        """Start or queue an attempt, or refuse it."""
+        key = AttemptKey(submit.request_id, submit.attempt)
+        if self._table.get(key) is not None or self._table.has_run(key):
+            return
+        refused = self._table.get_refusal(key) or self._find_refusal(submit)
+        if refused is not None:
+            self._table.refuse(refused, anyio.current_time())
+            outlet(pb.AgentFrame(refused=refused))
+            return
+        attempt = Attempt(key, submit, outlet, anyio.current_time())
+        self._table.add(attempt)
+        self._queued += 1
+        outlet(pb.AgentFrame(accepted=pb.Accepted(**key._asdict())))
+        self._tasks.start_soon(self._run, attempt, outlet)
+
+    def cancel(self, cancel: pb.Cancel, outlet: Outlet) -> None:
+        """Withdraw an attempt; one that has not started is refused for good."""
+        key = AttemptKey(cancel.request_id, cancel.attempt)
+        attempt = self._table.get(key)
+        if attempt is None or attempt.state is AttemptState.QUEUED:
+            self._refuse_unstarted(key, outlet)
+            return
+        if not cancel.only_if_not_started:
+            attempt.withdraw()
+
+    def resume(self, resume: pb.Resume, outlet: Outlet) -> None:
+        """Continue an answer on another connection, or prove that the attempt never arrived."""
+        key = AttemptKey(resume.request_id, resume.attempt)
+        if resume.incarnation != self._incarnation:
+            outlet(pb.AgentFrame(resume_failed=pb.ResumeFailed(**key._asdict())))
+            return
+        attempt = self._table.get(key)
+        if attempt is not None:
+            attempt.attach(outlet, resume.next_sequence)
+            return
+        self._refuse_unstarted(key, outlet)
+
+    def acknowledge(self, ack: pb.Ack) -> None:
+        """Release what the entry has received."""
+        key = AttemptKey(ack.request_id, ack.attempt)
+        attempt = self._table.get(key)
+        if attempt is None:
+            return
+        attempt.acknowledge(ack.next_sequence)
+        if attempt.acknowledged:
+            self._table.conclude(key, anyio.current_time())
+
+    def detach(self, outlet: Outlet) -> None:
+        """Keep the answers of a connection that ended."""
+        for attempt in self._table:
+            attempt.detach(outlet, anyio.current_time())
+
+    async def sweep(self) -> None:
+        """Withdraw attempts whose entry is gone, and forget old tombstones."""
+        while True:
+            await anyio.sleep(SWEEP_INTERVAL_S)
+            now = anyio.current_time()
+            self._table.expire(now)
+            for attempt in self._table:
+                if attempt.attached or now - attempt.detached_at < ORPHAN_TIMEOUT_S:
+                    continue
+                self._drop_orphan(attempt)
+
+    def _drop_orphan(self, attempt: Attempt) -> None:
+        if attempt.state is AttemptState.FINISHED:
+            self._table.conclude(attempt.key, anyio.current_time())
+            return
+        if attempt.submit.repeatable:
+            attempt.withdraw()
+
+    def _find_refusal(self, submit: pb.Submit) -> pb.Refused | None:
+        if submit.incarnation != self._incarnation:
+            return _build_refusal(submit, pb.REFUSAL_REASON_WRONG_INCARNATION, 0)
+        if self._leaving:
+            return _build_refusal(submit, pb.REFUSAL_REASON_LEAVING, LEAVING_RETRY_AFTER_MS)
+        if self._queued >= self._limits.max_queued and not self._slots.available_tokens:
+            return _build_refusal(submit, pb.REFUSAL_REASON_QUEUE_FULL, QUEUE_FULL_RETRY_AFTER_MS)
+        return None
+
+    def _refuse_unstarted(self, key: AttemptKey, outlet: Outlet) -> None:
+        if self._table.has_run(key):
+            outlet(pb.AgentFrame(resume_failed=pb.ResumeFailed(**key._asdict())))
+            return
+        refused = self._table.get_refusal(key) or pb.Refused(
+            reason=pb.REFUSAL_REASON_CANCELLED, detail="withdrawn before it ran", **key._asdict()
+        )
+        self._table.refuse(refused, anyio.current_time())
+        outlet(pb.AgentFrame(refused=refused))
+
+    async def _run(self, attempt: Attempt, outlet: Outlet) -> None:
+        try:
+            with anyio.move_on_after(attempt.submit.time_left_ms / 1000) as deadline:
+                await self._run_in_slot(attempt, outlet)
+        finally:
+            if attempt.state is AttemptState.QUEUED:
+                self._queued -= 1
+        if not deadline.cancelled_caught:
+            return
+        if attempt.state is AttemptState.QUEUED:
+            self._refuse(attempt, pb.REFUSAL_REASON_DEADLINE, "waited until the deadline", 0)
+            return
+        await self._backend_server.cancel(f"{attempt.key.request_id}.{attempt.key.attempt}")
+        attempt.emit_finished(_cut_state(attempt), "deadline passed while it ran")
+
+    async def _run_in_slot(self, attempt: Attempt, outlet: Outlet) -> None:
+        async with self._slots:
+            if self._table.get(attempt.key) is not attempt:
+                return
+            attempt.start()
+            self._queued -= 1
+            await self._run_until_withdrawn(attempt)
+
+    async def _run_until_withdrawn(self, attempt: Attempt) -> None:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._cancel_when_withdrawn, attempt, tasks.cancel_scope)
+            error = await self._relay.run(attempt)
+            tasks.cancel_scope.cancel()
+            self._conclude(attempt, error)
+
+    async def _cancel_when_withdrawn(self, attempt: Attempt, scope: anyio.CancelScope) -> None:
+        await attempt.withdrawn.wait()
+        await self._backend_server.cancel(f"{attempt.key.request_id}.{attempt.key.attempt}")
+        attempt.emit_finished(pb.FINISH_STATE_CANCELLED, "withdrawn while it ran")
+        scope.cancel()
+
+    def _conclude(self, attempt: Attempt, error: BackendError | None) -> None:
+        if error is None:
+            self._backend_up = True
+            attempt.emit_finished(pb.FINISH_STATE_COMPLETE)
+            return
+        if error.kind is BackendErrorKind.UNREACHABLE and not attempt.has_head:
+            self._backend_up = False
+            self._refuse(
+                attempt, pb.REFUSAL_REASON_BACKEND_DOWN, error.reason, BACKEND_DOWN_RETRY_AFTER_MS
+            )
+            return
+        attempt.emit_finished(_cut_state(attempt), error.reason)
+
+    def _refuse(
+        self, attempt: Attempt, reason: pb.RefusalReason, detail: str, retry_after_ms: int
+    ) -> None:
+        refused = _build_refusal(attempt.submit, reason, retry_after_ms, detail)
+        self._table.refuse(refused, anyio.current_time())
+        attempt.emit_refused(refused)
+
+
+def _cut_state(attempt: Attempt) -> pb.FinishState:
+    return pb.FINISH_STATE_BROKEN if attempt.has_head else pb.FINISH_STATE_UNKNOWN
+
+
+def _build_refusal(
+    submit: pb.Submit, reason: pb.RefusalReason, retry_after_ms: int, detail: str = ""
+) -> pb.Refused:
+    return pb.Refused(
+        request_id=submit.request_id,
+        attempt=submit.attempt,
+        reason=reason,
+        detail=detail,
+        retry_after_ms=retry_after_ms,
+    )
--- /dev/null
+++ b/src/bronzerudder/execution/relay.py
@@ -0,0 +1,95 @@
+"""Relays one attempt to the backend server and its answer back."""
+
+from __future__ import annotations
+
+import anyio
+
+from bronzerudder.backend_server import (
+    BackendAnswer,
+    BackendCall,
+    BackendError,
+    BackendErrorKind,
+    BackendServer,
+)
+from bronzerudder.execution.attempt import Attempt
+from bronzerudder.execution.events import EventSplitter, is_event_stream
+from bronzerudder.frames import exchange_pb2 as pb
+
+MAX_REOPENS = 8
+
+
+class Relay:
+    """Sends one attempt to the backend server and emits what comes back.
+
+    Parameters
+    ----------
+    backend_server : BackendServer
+        Where to send it.
+    resumable : bool
+        Whether a silent connection may be replaced and the answer resumed on another.
+    """
+
+    def __init__(self, backend_server: BackendServer, resumable: bool) -> None:
+        self._backend_server = backend_server
+        self._resumable = resumable
+
+    async def run(self, attempt: Attempt) -> BackendError | None:
+        """Relay until the answer ends; return an error when it broke off or never began."""
+        splitter = EventSplitter()
+        for _ in range(MAX_REOPENS):
+            error = await self._relay_once(attempt, splitter)
+            if error is None or not await self._may_reopen(error):
+                return error
+            splitter.drop_tail()
+        return error
+
+    async def _may_reopen(self, error: BackendError) -> bool:
+        if not self._resumable or error.kind is not BackendErrorKind.SILENT:
+            return False
+        return await self._backend_server.probe() is None
+
+    async def _relay_once(self, attempt: Attempt, splitter: EventSplitter) -> BackendError | None:
+        answer = await self._backend_server.open(_build_call(attempt, splitter.last_event_id))
+        if isinstance(answer, BackendError):
+            return answer
+        try:
+            return await _copy(answer, attempt, splitter)
+        finally:
+            with anyio.CancelScope(shield=True):
+                await answer.close()
+
+
+async def _copy(
+    answer: BackendAnswer, attempt: Attempt, splitter: EventSplitter
+) -> BackendError | None:
+    if not attempt.has_head:
+        attempt.emit_head(answer.status, answer.headers)
+    events = is_event_stream(answer.headers)
+    while True:
+        await attempt.wait_for_room()
+        part = await answer.read()
+        if isinstance(part, BackendError):
+            return part
+        if part is None:
+            break
+        whole = splitter.split(part) if events else part
+        if whole:
+            attempt.emit_chunk(whole)
+    if splitter.tail:
+        attempt.emit_chunk(splitter.tail)
+    return None
+
+
+def _build_call(attempt: Attempt, last_event_id: str) -> BackendCall:
+    submit: pb.Submit = attempt.submit
+    headers = [(header.name, header.value) for header in submit.headers]
+    if last_event_id:
+        headers = [pair for pair in headers if pair[0].lower() != "last-event-id"]
+        headers.append(("last-event-id", last_event_id))
+    return BackendCall(
+        f"{submit.request_id}.{submit.attempt}",
+        submit.method,
+        submit.path,
+        tuple(headers),
+        submit.payload,
+    )
--- /dev/null
+++ b/src/bronzerudder/settings/agent.py
@@ -0,0 +1,33 @@
+"""Settings of an agent."""
+
+from __future__ import annotations
+
+from typing import Literal, NotRequired, TypedDict
+
+from bronzerudder.settings.fields import Count, Listener, Name, Seconds, Share, Url
+from bronzerudder.settings.platform import PlatformSettings
+
+
+class BackendServerSettings(TypedDict):
+    """The backend server beside the agent, and how much it is given at once."""
+
+    name: Name
+    kind: Literal["engine", "service"]
+    url: Url
+    max_running: Count
+    max_queued: Count
+    silence_timeout_s: NotRequired[Seconds]
+
+
+class AgentSettings(TypedDict):
+    """Settings of one agent process."""
+
+    agent_id: Name
+    failure_domain: Name
+    pool: Name
+    listener: Listener
+    admin_listener: Listener
+    backend_server: BackendServerSettings
+    platform: PlatformSettings
+    drain_timeout_s: NotRequired[Seconds]
+    trace_sample_ratio: NotRequired[Share]
