Keep cancellations over a replaced connection

Cause: on reading, frames queued for a failed connection were dropped, cancellations among them, so a request could run after the caller had been told otherwise was no longer asked for. Ruled out: loss of the final acknowledgement only, which a timeout covers. Conclusion: resumes come first, then all that was queued, then standing cancellations.

--- a/src/bronzerudder/agent/attempt.py
+++ b/src/bronzerudder/agent/attempt.py
@@ -34,6 +34,7 @@
         self._next_sequence = 0
         self._sent = False
         self._final = False
+        self._cancel: pb.Cancel | None = None
         self._unacknowledged_chunks = 0
         self._unacknowledged_bytes = 0
 
@@ -83,12 +84,17 @@
 
     def cancel(self, only_if_not_started: bool) -> None:
         """Withdraw the attempt; a proof that it never ran comes back as an event."""
-        cancel = pb.Cancel(
+        self._cancel = pb.Cancel(
             request_id=self.request_id,
             attempt=self.number,
             only_if_not_started=only_if_not_started,
         )
-        self._send(pb.EntryFrame(cancel=cancel))
+        self.repeat_cancel()
+
+    def repeat_cancel(self) -> None:
+        """Send the cancellation again, on a connection that may have replaced another."""
+        if self._cancel is not None:
+            self._send(pb.EntryFrame(cancel=self._cancel))
 
     def take(self, frame: pb.AgentFrame, kind: str) -> None:
         """Act on a frame from the agent."""
--- a/src/bronzerudder/agent/connection.py
+++ b/src/bronzerudder/agent/connection.py
@@ -17,6 +17,8 @@
 RECONNECT_DELAY_S = 0.1
 MAX_RECONNECT_DELAY_S = 1.0
 RESUME_WINDOW_S = 3.0
+# Well below the time for which an agent keeps its conclusions, since a resume relies on them.
+MAX_SILENT_GAP_S = 60.0
 CLOSE_TIMEOUT_S = 0.2
 MAX_FRAMES_PER_BATCH = 256
 CHANNEL_OPTIONS = (
@@ -160,7 +162,9 @@
             while True:
                 await call.write(pb.EntryBatch(frames=frames))
                 frames = await self._next_frames()
-        except (grpc.aio.AioRpcError, grpc.aio.UsageError, anyio.get_cancelled_exc_class()):
+        except (grpc.aio.AioRpcError, grpc.aio.UsageError):
+            return
+        finally:
             scope.cancel()
 
     async def _next_frames(self) -> list[pb.EntryFrame]:
@@ -184,9 +188,11 @@
             attempt.mark_sent()
 
     async def _watch_silence(self, scope: anyio.CancelScope) -> None:
-        while anyio.current_time() - self._last_heard < SILENCE_TIMEOUT_S:
+        while True:
             await anyio.sleep(SILENCE_TIMEOUT_S / 4)
-        scope.cancel()
+            if anyio.current_time() - self._last_heard > SILENCE_TIMEOUT_S:
+                scope.cancel()
+                return
 
     def _send(self, frame: pb.EntryFrame) -> None:
         self._pending.append(frame)
@@ -210,10 +216,10 @@
             self._lose_sent_attempts("the agent restarted")
         self._incarnation = incarnation
         self._leaving = hello.leaving
-        # Frames that were queued for the earlier connection are superseded by the resumes.
         resumes = [self._resume(attempt) for attempt in self._attempts.values() if attempt.sent]
-        kept = [frame for frame in self._pending if frame.WhichOneof("body") == "submit"]
-        self._pending = resumes + kept
+        self._pending = resumes + self._pending
+        for attempt in self._attempts.values():
+            attempt.repeat_cancel()
         self._connected = True
         self._ready.set()
         self._due.set()
@@ -261,5 +267,7 @@
             attempt.lose(reason)
 
     def _give_up_on_stale_attempts(self) -> None:
-        if anyio.current_time() - self._disconnected_at > RESUME_WINDOW_S:
+        now = anyio.current_time()
+        cut_off = now - self._disconnected_at > RESUME_WINDOW_S
+        if cut_off or now - self._last_heard > MAX_SILENT_GAP_S:
             self._lose_sent_attempts("the agent can not be reached")
