--- a/src/bronzerudder/platform/api.py
+++ b/src/bronzerudder/platform/api.py
@@ -6,6 +6,8 @@
 import enum
 from typing import NamedTuple
 
+import anyio
+
 from bronzerudder.platform.errors import StoreError
 
 MAX_VALUE_BYTES = 1_000_000
@@ -102,6 +104,42 @@
         Returns an empty batch when nothing changed within ``timeout_s`` seconds.
         """
 
+    async def watch_any(
+        self, kinds: tuple[str, ...], after_version: int, timeout_s: float
+    ) -> ChangeBatch | StoreError:
+        """Wait for changes of any of several kinds after a version.
+
+        This default costs one waiting call for each kind; a platform whose watch covers several
+        kinds overrides it with one call.
+        """
+        first: list[ChangeBatch | StoreError] = []
+        async with anyio.create_task_group() as tasks:
+
+            async def watch_one(kind: str) -> None:
+                result = await self.watch(kind, after_version, timeout_s)
+                if not first:
+                    first.append(result)
+                    tasks.cancel_scope.cancel()
+
+            for kind in kinds:
+                tasks.start_soon(watch_one, kind)
+        if isinstance(first[0], StoreError) or first[0].truncated:
+            return first[0]
+        return await self._gather_until(kinds, after_version, first[0].version)
+
+    async def _gather_until(
+        self, kinds: tuple[str, ...], after_version: int, until_version: int
+    ) -> ChangeBatch | StoreError:
+        """Read what all kinds changed up to a version that the store has reached."""
+        changes: list[Change] = []
+        for kind in kinds:
+            batch = await self.watch(kind, after_version, 0.0)
+            if isinstance(batch, StoreError) or batch.truncated:
+                return batch
+            changes.extend(change for change in batch.changes if change.version <= until_version)
+        changes.sort(key=lambda change: change.version)
+        return ChangeBatch(tuple(changes), until_version)
+
 
 class InstanceState(enum.Enum):
     """State of an instance in the platform's list."""
