Add the stand-in for a plain service

Cause: tests of at-most-once execution need a call that may not be repeated and a record of its runs that no process of the system writes. Ruled out: counting runs in the caller, which sees answers and not runs.

--- /dev/null
+++ b/src/bronzerudder/standin/service/behaviour.py
@@ -0,0 +1,31 @@
+"""Settings of the stand-in service and the faults that it plays."""
+
+from __future__ import annotations
+
+from typing import Annotated, Literal, NotRequired, TypedDict
+
+import msgspec
+
+Moment = Literal["never", "before", "after"]
+
+
+class Behaviour(TypedDict):
+    """What a booking does besides running; ``before`` and ``after`` are relative to the run.
+
+    ``delay_s`` is the duration of a run in seconds. ``stall`` waits until another behaviour is set.
+    ``fail`` answers 503 before the run or 500 after it. ``lose_answer`` closes the connection after
+    the run, in the middle of the answer.
+    """
+
+    delay_s: NotRequired[Annotated[float, msgspec.Meta(ge=0, le=3600)]]
+    stall: NotRequired[Moment]
+    fail: NotRequired[Moment]
+    lose_answer: NotRequired[bool]
+
+
+class ServiceSettings(TypedDict):
+    """Settings of one stand-in service; port 0 lets the system choose."""
+
+    address: Annotated[str, msgspec.Meta(pattern=r"^[^\s:/]+:[0-9]{1,5}$")]
+    name: NotRequired[str]
+    behaviour: NotRequired[Behaviour]
--- /dev/null
+++ b/tests/standin/service/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the stand-in service."""
