Add the interfaces of the decisions under load

The entry and the agent need calls to write against before the strategies are tuned. Each package has an abstract class and its simplest implementation, which stays as the baseline that ours has to beat. Time and randomness are arguments, so that decisions repeat exactly. Ruled out: asyncio timers inside the policies, which would make runs unrepeatable.

--- /dev/null
+++ b/src/bronzerudder/policy/admission/__init__.py
@@ -0,0 +1,23 @@
+"""Orders the requests that wait for a backend server, and refuses hopeless ones."""
+
+from __future__ import annotations
+
+from bronzerudder.policy.admission.api import (
+    EXPIRY_INTERVAL_S,
+    AdmissionQueue,
+    AdmissionRefusal,
+    AdmissionRefusalKind,
+    AdmissionRequest,
+    Queued,
+)
+from bronzerudder.policy.admission.first_come import FirstComeQueue
+
+__all__ = [
+    "EXPIRY_INTERVAL_S",
+    "AdmissionQueue",
+    "AdmissionRefusal",
+    "AdmissionRefusalKind",
+    "AdmissionRequest",
+    "FirstComeQueue",
+    "Queued",
+]
--- /dev/null
+++ b/src/bronzerudder/policy/retry/__init__.py
@@ -0,0 +1,21 @@
+"""Limits how often an entry sends requests again."""
+
+from __future__ import annotations
+
+from bronzerudder.policy.retry.api import (
+    RetryAllowance,
+    RetryBudget,
+    RetryDenial,
+    RetryDenialKind,
+)
+from bronzerudder.policy.retry.count import CountBudget
+from bronzerudder.policy.retry.share import ShareBudget
+
+__all__ = [
+    "CountBudget",
+    "RetryAllowance",
+    "RetryBudget",
+    "RetryDenial",
+    "RetryDenialKind",
+    "ShareBudget",
+]
--- /dev/null
+++ b/src/bronzerudder/policy/routing/__init__.py
@@ -0,0 +1,26 @@
+"""Picks a backend server for each request."""
+
+from __future__ import annotations
+
+from bronzerudder.policy.routing.api import (
+    NoCandidate,
+    NoCandidateKind,
+    RoutedRequest,
+    RoutingPolicy,
+)
+from bronzerudder.policy.routing.breaker import Breaker
+from bronzerudder.policy.routing.candidate import Candidate, LoadReport
+from bronzerudder.policy.routing.least_outstanding import LeastOutstandingRouting
+from bronzerudder.policy.routing.random_choice import RandomRouting
+
+__all__ = [
+    "Breaker",
+    "Candidate",
+    "LeastOutstandingRouting",
+    "LoadReport",
+    "NoCandidate",
+    "NoCandidateKind",
+    "RandomRouting",
+    "RoutedRequest",
+    "RoutingPolicy",
+]
--- /dev/null
+++ b/src/bronzerudder/policy/subset/full_mesh.py
@@ -0,0 +1,15 @@
+"""Every entry uses the whole pool."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from bronzerudder.policy.subset.api import Member, SubsetPolicy
+
+
+class FullMesh(SubsetPolicy):
+    """Chooses all members; fits pools of tens of backend servers."""
+
+    def select(self, entry_id: str, members: Sequence[Member]) -> tuple[Member, ...]:
+        """Choose all members."""
+        return tuple(members)
--- /dev/null
+++ b/tests/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the decisions under load."""
