--- /dev/null
+++ b/src/bronzerudder/policy/__init__.py
@@ -0,0 +1,3 @@
+"""Strategies that the processes call inline."""
+
+from __future__ import annotations
