--- /dev/null
+++ b/src/bronzerudder/caller/reader.py
@@ -0,0 +1,132 @@
+"""Turns a caller's HTTP request into what the dispatcher takes."""
+
+from __future__ import annotations
+
+import math
+import uuid
+from typing import Any
+
+import msgspec
+import xxhash
+
+from bronzerudder.caller.errors import BadRequest
+from bronzerudder.caller.headers import IDEMPOTENCY_KEY, CallerHeaders
+from bronzerudder.dispatch import CallerRequest
+from bronzerudder.observability.traces import TRACEPARENT
+from bronzerudder.web import BodyTooLarge, CallerGone, read_body, read_headers
+
+CHARACTERS_PER_TOKEN = 4
+DEFAULT_GENERATED_TOKENS = 256
+PREFIX_CHARACTERS = 256
+MAX_KEY_LENGTH = 255
+COMPLETIONS_SUFFIX = "/completions"
+NOT_FORWARDED = frozenset(
+    ("connection", "content-length", "host", "keep-alive", "te", "transfer-encoding", "upgrade")
+)
+
+
+class _Message(msgspec.Struct):
+    content: str | list[Any] | None = ""
+
+
+class _Completion(msgspec.Struct):
+    messages: list[_Message] = msgspec.field(default_factory=list)
+    prompt: str = ""
+    model: str = ""
+    max_tokens: int = DEFAULT_GENERATED_TOKENS
+
+
+class RequestReader:
+    """Reads callers' requests.
+
+    Parameters
+    ----------
+    headers : CallerHeaders
+        Header names.
+    max_body_bytes : int
+        Longer bodies are refused.
+    """
+
+    def __init__(self, headers: CallerHeaders, max_body_bytes: int) -> None:
+        self._headers = headers
+        self._max_body_bytes = max_body_bytes
+        self._decoder = msgspec.json.Decoder(_Completion)
+
+    async def read(
+        self, scope: dict[str, Any], receive: Any, traceparent: str
+    ) -> CallerRequest | BadRequest | CallerGone:
+        """Read one request."""
+        fields = read_headers(scope)
+        timeout_s = _parse_timeout(fields.get(self._headers.deadline))
+        if isinstance(timeout_s, BadRequest):
+            return timeout_s
+        key = fields.get(IDEMPOTENCY_KEY, "")
+        if len(key) > MAX_KEY_LENGTH:
+            return BadRequest(400, f"idempotency key longer than {MAX_KEY_LENGTH} characters")
+        body = await read_body(receive, self._max_body_bytes)
+        if isinstance(body, CallerGone):
+            return body
+        if isinstance(body, BodyTooLarge):
+            return BadRequest(413, f"body longer than {body.limit} bytes")
+        completion = self._read_completion(scope["path"], body)
+        if isinstance(completion, BadRequest):
+            return completion
+        text = _join_prompt(completion)
+        prompt_tokens = len(text) // CHARACTERS_PER_TOKEN
+        return CallerRequest(
+            request_id=uuid.uuid4().hex,
+            workspace=fields.get(self._headers.workspace, ""),
+            method=scope["method"],
+            path=_read_target(scope),
+            model=completion.model,
+            headers=_forward(scope["headers"]),
+            body=body,
+            idempotency_key=key,
+            asked_timeout_s=timeout_s,
+            traceparent=traceparent or fields.get(TRACEPARENT, ""),
+            estimated_tokens=prompt_tokens + completion.max_tokens,
+            prompt_tokens=prompt_tokens,
+            prefix=xxhash.xxh64_hexdigest(text[:PREFIX_CHARACTERS].encode()) if text else "",
+            fingerprint=xxhash.xxh128_hexdigest(scope["path"].encode() + b"\0" + body),
+        )
+
+    def _read_completion(self, path: str, body: bytes) -> _Completion | BadRequest:
+        if not path.endswith(COMPLETIONS_SUFFIX):
+            return _Completion(max_tokens=1)
+        try:
+            return self._decoder.decode(body)
+        except (msgspec.DecodeError, RecursionError, UnicodeDecodeError) as error:
+            return BadRequest(400, f"not a completion request: {error}")
+
+
+def _join_prompt(completion: _Completion) -> str:
+    contents = [str(message.content or "") for message in completion.messages]
+    return "\n".join((*contents, completion.prompt)).strip()
+
+
+def _parse_timeout(text: str | None) -> float | None | BadRequest:
+    if text is None:
+        return None
+    try:
+        timeout_s = float(text)
+    except ValueError:
+        timeout_s = math.nan
+    if not 0 < timeout_s < math.inf:
+        return BadRequest(400, f"timeout {text!r} is not a positive number of seconds")
+    return timeout_s
+
+
+def _read_target(scope: dict[str, Any]) -> str:
+    path = scope.get("raw_path", scope["path"].encode()).decode("latin-1").partition("?")[0]
+    query = scope.get("query_string", b"").decode("latin-1")
+    return f"{path}?{query}" if query else path
+
+
+def _forward(headers: list[tuple[bytes, bytes]]) -> tuple[tuple[str, str], ...]:
+    kept = []
+    for raw_name, raw_value in headers:
+        name = raw_name.decode("latin-1").lower()
+        if name in NOT_FORWARDED or name.startswith(":"):
+            continue
+        kept.append((name, raw_value.decode("latin-1")))
+    return tuple(kept)
--- /dev/null
+++ b/src/bronzerudder/dispatch/dispatcher.py
@@ -0,0 +1,205 @@
+"""Sends a request to backend servers until it has an outcome."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+import anyio
+
+from bronzerudder.agent import (
+    FINAL_EVENTS,
+    Completed,
+    Cut,
+    Lost,
+    Refused,
+    RemoteAttempt,
+)
+from bronzerudder.configuration import Match, Snapshot
+from bronzerudder.dispatch.api import AnswerSink
+from bronzerudder.dispatch.outcome import (
+    RETRYABLE_REFUSALS,
+    STATUS_NOT_FOUND,
+    STATUS_OK,
+    STATUS_TIMEOUT,
+    STATUS_TOO_MANY_REQUESTS,
+    STATUS_UNAVAILABLE,
+    Outcome,
+    OutcomeKind,
+    describe_loss,
+    describe_refusal,
+)
+from bronzerudder.dispatch.progress import Progress
+from bronzerudder.dispatch.request import CallerRequest
+from bronzerudder.dispatch.submit import build_submit
+from bronzerudder.dispatch.targets import Target, TargetTable
+from bronzerudder.policy.limits import RouteLimited, RouteLimiter
+from bronzerudder.policy.retry import RetryBudget, RetryDenial
+from bronzerudder.policy.routing import NoCandidate, RoutedRequest
+
+PROOF_TIMEOUT_S = 0.25
+
+FinalEvent = Completed | Cut | Refused | Lost
+
+
+class _Attempted(NamedTuple):
+    event: FinalEvent
+    timed_out: bool
+
+
+class Dispatcher:
+    """Serves callers' requests.
+
+    Parameters
+    ----------
+    current : callable
+        Returns the configuration in force.
+    targets : TargetTable
+        Backend servers by pool.
+    limiter : RouteLimiter
+        Holds the routes' limits.
+    build_budget : callable
+        Makes the retry budget of a pool.
+    """
+
+    def __init__(
+        self,
+        current: Callable[[], Snapshot],
+        targets: TargetTable,
+        limiter: RouteLimiter,
+        build_budget: Callable[[], RetryBudget],
+    ) -> None:
+        self._current = current
+        self._targets = targets
+        self._limiter = limiter
+        self._build_budget = build_budget
+        self._budgets: dict[str, RetryBudget] = {}
+
+    async def serve(self, request: CallerRequest, sink: AnswerSink) -> Outcome:
+        """Serve one request and say how it ended."""
+        match = self._current().match(request.workspace, request.path, request.model)
+        if match is None:
+            return Outcome(OutcomeKind.NOT_RUN, STATUS_NOT_FOUND, "no route for this request")
+        permit = self._limiter.acquire(match.route_name, anyio.current_time())
+        if isinstance(permit, RouteLimited):
+            status = STATUS_TOO_MANY_REQUESTS
+            return Outcome(OutcomeKind.NOT_RUN, status, permit.reason, permit.retry_after_s)
+        try:
+            return await self._serve_route(request, match, Progress(sink))
+        finally:
+            self._limiter.release(permit, anyio.current_time())
+
+    async def _serve_route(
+        self, request: CallerRequest, match: Match, progress: Progress
+    ) -> Outcome:
+        deadline = anyio.current_time() + _find_time_limit(request, match)
+        budget = self._budgets.setdefault(match.pool_name, self._build_budget())
+        budget.record_fresh(anyio.current_time())
+        tried: list[str] = []
+        outcome: Outcome | None = None
+        while True:
+            target = self._pick(request, match, frozenset(tried))
+            if isinstance(target, NoCandidate):
+                return outcome or _describe_no_candidate(target)
+            tried.append(target.candidate.name)
+            attempted = await self._attempt(request, match, target, progress, len(tried), deadline)
+            outcome = _judge(attempted, progress)
+            if not _may_retry(attempted, progress, match.route["repeatable"]):
+                return outcome
+            allowance = budget.allow(len(tried), deadline, anyio.current_time())
+            if isinstance(allowance, RetryDenial):
+                return outcome
+            await anyio.sleep(allowance.delay_s)
+
+    def _pick(
+        self, request: CallerRequest, match: Match, tried: frozenset[str]
+    ) -> Target | NoCandidate:
+        routed = RoutedRequest(
+            request.estimated_tokens, request.prompt_tokens, request.prefix, tried
+        )
+        return self._targets.get(match.pool_name).pick(routed, anyio.current_time())
+
+    async def _attempt(
+        self,
+        request: CallerRequest,
+        match: Match,
+        target: Target,
+        progress: Progress,
+        number: int,
+        deadline: float,
+    ) -> _Attempted:
+        time_left_s = deadline - anyio.current_time()
+        submit = build_submit(request, match, number, time_left_s, progress.last_event_id)
+        attempt = target.connection.start(submit)
+        target.candidate.begin(request.estimated_tokens)
+        repeatable = match.route["repeatable"]
+        try:
+            return await self._follow(attempt, progress, deadline, repeatable)
+        finally:
+            target.candidate.finish(request.estimated_tokens)
+            if not attempt.final:
+                attempt.cancel(only_if_not_started=not repeatable)
+            target.connection.forget(attempt)
+
+    async def _follow(
+        self, attempt: RemoteAttempt, progress: Progress, deadline: float, repeatable: bool
+    ) -> _Attempted:
+        with anyio.move_on_after(deadline - anyio.current_time()):
+            return _Attempted(await _relay_events(attempt, progress), False)
+        attempt.cancel(only_if_not_started=not repeatable)
+        with anyio.move_on_after(PROOF_TIMEOUT_S):
+            return _Attempted(await _await_final(attempt), True)
+        return _Attempted(Lost("the deadline passed"), True)
+
+
+async def _relay_events(attempt: RemoteAttempt, progress: Progress) -> FinalEvent:
+    while True:
+        event = await attempt.next_event()
+        if isinstance(event, FINAL_EVENTS):
+            return event
+        await progress.deliver(event)
+
+
+async def _await_final(attempt: RemoteAttempt) -> FinalEvent:
+    while True:
+        event = await attempt.next_event()
+        if isinstance(event, FINAL_EVENTS):
+            return event
+
+
+def _judge(attempted: _Attempted, progress: Progress) -> Outcome:
+    event = attempted.event
+    if isinstance(event, Refused) and not progress.may_have_run:
+        return describe_refusal(event)
+    if attempted.timed_out:
+        return Outcome(OutcomeKind.UNKNOWN, STATUS_TIMEOUT, "the deadline passed while it ran")
+    if isinstance(event, Completed):
+        return Outcome(OutcomeKind.DONE, STATUS_OK, replayed=event.replayed)
+    if progress.terminated:
+        return Outcome(OutcomeKind.DONE, STATUS_OK)
+    if isinstance(event, Refused):
+        return Outcome(OutcomeKind.UNKNOWN, STATUS_UNAVAILABLE, event.detail, event.retry_after_s)
+    progress.may_have_run = True
+    return describe_loss(event)
+
+
+def _may_retry(attempted: _Attempted, progress: Progress, repeatable: bool) -> bool:
+    event = attempted.event
+    if attempted.timed_out or progress.terminated or isinstance(event, Completed):
+        return False
+    if not progress.can_move:
+        return False
+    if isinstance(event, Refused):
+        return event.reason in RETRYABLE_REFUSALS
+    return repeatable
+
+
+def _find_time_limit(request: CallerRequest, match: Match) -> float:
+    limit_s = float(match.route["deadline_s"])
+    if request.asked_timeout_s is None:
+        return limit_s
+    return min(limit_s, request.asked_timeout_s)
+
+
+def _describe_no_candidate(none: NoCandidate) -> Outcome:
+    return Outcome(OutcomeKind.NOT_RUN, STATUS_UNAVAILABLE, none.reason, none.retry_after_s)
--- /dev/null
+++ b/src/bronzerudder/dispatch/progress.py
@@ -0,0 +1,59 @@
+"""What has happened to one request so far, over all of its attempts."""
+
+from __future__ import annotations
+
+from bronzerudder.agent import Body, Head
+from bronzerudder.dispatch.api import AnswerSink
+from bronzerudder.web.event_stream import TERMINATOR, find_last_event_id, is_event_stream
+
+
+class Progress:
+    """Delivers the parts of an answer and remembers what a later attempt must respect."""
+
+    def __init__(self, sink: AnswerSink) -> None:
+        self._sink = sink
+        self._begun = False
+        self._streaming = False
+        self._last_event_id = ""
+        self._terminated = False
+        self.may_have_run = False
+
+    @property
+    def begun(self) -> bool:
+        """Whether any part of the answer has been delivered."""
+        return self._begun
+
+    @property
+    def last_event_id(self) -> str:
+        """Id of the last event delivered."""
+        return self._last_event_id
+
+    @property
+    def terminated(self) -> bool:
+        """Whether the event that ends a stream has been delivered."""
+        return self._terminated
+
+    @property
+    def can_move(self) -> bool:
+        """Whether another backend server may continue the answer."""
+        if not self._begun:
+            return True
+        return self._streaming and bool(self._last_event_id)
+
+    async def deliver(self, event: Head | Body) -> None:
+        """Deliver a part; the head of a continued answer has been delivered before."""
+        self.may_have_run = True
+        if isinstance(event, Body):
+            await self._deliver_body(event.payload)
+            return
+        if self._begun:
+            return
+        self._begun = True
+        self._streaming = is_event_stream(event.headers)
+        await self._sink.begin(event.status, event.headers)
+
+    async def _deliver_body(self, payload: bytes) -> None:
+        if self._streaming:
+            self._last_event_id = find_last_event_id(payload) or self._last_event_id
+            self._terminated = payload.endswith(TERMINATOR)
+        await self._sink.write(payload)
--- /dev/null
+++ b/src/bronzerudder/dispatch/targets.py
@@ -0,0 +1,123 @@
+"""The backend servers of each pool, as one entry sees them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from bronzerudder.agent import AgentConnection, AgentPool
+from bronzerudder.configuration import Snapshot
+from bronzerudder.frames import exchange_pb2 as pb
+from bronzerudder.policy.routing import (
+    Breaker,
+    Candidate,
+    LoadReport,
+    NoCandidate,
+    RoutedRequest,
+    RoutingPolicy,
+)
+from bronzerudder.tables import PoolRow
+
+
+class Target(NamedTuple):
+    """A backend server to send to."""
+
+    candidate: Candidate
+    connection: AgentConnection
+
+
+class PoolTargets:
+    """The backend servers of one pool."""
+
+    def __init__(self, policy: RoutingPolicy) -> None:
+        self._policy = policy
+        self._targets: dict[str, Target] = {}
+        self._group_breaker = Breaker()
+        self._observed: dict[str, float] = {}
+
+    @property
+    def targets(self) -> tuple[Target, ...]:
+        """All of them."""
+        return tuple(self._targets.values())
+
+    def update(self, row: PoolRow, agents: AgentPool) -> None:
+        """Follow the pool's row; what is known of servers that stay is kept."""
+        targets = {}
+        for server in row["backend_servers"]:
+            connection = agents.get(server["agent_address"])
+            if connection is None:
+                continue
+            known = self._targets.get(server["name"])
+            if known is not None and known.connection is connection:
+                targets[server["name"]] = known
+                continue
+            breaker = self._group_breaker if "group" in row else None
+            candidate = Candidate(server["name"], server["failure_domain"], breaker)
+            targets[server["name"]] = Target(candidate, connection)
+        self._targets = targets
+
+    def pick(self, request: RoutedRequest, now_s: float) -> Target | NoCandidate:
+        """Pick a backend server that may take the request."""
+        for name, target in self._targets.items():
+            self._refresh(name, target, now_s)
+        candidates = [target.candidate for target in self._targets.values()]
+        picked = self._policy.pick(candidates, request, now_s)
+        if isinstance(picked, NoCandidate):
+            return picked
+        return self._targets[picked.name]
+
+    def _refresh(self, name: str, target: Target, now_s: float) -> None:
+        state = target.connection.state
+        target.candidate.connected = state.connected
+        target.candidate.leaving = state.leaving
+        if state.load_received_at == self._observed.get(name, 0.0):
+            return
+        self._observed[name] = state.load_received_at
+        target.candidate.observe(_build_report(state.load), now_s)
+
+
+class TargetTable:
+    """The pools of the configuration in force.
+
+    Parameters
+    ----------
+    agents : AgentPool
+        Connections to the agents.
+    build_policy : callable
+        Makes the routing policy of a pool.
+    """
+
+    def __init__(self, agents: AgentPool, build_policy: Callable[[PoolRow], RoutingPolicy]) -> None:
+        self._agents = agents
+        self._build_policy = build_policy
+        self._pools: dict[str, PoolTargets] = {}
+
+    def get(self, pool: str) -> PoolTargets | None:
+        """Return a pool's backend servers."""
+        return self._pools.get(pool)
+
+    def update(self, snapshot: Snapshot) -> None:
+        """Follow the configuration in force."""
+        rows = snapshot.list_pools()
+        addresses = set()
+        for row in rows.values():
+            addresses.update(server["agent_address"] for server in row["backend_servers"])
+        self._agents.use(addresses)
+        for name in set(self._pools) - set(rows):
+            del self._pools[name]
+        for name, row in rows.items():
+            if name not in self._pools:
+                self._pools[name] = PoolTargets(self._build_policy(row))
+            self._pools[name].update(row, self._agents)
+
+
+def _build_report(load: pb.Load) -> LoadReport:
+    return LoadReport(
+        outstanding_requests=load.outstanding_requests,
+        outstanding_tokens=load.outstanding_tokens,
+        estimated_wait_s=load.estimated_wait_ms / 1000,
+        token_rate=load.token_rate,
+        backend_up=load.backend_up,
+        group_stalled=load.group_stalled,
+        cached_prefixes=frozenset(load.cached_prefixes),
+    )
--- a/src/bronzerudder/execution/executor.py
+++ b/src/bronzerudder/execution/executor.py
@@ -12,6 +12,7 @@
 from bronzerudder.execution.relay import Relay
 from bronzerudder.execution.table import AttemptTable
 from bronzerudder.frames import exchange_pb2 as pb
+from bronzerudder.observability import Tracing
 
 ORPHAN_TIMEOUT_S = 10.0
 SWEEP_INTERVAL_S = 1.0
@@ -42,6 +43,8 @@
         Runs the attempts.
     incarnation : int
         Of this process.
+    tracing : Tracing
+        Records a span for each attempt and for each call of the backend server.
     """
 
     def __init__(
@@ -51,10 +54,11 @@
         limits: ExecutorLimits,
         tasks: TaskGroup,
         incarnation: int,
+        tracing: Tracing,
     ) -> None:
         self._backend_server = backend_server
-        self._relay = Relay(backend_server, resumable)
-        self._resumable = resumable
+        self._relay = Relay(backend_server, resumable, tracing)
+        self._tracing = tracing
         self._limits = limits
         self._tasks = tasks
         self._incarnation = incarnation
@@ -102,7 +106,7 @@
         self._table.add(attempt)
         self._queued += 1
         outlet(pb.AgentFrame(accepted=pb.Accepted(**key._asdict())))
-        self._tasks.start_soon(self._run, attempt, outlet)
+        self._tasks.start_soon(self._run, attempt)
 
     def cancel(self, cancel: pb.Cancel, outlet: Outlet) -> None:
         """Withdraw an attempt; one that has not started is refused for good."""
@@ -178,10 +182,18 @@
         self._table.refuse(refused, anyio.current_time())
         outlet(pb.AgentFrame(refused=refused))
 
-    async def _run(self, attempt: Attempt, outlet: Outlet) -> None:
+    async def _run(self, attempt: Attempt) -> None:
+        span = self._tracing.start("agent attempt", attempt.submit.traceparent)
+        attempt.submit.traceparent = self._tracing.format_traceparent(span)
+        try:
+            await self._run_within_deadline(attempt)
+        finally:
+            span.end()
+
+    async def _run_within_deadline(self, attempt: Attempt) -> None:
         try:
             with anyio.move_on_after(attempt.submit.time_left_ms / 1000) as deadline:
-                await self._run_in_slot(attempt, outlet)
+                await self._run_in_slot(attempt)
         finally:
             if attempt.state is AttemptState.QUEUED:
                 self._queued -= 1
@@ -193,7 +205,7 @@
         await self._backend_server.cancel(f"{attempt.key.request_id}.{attempt.key.attempt}")
         attempt.emit_finished(_cut_state(attempt), "deadline passed while it ran")
 
-    async def _run_in_slot(self, attempt: Attempt, outlet: Outlet) -> None:
+    async def _run_in_slot(self, attempt: Attempt) -> None:
         async with self._slots:
             if self._table.get(attempt.key) is not attempt:
                 return
--- a/src/bronzerudder/execution/relay.py
+++ b/src/bronzerudder/execution/relay.py
@@ -12,8 +12,10 @@
     BackendServer,
 )
 from bronzerudder.execution.attempt import Attempt
-from bronzerudder.execution.events import EventSplitter, is_event_stream
 from bronzerudder.frames import exchange_pb2 as pb
+from bronzerudder.observability import Tracing
+from bronzerudder.observability.traces import TRACEPARENT
+from bronzerudder.web.event_stream import LAST_EVENT_ID, EventSplitter, is_event_stream
 
 MAX_REOPENS = 8
 
@@ -27,11 +29,14 @@
         Where to send it.
     resumable : bool
         Whether a silent connection may be replaced and the answer resumed on another.
+    tracing : Tracing
+        Records a span for each call.
     """
 
-    def __init__(self, backend_server: BackendServer, resumable: bool) -> None:
+    def __init__(self, backend_server: BackendServer, resumable: bool, tracing: Tracing) -> None:
         self._backend_server = backend_server
         self._resumable = resumable
+        self._tracing = tracing
 
     async def run(self, attempt: Attempt) -> BackendError | None:
         """Relay until the answer ends; return an error when it broke off or never began."""
@@ -49,21 +54,33 @@
         return await self._backend_server.probe() is None
 
     async def _relay_once(self, attempt: Attempt, splitter: EventSplitter) -> BackendError | None:
-        answer = await self._backend_server.open(_build_call(attempt, splitter.last_event_id))
-        if isinstance(answer, BackendError):
-            return answer
+        span = self._tracing.start("backend server call", attempt.submit.traceparent)
+        traceparent = self._tracing.format_traceparent(span)
         try:
+            call = _build_call(attempt, splitter.last_event_id, traceparent)
+            answer = await self._backend_server.open(call)
+            if isinstance(answer, BackendError):
+                return answer
             return await _copy(answer, attempt, splitter)
         finally:
-            with anyio.CancelScope(shield=True):
-                await answer.close()
+            span.end()
 
 
 async def _copy(
     answer: BackendAnswer, attempt: Attempt, splitter: EventSplitter
 ) -> BackendError | None:
-    if not attempt.has_head:
-        attempt.emit_head(answer.status, answer.headers)
+    try:
+        if not attempt.has_head:
+            attempt.emit_head(answer.status, answer.headers)
+        return await _copy_body(answer, attempt, splitter)
+    finally:
+        with anyio.CancelScope(shield=True):
+            await answer.close()
+
+
+async def _copy_body(
+    answer: BackendAnswer, attempt: Attempt, splitter: EventSplitter
+) -> BackendError | None:
     events = is_event_stream(answer.headers)
     while True:
         await attempt.wait_for_room()
@@ -80,16 +97,17 @@
     return None
 
 
-def _build_call(attempt: Attempt, last_event_id: str) -> BackendCall:
+def _build_call(attempt: Attempt, last_event_id: str, traceparent: str) -> BackendCall:
     submit: pb.Submit = attempt.submit
-    headers = [(header.name, header.value) for header in submit.headers]
+    fields = {header.name: header.value for header in submit.headers}
     if last_event_id:
-        headers = [pair for pair in headers if pair[0].lower() != "last-event-id"]
-        headers.append(("last-event-id", last_event_id))
+        fields[LAST_EVENT_ID] = last_event_id
+    if traceparent:
+        fields[TRACEPARENT] = traceparent
     return BackendCall(
         f"{submit.request_id}.{submit.attempt}",
         submit.method,
         submit.path,
-        tuple(headers),
+        tuple(fields.items()),
         submit.payload,
     )
--- /dev/null
+++ b/src/bronzerudder/observability/traces.py
@@ -0,0 +1,82 @@
+"""Traces with a span for each hop."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from opentelemetry import trace
+from opentelemetry.sdk.resources import Resource
+from opentelemetry.sdk.trace import ReadableSpan, TracerProvider
+from opentelemetry.sdk.trace.export import (
+    BatchSpanProcessor,
+    SpanExporter,
+    SpanExportResult,
+)
+from opentelemetry.sdk.trace.sampling import ParentBasedTraceIdRatio
+from opentelemetry.trace import Span
+from opentelemetry.trace.propagation.tracecontext import TraceContextTextMapPropagator
+
+from bronzerudder.observability.logs import log_event
+
+TRACEPARENT = "traceparent"
+EXPORT_INTERVAL_MS = 500
+DEFAULT_SAMPLE_RATIO = 0.01
+
+
+class LogSpanExporter(SpanExporter):
+    """Writes each finished span to the log."""
+
+    def export(self, spans: Sequence[ReadableSpan]) -> SpanExportResult:
+        """Write spans; times are in nanoseconds since the epoch."""
+        for span in spans:
+            context = span.get_span_context()
+            log_event(
+                "span",
+                span=span.name,
+                trace_id=f"{context.trace_id:032x}",
+                span_id=f"{context.span_id:016x}",
+                parent_span_id=f"{span.parent.span_id:016x}" if span.parent else "",
+                start_ns=span.start_time,
+                end_ns=span.end_time,
+                attributes=dict(span.attributes or {}),
+            )
+        return SpanExportResult.SUCCESS
+
+
+class Tracing:
+    """Starts spans that continue the trace of a ``traceparent`` header.
+
+    Parameters
+    ----------
+    role, name : str
+        Of this process.
+    sample_ratio : float
+        Share of the traces that begin here which is recorded; a caller's decision goes before.
+    """
+
+    def __init__(self, role: str, name: str, sample_ratio: float = DEFAULT_SAMPLE_RATIO) -> None:
+        resource = Resource.create(
+            {"service.name": f"bronzerudder-{role}", "service.instance.id": name}
+        )
+        self._provider = TracerProvider(
+            resource=resource, sampler=ParentBasedTraceIdRatio(sample_ratio)
+        )
+        processor = BatchSpanProcessor(LogSpanExporter(), schedule_delay_millis=EXPORT_INTERVAL_MS)
+        self._provider.add_span_processor(processor)
+        self._tracer = self._provider.get_tracer("bronzerudder")
+        self._propagator = TraceContextTextMapPropagator()
+
+    def start(self, name: str, traceparent: str, **attributes: str | int) -> Span:
+        """Start a span; the caller ends it."""
+        context = self._propagator.extract({TRACEPARENT: traceparent})
+        return self._tracer.start_span(name, context=context, attributes=attributes)
+
+    def format_traceparent(self, span: Span) -> str:
+        """Return the header value by which the next hop continues the trace."""
+        carrier: dict[str, str] = {}
+        self._propagator.inject(carrier, trace.set_span_in_context(span))
+        return carrier.get(TRACEPARENT, "")
+
+    def close(self) -> None:
+        """Write the spans that are still held."""
+        self._provider.shutdown()
--- /dev/null
+++ b/src/bronzerudder/processes/agent.py
@@ -0,0 +1,149 @@
+"""The agent's process."""
+
+from __future__ import annotations
+
+import secrets
+from typing import Any
+
+import anyio
+import grpc.aio
+from prometheus_client import CollectorRegistry, Gauge
+
+from bronzerudder.backend_server import HttpBackendServer
+from bronzerudder.cli.api import EXIT_OK
+from bronzerudder.entry import ExchangeService
+from bronzerudder.execution import Executor, ExecutorLimits
+from bronzerudder.frames import exchange_pb2 as pb
+from bronzerudder.frames import exchange_pb2_grpc
+from bronzerudder.observability import AdminApp, Tracing, configure_logs, log_event
+from bronzerudder.observability.traces import DEFAULT_SAMPLE_RATIO
+from bronzerudder.processes.signals import set_on_termination
+from bronzerudder.settings.agent import AgentSettings
+from bronzerudder.web import announce_listening, bind_listener, format_address, serve_http
+
+SETTINGS = AgentSettings
+DEFAULT_DRAIN_TIMEOUT_S = 30.0
+DEFAULT_SILENCE_TIMEOUT_S = 1.5
+DRAIN_POLL_INTERVAL_S = 0.02
+GRPC_STOP_TIMEOUT_S = 0.5
+INCARNATION_BITS = 63
+GRPC_OPTIONS = (
+    ("grpc.so_reuseport", 0),
+    ("grpc.max_receive_message_length", 16_000_000),
+)
+
+
+async def run(settings: AgentSettings) -> int:
+    """Serve entries until told to stop and drained."""
+    configure_logs("agent", settings["agent_id"])
+    stopping = anyio.Event()
+    stopped = anyio.Event()
+    async with anyio.create_task_group() as tasks:
+        await tasks.start(set_on_termination, stopping)
+        agent = AgentProcess(settings, tasks)
+        await agent.start(stopped)
+        await stopping.wait()
+        await agent.drain()
+        stopped.set()
+        await agent.close()
+        tasks.cancel_scope.cancel()
+    return EXIT_OK
+
+
+class AgentProcess:
+    """The parts of one agent.
+
+    Parameters
+    ----------
+    settings : AgentSettings
+        Its settings.
+    tasks : TaskGroup
+        Runs everything.
+    """
+
+    def __init__(self, settings: AgentSettings, tasks: anyio.abc.TaskGroup) -> None:
+        self._settings = settings
+        self._tasks = tasks
+        self._incarnation = secrets.randbits(INCARNATION_BITS) | 1
+        self._tracing = Tracing(
+            "agent",
+            settings["agent_id"],
+            settings.get("trace_sample_ratio", DEFAULT_SAMPLE_RATIO),
+        )
+        self._registry = CollectorRegistry()
+        self._backend_server = self._build_backend_server()
+        self._executor = self._build_executor()
+        self._service = ExchangeService(
+            self._executor, self._incarnation, settings["agent_id"], settings["failure_domain"]
+        )
+        self._server = grpc.aio.server(options=GRPC_OPTIONS)
+
+    async def start(self, stopped: anyio.Event) -> None:
+        """Listen, and tell where."""
+        settings = self._settings
+        exchange_pb2_grpc.add_AgentExchangeServicer_to_server(self._service, self._server)
+        host, port = settings["listener"]["host"], settings["listener"]["port"]
+        bound_port = self._server.add_insecure_port(f"{host}:{port}")
+        await self._server.start()
+        admin = bind_listener(
+            settings["admin_listener"]["host"], settings["admin_listener"]["port"]
+        )
+        app = AdminApp(self._registry, self._find_unready_reason, self._describe)
+        self._tasks.start_soon(serve_http, app, admin, stopped, GRPC_STOP_TIMEOUT_S)
+        self._tasks.start_soon(self._executor.sweep)
+        announce_listening(f"{host}:{bound_port}", admin_address=format_address(admin))
+        log_event("listening", address=f"{host}:{bound_port}", incarnation=self._incarnation)
+
+    async def drain(self) -> None:
+        """Refuse new work and let what runs finish, within the drain timeout."""
+        timeout_s = self._settings.get("drain_timeout_s", DEFAULT_DRAIN_TIMEOUT_S)
+        self._executor.leave()
+        leaving = pb.Leaving(time_left_ms=int(timeout_s * 1000))
+        self._service.broadcast(pb.AgentFrame(leaving=leaving))
+        log_event("draining", unfinished=self._executor.unfinished, timeout_s=timeout_s)
+        with anyio.move_on_after(timeout_s):
+            while self._executor.unfinished:
+                await anyio.sleep(DRAIN_POLL_INTERVAL_S)
+        log_event("drained", unfinished=self._executor.unfinished)
+
+    async def close(self) -> None:
+        """Stop serving."""
+        await self._server.stop(GRPC_STOP_TIMEOUT_S)
+        await self._backend_server.close()
+        self._tracing.close()
+
+    def _build_backend_server(self) -> HttpBackendServer:
+        settings = self._settings["backend_server"]
+        silence_timeout_s = None
+        if settings["kind"] == "engine":
+            silence_timeout_s = settings.get("silence_timeout_s", DEFAULT_SILENCE_TIMEOUT_S)
+        return HttpBackendServer(settings["url"], silence_timeout_s)
+
+    def _build_executor(self) -> Executor:
+        settings = self._settings["backend_server"]
+        executor = Executor(
+            self._backend_server,
+            settings["kind"] == "engine",
+            ExecutorLimits(settings["max_running"], settings["max_queued"]),
+            self._tasks,
+            self._incarnation,
+            self._tracing,
+        )
+        unfinished = Gauge(
+            "bronzerudder_agent_requests_unfinished",
+            "Requests that run, wait, or whose answer is not acknowledged.",
+            registry=self._registry,
+        )
+        unfinished.set_function(lambda: executor.unfinished)
+        return executor
+
+    def _find_unready_reason(self) -> str:
+        return "leaving" if self._executor.leaving else ""
+
+    def _describe(self) -> dict[str, Any]:
+        return {
+            "agent_id": self._settings["agent_id"],
+            "incarnation": self._incarnation,
+            "unfinished": self._executor.unfinished,
+            "entries": [session.entry_id for session in self._service.sessions],
+        }
--- a/src/bronzerudder/execution/events.py
+++ b/src/bronzerudder/web/event_stream.py
@@ -1,10 +1,12 @@
-"""Cuts a stream of server-sent events at the ends of events."""
+"""Server-sent events: cuts a stream at the ends of events and notes where to resume."""
 
 from __future__ import annotations
 
 EVENT_STREAM_TYPE = "text/event-stream"
+LAST_EVENT_ID = "last-event-id"
 EVENT_END = b"\n\n"
 ID_FIELD = b"id:"
+TERMINATOR = b"data: [DONE]\n\n"
 
 
 def is_event_stream(headers: tuple[tuple[str, str], ...]) -> bool:
@@ -48,9 +50,15 @@
         self._tail = b""
 
     def _note_id(self, whole: bytes) -> None:
-        start = 0 if whole.startswith(ID_FIELD) else whole.rfind(b"\n" + ID_FIELD) + 1
-        start = max(start, whole.rfind(b"\n" + ID_FIELD) + 1)
-        if not whole.startswith(ID_FIELD, start):
-            return
-        value = whole[start + len(ID_FIELD) :].partition(b"\n")[0]
-        self._last_event_id = value.strip().decode("latin-1")
+        last_event_id = find_last_event_id(whole)
+        if last_event_id:
+            self._last_event_id = last_event_id
+
+
+def find_last_event_id(events: bytes) -> str:
+    """Return the last id among whole events; empty if none has one."""
+    start = events.rfind(b"\n" + ID_FIELD) + 1
+    if not events.startswith(ID_FIELD, start):
+        return ""
+    value = events[start + len(ID_FIELD) :].partition(b"\n")[0]
+    return value.strip().decode("latin-1")
