Test the executor's proofs and resumes

Cause: a refusal counts as proof that a request did not run, so each way to a wrong proof has a test: a late Submit after a cancellation or a resume, and a cancellation after an acknowledged run.

--- a/src/bronzerudder/execution/executor.py
+++ b/src/bronzerudder/execution/executor.py
@@ -82,6 +82,10 @@
         """Refuse new work from now on."""
         self._leaving = True
 
+    async def wait_drained(self) -> None:
+        """Wait until nothing is unfinished."""
+        await self._table.wait_empty()
+
     def build_load(self) -> pb.Load:
         """Describe how busy the backend server is."""
         tokens = sum(attempt.submit.estimated_tokens for attempt in self._table)
--- a/src/bronzerudder/execution/table.py
+++ b/src/bronzerudder/execution/table.py
@@ -6,6 +6,8 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
+import anyio
+
 from bronzerudder.execution.attempt import Attempt, AttemptKey
 from bronzerudder.frames import exchange_pb2 as pb
 
@@ -28,6 +30,7 @@
         self._concluded: collections.OrderedDict[AttemptKey, _Conclusion] = (
             collections.OrderedDict()
         )
+        self._shrunk = anyio.Event()
 
     def __len__(self) -> int:
         return len(self._attempts)
@@ -49,6 +52,11 @@
         conclusion = self._concluded.get(key)
         return conclusion is not None and conclusion.refused is None
 
+    async def wait_empty(self) -> None:
+        """Wait until no attempt is live."""
+        while self._attempts:
+            await self._shrunk.wait()
+
     def add(self, attempt: Attempt) -> None:
         """Record a live attempt."""
         self._attempts[attempt.key] = attempt
@@ -72,5 +80,7 @@
 
     def _record(self, key: AttemptKey, conclusion: _Conclusion) -> None:
         self._attempts.pop(key, None)
+        shrunk, self._shrunk = self._shrunk, anyio.Event()
+        shrunk.set()
         self._concluded[key] = conclusion
         self._concluded.move_to_end(key)
--- a/src/bronzerudder/processes/agent.py
+++ b/src/bronzerudder/processes/agent.py
@@ -24,7 +24,6 @@
 SETTINGS = AgentSettings
 DEFAULT_DRAIN_TIMEOUT_S = 30.0
 DEFAULT_SILENCE_TIMEOUT_S = 1.5
-DRAIN_POLL_INTERVAL_S = 0.02
 GRPC_STOP_TIMEOUT_S = 0.5
 INCARNATION_BITS = 63
 GRPC_OPTIONS = (
@@ -102,8 +101,7 @@
         self._service.broadcast(pb.AgentFrame(leaving=leaving))
         log_event("draining", unfinished=self._executor.unfinished, timeout_s=timeout_s)
         with anyio.move_on_after(timeout_s):
-            while self._executor.unfinished:
-                await anyio.sleep(DRAIN_POLL_INTERVAL_S)
+            await self._executor.wait_drained()
         log_event("drained", unfinished=self._executor.unfinished)
 
     async def close(self) -> None:
--- /dev/null
+++ b/tests/backend_server/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the backend_server package."""
--- /dev/null
+++ b/tests/execution/test_executor.py
@@ -0,0 +1,181 @@
+"""Tests of admission, proofs and answers at an agent."""
+
+from __future__ import annotations
+
+import contextlib
+import unittest
+
+import anyio
+
+from bronzerudder.backend_server import BackendError, BackendErrorKind
+from bronzerudder.execution import Executor, ExecutorLimits
+from bronzerudder.frames import exchange_pb2 as pb
+from bronzerudder.observability import Tracing
+from tests.fakes import ScriptedBackendServer
+
+INCARNATION = 7
+TIMEOUT_S = 5.0
+
+
+class Recorder:
+    """Takes frames as a connection to an entry does."""
+
+    def __init__(self):
+        self.frames = []
+        self._changed = anyio.Event()
+
+    def __call__(self, frame):
+        self.frames.append(frame)
+        changed, self._changed = self._changed, anyio.Event()
+        changed.set()
+
+    def kinds(self):
+        return [frame.WhichOneof("body") for frame in self.frames]
+
+    async def wait_for(self, kind):
+        with anyio.fail_after(TIMEOUT_S):
+            while kind not in self.kinds():
+                await self._changed.wait()
+        return getattr(self.frames[self.kinds().index(kind)], kind)
+
+
+def build_submit(request_id="r", **fields):
+    values = {"attempt": 1, "incarnation": INCARNATION, "time_left_ms": 5_000, **fields}
+    return pb.Submit(request_id=request_id, **values)
+
+
+@contextlib.asynccontextmanager
+async def run_executor(backend_server, max_running=1, max_queued=10):
+    async with anyio.create_task_group() as tasks:
+        limits = ExecutorLimits(max_running, max_queued)
+        tracing = Tracing("agent", "a", 0.0)
+        yield Executor(backend_server, True, limits, tasks, INCARNATION, tracing)
+        tasks.cancel_scope.cancel()
+
+
+class ExecutorTest(unittest.IsolatedAsyncioTestCase):
+    async def test_relays_a_whole_answer_in_order(self):
+        backend_server = ScriptedBackendServer([b"id: 1\ndata: a\n\nid: 2\nda", b"ta: b\n\n"])
+        async with run_executor(backend_server) as executor:
+            entry = Recorder()
+            executor.submit(build_submit(), entry)
+            finished = await entry.wait_for("finished")
+        self.assertEqual(entry.kinds(), ["accepted", "head", "chunk", "chunk", "finished"])
+        payloads = [frame.chunk.payload for frame in entry.frames if frame.HasField("chunk")]
+        self.assertEqual(payloads, [b"id: 1\ndata: a\n\n", b"id: 2\ndata: b\n\n"])
+        self.assertEqual((finished.chunk_count, finished.state), (2, pb.FINISH_STATE_COMPLETE))
+
+    async def test_another_incarnation_is_refused(self):
+        async with run_executor(ScriptedBackendServer()) as executor:
+            entry = Recorder()
+            executor.submit(build_submit(incarnation=8), entry)
+        self.assertEqual(entry.frames[0].refused.reason, pb.REFUSAL_REASON_WRONG_INCARNATION)
+
+    async def test_a_submit_that_arrives_after_its_cancellation_is_refused(self):
+        backend_server = ScriptedBackendServer([b"x"])
+        async with run_executor(backend_server) as executor:
+            entry = Recorder()
+            executor.cancel(pb.Cancel(request_id="r", attempt=1), entry)
+            executor.submit(build_submit(), entry)
+            await anyio.lowlevel.checkpoint()
+        self.assertEqual(entry.kinds(), ["refused", "refused"])
+        self.assertEqual(backend_server.calls, [])
+
+    async def test_a_submit_that_arrives_after_its_resume_is_refused(self):
+        backend_server = ScriptedBackendServer([b"x"])
+        async with run_executor(backend_server) as executor:
+            entry = Recorder()
+            executor.resume(pb.Resume(request_id="r", attempt=1, incarnation=INCARNATION), entry)
+            executor.submit(build_submit(), entry)
+            await anyio.lowlevel.checkpoint()
+        self.assertEqual(entry.kinds(), ["refused", "refused"])
+        self.assertEqual(backend_server.calls, [])
+
+    async def test_no_proof_is_given_for_an_attempt_that_ran_and_was_acknowledged(self):
+        async with run_executor(ScriptedBackendServer([b"x\n\n"])) as executor:
+            entry = Recorder()
+            executor.submit(build_submit(), entry)
+            finished = await entry.wait_for("finished")
+            executor.acknowledge(
+                pb.Ack(request_id="r", attempt=1, next_sequence=finished.chunk_count + 2)
+            )
+            self.assertEqual(executor.unfinished, 0)
+            executor.cancel(pb.Cancel(request_id="r", attempt=1), entry)
+            executor.resume(pb.Resume(request_id="r", attempt=1, incarnation=INCARNATION), entry)
+        self.assertNotIn("refused", entry.kinds())
+        self.assertEqual(entry.kinds()[-2:], ["resume_failed", "resume_failed"])
+
+    async def test_an_answer_is_resumed_where_the_entry_left_off(self):
+        hold = anyio.Event()
+        backend_server = ScriptedBackendServer([b"a\n\n", hold, b"b\n\n"])
+        async with run_executor(backend_server) as executor:
+            first, second = Recorder(), Recorder()
+            executor.submit(build_submit(), first)
+            await first.wait_for("chunk")
+            executor.detach(first)
+            hold.set()
+            resume = pb.Resume(request_id="r", attempt=1, next_sequence=1, incarnation=INCARNATION)
+            executor.resume(resume, second)
+            await second.wait_for("finished")
+        self.assertEqual(second.kinds(), ["chunk", "chunk", "finished"])
+        self.assertNotIn("finished", first.kinds())
+
+    async def test_a_silent_answer_is_resumed_on_a_fresh_connection(self):
+        silent = BackendError(BackendErrorKind.SILENT, "silent")
+        backend_server = ScriptedBackendServer(
+            [b"id: 1\ndata: a\n\nid: 2\nda", silent], [b"id: 2\ndata: b\n\n"]
+        )
+        async with run_executor(backend_server) as executor:
+            entry = Recorder()
+            executor.submit(build_submit(), entry)
+            finished = await entry.wait_for("finished")
+        payloads = [frame.chunk.payload for frame in entry.frames if frame.HasField("chunk")]
+        self.assertEqual(b"".join(payloads), b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n")
+        self.assertEqual(finished.state, pb.FINISH_STATE_COMPLETE)
+        self.assertIn(("last-event-id", "1"), backend_server.calls[1].headers)
+
+    async def test_an_unreachable_backend_server_gives_a_refusal(self):
+        unreachable = BackendError(BackendErrorKind.UNREACHABLE, "refused")
+        async with run_executor(ScriptedBackendServer(unreachable)) as executor:
+            entry = Recorder()
+            executor.submit(build_submit(), entry)
+            refused = await entry.wait_for("refused")
+        self.assertEqual(refused.reason, pb.REFUSAL_REASON_BACKEND_DOWN)
+
+    async def test_a_cut_answer_is_never_complete(self):
+        broken = BackendError(BackendErrorKind.BROKEN, "reset")
+        async with run_executor(ScriptedBackendServer([b"a\n\n", broken], broken)) as executor:
+            entry, other = Recorder(), Recorder()
+            executor.submit(build_submit(), entry)
+            executor.submit(build_submit("s"), other)
+            cut = await entry.wait_for("finished")
+            unknown = await other.wait_for("finished")
+        self.assertEqual(cut.state, pb.FINISH_STATE_BROKEN)
+        self.assertEqual(unknown.state, pb.FINISH_STATE_UNKNOWN)
+
+    async def test_a_request_that_waits_until_its_deadline_is_refused_unrun(self):
+        backend_server = ScriptedBackendServer([anyio.Event()])
+        async with run_executor(backend_server) as executor:
+            entry, late = Recorder(), Recorder()
+            executor.submit(build_submit(), entry)
+            await entry.wait_for("head")
+            executor.submit(build_submit("s", time_left_ms=20), late)
+            refused = await late.wait_for("refused")
+        self.assertEqual(refused.reason, pb.REFUSAL_REASON_DEADLINE)
+        self.assertEqual(len(backend_server.calls), 1)
+
+    async def test_a_leaving_agent_refuses_new_work_and_finishes_the_rest(self):
+        hold = anyio.Event()
+        async with run_executor(ScriptedBackendServer([hold, b"a\n\n"])) as executor:
+            entry, late = Recorder(), Recorder()
+            executor.submit(build_submit(), entry)
+            await entry.wait_for("head")
+            executor.leave()
+            executor.submit(build_submit("s"), late)
+            hold.set()
+            await entry.wait_for("finished")
+        self.assertEqual(late.frames[0].refused.reason, pb.REFUSAL_REASON_LEAVING)
+
+
+if __name__ == "__main__":
+    unittest.main()
