--- a/src/bronzerudder/agent/connection.py
+++ b/src/bronzerudder/agent/connection.py
@@ -9,6 +9,7 @@
 import grpc.aio
 
 from bronzerudder.agent.attempt import RemoteAttempt
+from bronzerudder.configuration import ConfigurationSource
 from bronzerudder.frames import exchange_pb2 as pb
 from bronzerudder.frames import exchange_pb2_grpc
 
@@ -54,10 +55,15 @@
         ``host:port`` of the agent.
     entry_id, failure_domain : str
         Named to the agent.
+    source : ConfigurationSource
+        Whose revision is shown to the agent, and which learns the agent's.
     """
 
-    def __init__(self, address: str, entry_id: str, failure_domain: str) -> None:
+    def __init__(
+        self, address: str, entry_id: str, failure_domain: str, source: ConfigurationSource
+    ) -> None:
         self._address = address
+        self._source = source
         self._entry_id = entry_id
         self._failure_domain = failure_domain
         self._attempts: dict[tuple[str, int], RemoteAttempt] = {}
@@ -160,7 +166,7 @@
         frames = [pb.EntryFrame(hello=hello)]
         try:
             while True:
-                await call.write(pb.EntryBatch(frames=frames))
+                await call.write(pb.EntryBatch(revision=self._source.revision, frames=frames))
                 frames = await self._next_frames()
         except (grpc.aio.AioRpcError, grpc.aio.UsageError):
             return
@@ -199,6 +205,7 @@
         self._due.set()
 
     def _take(self, batch: pb.AgentBatch) -> None:
+        self._source.observe(self._address, batch.revision)
         for frame in batch.frames:
             kind = frame.WhichOneof("body")
             if kind == "hello":
@@ -249,6 +256,7 @@
             self._disconnected_at = anyio.current_time()
         self._connected = False
         self._ready = anyio.Event()
+        self._source.forget(self._address)
         self._lose_unsent_attempts()
 
     def _lose_unsent_attempts(self) -> None:
--- a/src/bronzerudder/agent/pool.py
+++ b/src/bronzerudder/agent/pool.py
@@ -8,6 +8,7 @@
 from anyio.abc import TaskGroup
 
 from bronzerudder.agent.connection import AgentConnection
+from bronzerudder.configuration import ConfigurationSource
 
 RETIRE_INTERVAL_S = 1.0
 
@@ -19,13 +20,18 @@
     ----------
     entry_id, failure_domain : str
         Named to the agents.
+    source : ConfigurationSource
+        Whose revision the agents are shown.
     tasks : TaskGroup
         Runs a task for each connection.
     """
 
-    def __init__(self, entry_id: str, failure_domain: str, tasks: TaskGroup) -> None:
+    def __init__(
+        self, entry_id: str, failure_domain: str, source: ConfigurationSource, tasks: TaskGroup
+    ) -> None:
         self._entry_id = entry_id
         self._failure_domain = failure_domain
+        self._source = source
         self._tasks = tasks
         self._connections: dict[str, AgentConnection] = {}
         self._scopes: dict[str, anyio.CancelScope] = {}
@@ -58,7 +64,7 @@
                 self._scopes.pop(address).cancel()
 
     def _connect(self, address: str) -> None:
-        connection = AgentConnection(address, self._entry_id, self._failure_domain)
+        connection = AgentConnection(address, self._entry_id, self._failure_domain, self._source)
         scope = anyio.CancelScope()
         self._connections[address] = connection
         self._scopes[address] = scope
--- a/src/bronzerudder/dispatch/dispatcher.py
+++ b/src/bronzerudder/dispatch/dispatcher.py
@@ -18,6 +18,7 @@
 from bronzerudder.configuration import Match, Snapshot
 from bronzerudder.dispatch.api import AnswerSink
 from bronzerudder.dispatch.outcome import (
+    FREE_REFUSALS,
     RETRYABLE_REFUSALS,
     STATUS_NOT_FOUND,
     STATUS_OK,
@@ -106,6 +107,8 @@
             outcome = _judge(attempted, progress)
             if not _may_retry(attempted, progress, match.route["repeatable"]):
                 return outcome
+            if _is_free(attempted.event):
+                continue
             allowance = budget.allow(len(tried), deadline, anyio.current_time())
             if isinstance(allowance, RetryDenial):
                 return outcome
@@ -194,6 +197,10 @@
     return repeatable
 
 
+def _is_free(event: FinalEvent) -> bool:
+    return isinstance(event, Refused) and event.reason in FREE_REFUSALS
+
+
 def _find_time_limit(request: CallerRequest, match: Match) -> float:
     limit_s = float(match.route["deadline_s"])
     if request.asked_timeout_s is None:
--- a/src/bronzerudder/dispatch/outcome.py
+++ b/src/bronzerudder/dispatch/outcome.py
@@ -60,16 +60,17 @@
     pb.REFUSAL_REASON_SHARE_EXCEEDED: STATUS_TOO_MANY_REQUESTS,
 }
 
-RETRYABLE_REFUSALS = frozenset(
+# Refusals that say nothing about load: going elsewhere costs no backend server anything.
+FREE_REFUSALS = frozenset(
     (
         pb.REFUSAL_REASON_UNSPECIFIED,
         pb.REFUSAL_REASON_LEAVING,
-        pb.REFUSAL_REASON_QUEUE_FULL,
         pb.REFUSAL_REASON_WRONG_INCARNATION,
         pb.REFUSAL_REASON_BACKEND_DOWN,
         pb.REFUSAL_REASON_WRONG_OWNER,
     )
 )
+RETRYABLE_REFUSALS = FREE_REFUSALS | {pb.REFUSAL_REASON_QUEUE_FULL}
 
 
 def describe_refusal(refused: Refused) -> Outcome:
--- a/src/bronzerudder/dispatch/targets.py
+++ b/src/bronzerudder/dispatch/targets.py
@@ -7,6 +7,7 @@
 
 from bronzerudder.agent import AgentConnection, AgentPool
 from bronzerudder.configuration import Snapshot
+from bronzerudder.configuration.matching import decode_pool
 from bronzerudder.frames import exchange_pb2 as pb
 from bronzerudder.policy.routing import (
     Breaker,
@@ -16,7 +17,7 @@
     RoutedRequest,
     RoutingPolicy,
 )
-from bronzerudder.tables import PoolRow
+from bronzerudder.tables import POOL_KIND, PoolRow
 
 
 class Target(NamedTuple):
@@ -98,7 +99,7 @@
 
     def update(self, snapshot: Snapshot) -> None:
         """Follow the configuration in force."""
-        rows = snapshot.list_pools()
+        rows = _list_pools(snapshot)
         addresses = set()
         for row in rows.values():
             addresses.update(server["agent_address"] for server in row["backend_servers"])
@@ -111,6 +112,14 @@
             self._pools[name].update(row, self._agents)
 
 
+def _list_pools(snapshot: Snapshot) -> dict[str, PoolRow]:
+    pools = {}
+    for key, row in snapshot.rows.items():
+        if key.kind == POOL_KIND:
+            pools[key.name] = decode_pool(row.value)
+    return pools
+
+
 def _build_report(load: pb.Load) -> LoadReport:
     return LoadReport(
         outstanding_requests=load.outstanding_requests,
--- a/src/bronzerudder/entry/service.py
+++ b/src/bronzerudder/entry/service.py
@@ -7,6 +7,7 @@
 
 import anyio
 
+from bronzerudder.configuration import ConfigurationSource
 from bronzerudder.entry.session import EntrySession
 from bronzerudder.execution import Executor
 from bronzerudder.frames import exchange_pb2 as pb
@@ -19,9 +20,15 @@
     """Holds one session for each entry; a newer connection of an entry supersedes the older."""
 
     def __init__(
-        self, executor: Executor, incarnation: int, agent_id: str, failure_domain: str
+        self,
+        executor: Executor,
+        incarnation: int,
+        agent_id: str,
+        failure_domain: str,
+        source: ConfigurationSource,
     ) -> None:
         self._executor = executor
+        self._source = source
         self._incarnation = incarnation
         self._agent_id = agent_id
         self._failure_domain = failure_domain
@@ -42,7 +49,7 @@
     ) -> None:
         """Serve one connection until either side ends it."""
         session = EntrySession(
-            self._executor, self._incarnation, self._agent_id, self._failure_domain
+            self._executor, self._incarnation, self._agent_id, self._failure_domain, self._source
         )
         try:
             async with anyio.create_task_group() as tasks:
--- a/src/bronzerudder/entry/session.py
+++ b/src/bronzerudder/entry/session.py
@@ -6,6 +6,7 @@
 
 import anyio
 
+from bronzerudder.configuration import ConfigurationSource
 from bronzerudder.execution import Executor
 from bronzerudder.frames import exchange_pb2 as pb
 
@@ -27,12 +28,20 @@
         Of this agent process.
     agent_id, failure_domain : str
         Named to the entry.
+    source : ConfigurationSource
+        Whose revision is shown to the entry, and which learns the entry's.
     """
 
     def __init__(
-        self, executor: Executor, incarnation: int, agent_id: str, failure_domain: str
+        self,
+        executor: Executor,
+        incarnation: int,
+        agent_id: str,
+        failure_domain: str,
+        source: ConfigurationSource,
     ) -> None:
         self._executor = executor
+        self._source = source
         self._incarnation = incarnation
         self._pending: list[pb.AgentFrame] = []
         self._due = anyio.Event()
@@ -79,7 +88,10 @@
             while self._pending and not self._closed:
                 frames = self._pending[:MAX_FRAMES_PER_BATCH]
                 del self._pending[:MAX_FRAMES_PER_BATCH]
-                await context.write(pb.AgentBatch(incarnation=self._incarnation, frames=frames))
+                batch = pb.AgentBatch(
+                    incarnation=self._incarnation, revision=self._source.revision, frames=frames
+                )
+                await context.write(batch)
 
     async def report_load(self) -> None:
         """Send the load whenever it has changed; close when the entry has gone silent."""
@@ -100,6 +112,7 @@
         self._last_heard = anyio.current_time()
         for frame in batch.frames:
             self._take_frame(frame)
+        self._source.observe(self._entry_id, batch.revision)
 
     def _take_frame(self, frame: pb.EntryFrame) -> None:
         kind = frame.WhichOneof("body")
--- a/src/bronzerudder/processes/agent.py
+++ b/src/bronzerudder/processes/agent.py
@@ -11,12 +11,16 @@
 
 from bronzerudder.backend_server import HttpBackendServer
 from bronzerudder.cli.api import EXIT_OK
+from bronzerudder.configuration import SharedConfiguration
+from bronzerudder.configuration.peer_service import ConfigurationPeerService
+from bronzerudder.configuration.peer_source import PeerConfigurationSource
 from bronzerudder.entry import ExchangeService
 from bronzerudder.execution import Executor, ExecutorLimits
 from bronzerudder.frames import exchange_pb2 as pb
 from bronzerudder.frames import exchange_pb2_grpc
 from bronzerudder.observability import AdminApp, Tracing, configure_logs, log_event
 from bronzerudder.observability.traces import DEFAULT_SAMPLE_RATIO
+from bronzerudder.processes.platform import open_store
 from bronzerudder.processes.signals import set_on_termination
 from bronzerudder.settings.agent import AgentSettings
 from bronzerudder.web import announce_listening, bind_listener, format_address, serve_http
@@ -72,8 +76,18 @@
         self._registry = CollectorRegistry()
         self._backend_server = self._build_backend_server()
         self._executor = self._build_executor()
+        self._store = open_store(settings["platform"], settings["agent_id"])
+        shared = SharedConfiguration()
+        self._source = PeerConfigurationSource(
+            shared, self._store.objects, settings["agent_id"], tuple(settings.get("peers", ()))
+        )
+        self._peer_service = ConfigurationPeerService(shared, self._source)
         self._service = ExchangeService(
-            self._executor, self._incarnation, settings["agent_id"], settings["failure_domain"]
+            self._executor,
+            self._incarnation,
+            settings["agent_id"],
+            settings["failure_domain"],
+            self._source,
         )
         self._server = grpc.aio.server(options=GRPC_OPTIONS)
 
@@ -81,6 +95,8 @@
         """Listen, and tell where."""
         settings = self._settings
         exchange_pb2_grpc.add_AgentExchangeServicer_to_server(self._service, self._server)
+        self._peer_service.add_to(self._server)
+        self._tasks.start_soon(self._source.run)
         host, port = settings["listener"]["host"], settings["listener"]["port"]
         bound_port = self._server.add_insecure_port(f"{host}:{port}")
         await self._server.start()
@@ -108,6 +124,7 @@
         """Stop serving."""
         await self._server.stop(GRPC_STOP_TIMEOUT_S)
         await self._backend_server.close()
+        await self._store.client.close()
         self._tracing.close()
 
     def _build_backend_server(self) -> HttpBackendServer:
@@ -142,6 +159,7 @@
         return {
             "agent_id": self._settings["agent_id"],
             "incarnation": self._incarnation,
+            "revision": self._source.revision,
             "unfinished": self._executor.unfinished,
             "entries": [session.entry_id for session in self._service.sessions],
         }
--- a/src/bronzerudder/settings/agent.py
+++ b/src/bronzerudder/settings/agent.py
@@ -4,7 +4,7 @@
 
 from typing import Literal, NotRequired, TypedDict
 
-from bronzerudder.settings.fields import Count, Listener, Name, Seconds, Share, Url
+from bronzerudder.settings.fields import Address, Count, Listener, Name, Seconds, Share, Url
 from bronzerudder.settings.platform import PlatformSettings
 
 
@@ -20,7 +20,11 @@
 
 
 class AgentSettings(TypedDict):
-    """Settings of one agent process."""
+    """Settings of one agent process.
+
+    ``peers`` names the peer listeners of entries, asked for the configuration while the platform
+    is down.
+    """
 
     agent_id: Name
     failure_domain: Name
@@ -29,5 +33,6 @@
     admin_listener: Listener
     backend_server: BackendServerSettings
     platform: PlatformSettings
+    peers: NotRequired[list[Address]]
     drain_timeout_s: NotRequired[Seconds]
     trace_sample_ratio: NotRequired[Share]
--- a/src/bronzerudder/settings/entry.py
+++ b/src/bronzerudder/settings/entry.py
@@ -4,7 +4,7 @@
 
 from typing import NotRequired, TypedDict
 
-from bronzerudder.settings.fields import Count, Listener, Name, Seconds, Share
+from bronzerudder.settings.fields import Address, Count, Listener, Name, Seconds, Share
 from bronzerudder.settings.platform import PlatformSettings
 
 
@@ -17,7 +17,11 @@
 
 
 class EntrySettings(TypedDict):
-    """Settings of one entry process."""
+    """Settings of one entry process.
+
+    ``peers`` names the peer listeners of other entries, asked for the configuration while the
+    platform is down.
+    """
 
     entry_id: Name
     failure_domain: Name
@@ -25,6 +29,7 @@
     admin_listener: Listener
     peer_listener: Listener
     platform: PlatformSettings
+    peers: NotRequired[list[Address]]
     headers: NotRequired[HeaderNames]
     max_body_bytes: NotRequired[Count]
     leave_delay_s: NotRequired[Seconds]
--- a/src/bronzerudder/settings/platform.py
+++ b/src/bronzerudder/settings/platform.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-from typing import NotRequired, TypedDict
+from typing import TypedDict
 
-from bronzerudder.settings.fields import Seconds, Url
+from bronzerudder.settings.fields import Address
 
 
 class PlatformSettings(TypedDict):
-    """Where the object API is, and how long a call may take."""
+    """Where the object API is."""
 
-    url: Url
-    call_timeout_s: NotRequired[Seconds]
+    address: Address
--- a/src/bronzerudder/tables/rows.py
+++ b/src/bronzerudder/tables/rows.py
@@ -6,15 +6,12 @@
 
 import msgspec
 
+from bronzerudder.settings.fields import Address, Name, Seconds, Share
+
 ROUTE_KIND = "route"
 POOL_KIND = "pool"
 ANY = "*"
 
-Name = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
-Address = Annotated[str, msgspec.Meta(pattern=r"^[^\s:/]+:[0-9]{1,5}$")]
-Seconds = Annotated[float, msgspec.Meta(gt=0, le=86_400)]
-Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
-
 
 class RouteRow(TypedDict):
     """Which traffic goes to which pool, and on what terms.
