Add the configuration in force

Cause: rows that operators write were read by nothing; a row taken up as it is could take others down, and processes would differ on what is in force. Ruled out: a put of each changed part before the root (two more calls of a slow platform on the way of every edit); decisions stand in the root itself and move to parts afterwards.

--- /dev/null
+++ b/src/bronzerudder/configuration/shared.py
@@ -0,0 +1,114 @@
+"""The configuration that a process has in force, shared by all of its tasks."""
+
+from __future__ import annotations
+
+import collections
+from typing import NamedTuple
+
+import anyio
+
+from bronzerudder.configuration.rows import Decision
+from bronzerudder.configuration.snapshot import EMPTY_SNAPSHOT, Snapshot
+
+KEPT_DECISIONS = 512
+KEPT_DECISIONS_BYTES = 256_000
+
+
+class Update(NamedTuple):
+    """What turns one revision into a later one.
+
+    Parameters
+    ----------
+    base_revision : int
+        The revision that ``decisions`` start from; 0 for the whole configuration.
+    revision, rows_version : int
+        Those of the result.
+    decisions : tuple of Decision
+        In order.
+    """
+
+    base_revision: int
+    revision: int
+    rows_version: int
+    decisions: tuple[Decision, ...]
+
+
+class SharedConfiguration:
+    """The snapshot in force; its revision only rises."""
+
+    def __init__(self) -> None:
+        self._snapshot = EMPTY_SNAPSHOT
+        self._changed = anyio.Event()
+        self._recent: collections.deque[Decision] = collections.deque()
+        self._recent_bytes = 0
+        self._recent_base = 0
+
+    @property
+    def snapshot(self) -> Snapshot:
+        """The snapshot in force."""
+        return self._snapshot
+
+    @property
+    def revision(self) -> int:
+        """Revision in force; 0 before the first."""
+        return self._snapshot.revision
+
+    async def wait_newer(self, revision: int) -> Snapshot:
+        """Wait until the revision in force is above ``revision``."""
+        while self._snapshot.revision <= revision:
+            await self._changed.wait()
+        return self._snapshot
+
+    def advance(self, snapshot: Snapshot, decisions: tuple[Decision, ...] | None) -> bool:
+        """Put a later snapshot in force; pass over one that is not later.
+
+        Parameters
+        ----------
+        snapshot : Snapshot
+            The later configuration.
+        decisions : tuple of Decision or None
+            Every decision between the two revisions, or None where they are not known.
+        """
+        if snapshot.revision <= self._snapshot.revision:
+            return False
+        if decisions is None:
+            self._forget_recent(snapshot.revision)
+        else:
+            self._remember(decisions)
+        self._snapshot = snapshot
+        self._changed.set()
+        self._changed = anyio.Event()
+        return True
+
+    def update_since(self, revision: int) -> Update | None:
+        """Return what turns ``revision`` into the one in force; None where nothing is newer.
+
+        Only the decisions between the two where they are still remembered, else everything.
+        """
+        snapshot = self._snapshot
+        if revision >= snapshot.revision:
+            return None
+        if revision < self._recent_base:
+            return Update(0, snapshot.revision, snapshot.rows_version, snapshot.decisions())
+        decisions = tuple(decision for decision in self._recent if decision.revision > revision)
+        return Update(revision, snapshot.revision, snapshot.rows_version, decisions)
+
+    def _remember(self, decisions: tuple[Decision, ...]) -> None:
+        for decision in decisions:
+            if decision.revision <= self._snapshot.revision:
+                continue
+            self._recent.append(decision)
+            self._recent_bytes += _size(decision)
+        while self._recent_bytes > KEPT_DECISIONS_BYTES or len(self._recent) > KEPT_DECISIONS:
+            oldest = self._recent.popleft()
+            self._recent_bytes -= _size(oldest)
+            self._recent_base = max(self._recent_base, oldest.revision)
+
+    def _forget_recent(self, revision: int) -> None:
+        self._recent.clear()
+        self._recent_bytes = 0
+        self._recent_base = revision
+
+
+def _size(decision: Decision) -> int:
+    return len(decision.edit.value or b"") + len(decision.reason)
