Add the register of claims

Cause: a keyed request that may not be repeated needs a record that outlives every process before it starts. Ruled out: one object for each key (writes grow with requests), a lease on a key range (a paused holder still acts) and memory at the agent (lost with it). One task for each shard commits many claims in one conditional update; the version check alone is the fence, and an update whose answer was lost is settled by reading back and looking for a claim by the own incarnation, so no batch number is kept. The head is sealed into segments, so that a write does not carry the whole shard.

--- /dev/null
+++ b/src/bronzerudder/claims/__init__.py
@@ -0,0 +1,38 @@
+"""At-most-once execution of keyed requests, with claims kept in the platform's store."""
+
+from __future__ import annotations
+
+from bronzerudder.claims.api import (
+    AlreadyFinished,
+    ClaimOutcome,
+    ClaimRegister,
+    Granted,
+    Running,
+    StoredAnswer,
+    Unknown,
+)
+from bronzerudder.claims.errors import ClaimError, ClaimErrorKind
+from bronzerudder.claims.keys import ClaimKey, key_digest, make_claim_key
+from bronzerudder.claims.register import StoredClaimRegister
+from bronzerudder.claims.settings import ClaimSettings
+from bronzerudder.claims.shards import SHARDS_PER_POOL, preferred_agents, shard_of
+
+__all__ = [
+    "SHARDS_PER_POOL",
+    "AlreadyFinished",
+    "ClaimError",
+    "ClaimErrorKind",
+    "ClaimKey",
+    "ClaimOutcome",
+    "ClaimRegister",
+    "ClaimSettings",
+    "Granted",
+    "Running",
+    "StoredAnswer",
+    "StoredClaimRegister",
+    "Unknown",
+    "key_digest",
+    "make_claim_key",
+    "preferred_agents",
+    "shard_of",
+]
