Run the whole path as separate processes

Cause: first run of all parts together. Found on the way: the routing baseline takes a generator (the entry died on its first configuration), the platform's client was closed before the task that uses it (a spurious log line at the end), absl warned before its first record, and answers carried two Date headers. Ruled out: nothing else showed in the logs. Conclusion: the thin path is whole.

--- /dev/null
+++ b/bench/harness/__init__.py
@@ -0,0 +1,8 @@
+"""Starts real processes on loopback for the demonstration, the measurements and the tests."""
+
+from __future__ import annotations
+
+from bench.harness.deployment import Backend, Deployment, Shape
+from bench.harness.process import ManagedProcess
+
+__all__ = ["Backend", "Deployment", "ManagedProcess", "Shape"]
--- /dev/null
+++ b/bench/harness/deployment.py
@@ -0,0 +1,248 @@
+"""A small deployment: platform, backend servers with an agent each, and entries."""
+
+from __future__ import annotations
+
+import base64
+import json
+import pathlib
+import subprocess
+import sys
+import tempfile
+import time
+import urllib.error
+import urllib.request
+from types import TracebackType
+from typing import Any, NamedTuple
+
+from bench.harness.process import ManagedProcess
+
+LOOPBACK = "127.0.0.1"
+FAILURE_DOMAINS = ("domain-a", "domain-b", "domain-c")
+READY_TIMEOUT_S = 20.0
+POLL_INTERVAL_S = 0.05
+CHAT_POOL = "replies"
+BOOKING_POOL = "bookings"
+
+
+class Backend(NamedTuple):
+    """A backend server and the agent beside it."""
+
+    server: ManagedProcess
+    agent: ManagedProcess
+
+
+class Shape(NamedTuple):
+    """What a deployment consists of, and changes to the settings of its processes."""
+
+    engines: int = 0
+    services: int = 0
+    entries: int = 1
+    engine: dict[str, Any] = {}
+    service: dict[str, Any] = {}
+    agent: dict[str, Any] = {}
+    agent_backend_server: dict[str, Any] = {}
+    entry: dict[str, Any] = {}
+    platform: dict[str, Any] = {}
+    deadline_s: float = 30.0
+
+
+class Deployment:
+    """Starts the processes of a shape; a context manager ends them all.
+
+    Parameters
+    ----------
+    shape : Shape
+        What to start.
+    """
+
+    def __init__(self, shape: Shape) -> None:
+        self._shape = shape
+        self._folder = tempfile.TemporaryDirectory(prefix="bronzerudder-")
+        self._directory = pathlib.Path(self._folder.name)
+        self._processes: list[ManagedProcess] = []
+        self.engines: list[Backend] = []
+        self.services: list[Backend] = []
+        self.entries: list[ManagedProcess] = []
+        self.platform: ManagedProcess
+
+    def __enter__(self) -> Deployment:
+        try:
+            self._start()
+        except BaseException:
+            self.close()
+            raise
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        self.close()
+
+    def close(self) -> None:
+        """End all processes."""
+        for process in reversed(self._processes):
+            process.close()
+        self._folder.cleanup()
+
+    def run_cli(self, *arguments: str) -> subprocess.CompletedProcess[str]:
+        """Run an operator's command."""
+        command = [sys.executable, "-m", "bronzerudder", *arguments]
+        return subprocess.run(command, capture_output=True, text=True, check=False)
+
+    def write_json(self, name: str, value: Any) -> str:
+        """Write a JSON file and return its path."""
+        path = self._directory / name
+        path.write_text(json.dumps(value), encoding="utf-8")
+        return str(path)
+
+    def put_row(self, kind: str, name: str, row: dict[str, Any]) -> None:
+        """Write a row straight to the platform, whatever its version is."""
+        address = f"http://{self.platform.address}/v1/objects/{kind}/{name}"
+        version = 0
+        try:
+            with urllib.request.urlopen(address, timeout=5) as answer:
+                version = json.load(answer)["version"]
+        except urllib.error.HTTPError as error:
+            error.close()
+        value = json.dumps(row)
+        encoded = base64.b64encode(value.encode()).decode()
+        request = urllib.request.Request(
+            f"{address}?if_version={version}",
+            json.dumps({"value": encoded}).encode(),
+            method="PUT",
+        )
+        with urllib.request.urlopen(request, timeout=5):
+            return
+
+    def start_entry(self) -> ManagedProcess:
+        """Start one more entry."""
+        index = len(self.entries)
+        settings = {
+            "entry_id": f"entry-{index}",
+            "failure_domain": FAILURE_DOMAINS[index % len(FAILURE_DOMAINS)],
+            "listener": {"host": LOOPBACK, "port": 0},
+            "admin_listener": {"host": LOOPBACK, "port": 0},
+            "peer_listener": {"host": LOOPBACK, "port": 0},
+            "platform": {"address": self.platform.address},
+            "peers": [entry.peer_address for entry in self.entries if entry.running],
+            **self._shape.entry,
+        }
+        entry = self._run(f"entry-{index}", ("entry",), settings)
+        self.entries.append(entry)
+        return entry
+
+    def start_agent(
+        self, name: str, kind: str, pool: str, server: ManagedProcess, port: int = 0
+    ) -> ManagedProcess:
+        """Start an agent beside a backend server."""
+        settings = {
+            "agent_id": name,
+            "failure_domain": FAILURE_DOMAINS[len(self._processes) % len(FAILURE_DOMAINS)],
+            "pool": pool,
+            "listener": {"host": LOOPBACK, "port": port},
+            "admin_listener": {"host": LOOPBACK, "port": 0},
+            "backend_server": {
+                "name": server.name,
+                "kind": kind,
+                "url": f"http://{server.address}",
+                "max_running": 64,
+                "max_queued": 256,
+                **self._shape.agent_backend_server,
+            },
+            "platform": {"address": self.platform.address},
+            **self._shape.agent,
+        }
+        return self._run(name, ("agent",), settings)
+
+    def wait_ready(self) -> None:
+        """Wait until every entry serves and is connected to every agent."""
+        agents = len(self.engines) + len(self.services)
+        for entry in self.entries:
+            self.wait_until(lambda entry=entry: self._is_ready(entry, agents))
+
+    def wait_until(self, condition: Any, timeout_s: float = READY_TIMEOUT_S) -> None:
+        """Poll until a condition holds; raise when it does not in time."""
+        deadline = time.monotonic() + timeout_s
+        while not condition():
+            if time.monotonic() > deadline:
+                raise TimeoutError("condition not met in time")
+            time.sleep(POLL_INTERVAL_S)
+
+    def read_status(self, process: ManagedProcess) -> dict[str, Any]:
+        """Return what a process says of itself on its admin port."""
+        with urllib.request.urlopen(f"http://{process.admin_address}/status", timeout=5) as answer:
+            return json.load(answer)
+
+    def _is_ready(self, entry: ManagedProcess, agents: int) -> bool:
+        connected = self.read_status(entry)["agents"]
+        return len(connected) == agents and all(connected.values())
+
+    def _run(self, name: str, command: tuple[str, ...], settings: dict[str, Any]) -> ManagedProcess:
+        process = ManagedProcess(name, command, settings, self._directory)
+        self._processes.append(process)
+        return process
+
+    def _start(self) -> None:
+        shape = self._shape
+        listener = {"host": LOOPBACK, "port": 0}
+        self.platform = self._run(
+            "platform", ("standin", "platform"), {**listener, **shape.platform}
+        )
+        engines = [
+            self._run(f"engine-{index}", ("standin", "engine"), {**listener, **shape.engine})
+            for index in range(shape.engines)
+        ]
+        services = [
+            self._run(
+                f"service-{index}",
+                ("standin", "service"),
+                {"address": f"{LOOPBACK}:0", "name": f"service-{index}", **shape.service},
+            )
+            for index in range(shape.services)
+        ]
+        self.engines = self._start_agents(engines, "engine", CHAT_POOL)
+        self.services = self._start_agents(services, "service", BOOKING_POOL)
+        for _ in range(shape.entries):
+            self.start_entry()
+        self._write_tables()
+        self.wait_ready()
+
+    def _start_agents(self, servers: list[ManagedProcess], kind: str, pool: str) -> list[Backend]:
+        return [
+            Backend(server, self.start_agent(f"agent-{server.name}", kind, pool, server))
+            for server in servers
+        ]
+
+    def _write_tables(self) -> None:
+        if self.engines:
+            self.put_row("pool", CHAT_POOL, build_pool("engine", self.engines))
+            self.put_row("route", "chat", self.build_route(["/v1/"], CHAT_POOL, True))
+        if self.services:
+            self.put_row("pool", BOOKING_POOL, build_pool("service", self.services))
+            self.put_row("route", "bookings", self.build_route(["/bookings"], BOOKING_POOL, False))
+
+    def build_route(self, paths: list[str], pool: str, repeatable: bool) -> dict[str, Any]:
+        """Build a route of every workspace."""
+        return {
+            "workspaces": ["*"],
+            "paths": paths,
+            "pool": pool,
+            "deadline_s": self._shape.deadline_s,
+            "repeatable": repeatable,
+        }
+
+
+def build_pool(kind: str, backends: list[Backend]) -> dict[str, Any]:
+    """Build the row of a pool."""
+    servers = [
+        {
+            "name": backend.server.name,
+            "agent_address": backend.agent.address,
+            "failure_domain": FAILURE_DOMAINS[index % len(FAILURE_DOMAINS)],
+        }
+        for index, backend in enumerate(backends)
+    ]
+    return {"kind": kind, "backend_servers": servers}
--- /dev/null
+++ b/bench/harness/process.py
@@ -0,0 +1,121 @@
+"""One process of the product, started and ended by its id."""
+
+from __future__ import annotations
+
+import json
+import pathlib
+import signal
+import subprocess
+import sys
+from typing import Any
+
+START_TIMEOUT_S = 20.0
+EXIT_TIMEOUT_S = 10.0
+
+
+class ManagedProcess:
+    """Runs ``bronzerudder`` with some arguments and a settings file.
+
+    Parameters
+    ----------
+    name : str
+        Names the settings and log files.
+    command : tuple of str
+        Subcommand.
+    settings : dict
+        Written to the settings file.
+    directory : pathlib.Path
+        Takes the files.
+    """
+
+    def __init__(
+        self, name: str, command: tuple[str, ...], settings: dict[str, Any], directory: pathlib.Path
+    ) -> None:
+        self._name = name
+        path = directory / f"{name}.json"
+        path.write_text(json.dumps(settings), encoding="utf-8")
+        self._log_path = directory / f"{name}.log"
+        self._log = self._log_path.open("ab")
+        self._process = subprocess.Popen(
+            [sys.executable, "-m", "bronzerudder", *command, str(path)],
+            stdout=subprocess.PIPE,
+            stderr=self._log,
+        )
+        self._addresses: dict[str, str] = {}
+
+    @property
+    def name(self) -> str:
+        """Name given at the start."""
+        return self._name
+
+    @property
+    def pid(self) -> int:
+        """Process id."""
+        return self._process.pid
+
+    @property
+    def running(self) -> bool:
+        """Whether it has not ended."""
+        return self._process.poll() is None
+
+    @property
+    def address(self) -> str:
+        """``host:port`` of its main listener, once it listens."""
+        return self._read_addresses()["address"]
+
+    @property
+    def admin_address(self) -> str:
+        """``host:port`` of its admin listener."""
+        return self._read_addresses()["admin_address"]
+
+    @property
+    def peer_address(self) -> str:
+        """``host:port`` of its listener for peers."""
+        return self._read_addresses()["peer_address"]
+
+    def read_log(self) -> list[dict[str, Any]]:
+        """Return the log's JSON lines so far."""
+        lines = self._log_path.read_text(encoding="utf-8").splitlines()
+        return [json.loads(line) for line in lines if line.startswith("{")]
+
+    def read_log_text(self) -> str:
+        """Return the log so far."""
+        return self._log_path.read_text(encoding="utf-8")
+
+    def kill(self) -> None:
+        """End it at once."""
+        self._process.kill()
+        self._process.wait(EXIT_TIMEOUT_S)
+
+    def freeze(self) -> None:
+        """Stop its execution."""
+        self._process.send_signal(signal.SIGSTOP)
+
+    def thaw(self) -> None:
+        """Continue its execution."""
+        self._process.send_signal(signal.SIGCONT)
+
+    def terminate(self) -> None:
+        """Ask it to stop gracefully."""
+        self._process.send_signal(signal.SIGTERM)
+
+    def wait(self, timeout_s: float = EXIT_TIMEOUT_S) -> int:
+        """Wait until it has ended and return its exit code."""
+        return self._process.wait(timeout_s)
+
+    def close(self) -> None:
+        """End it if it still runs, and release its files."""
+        if self.running:
+            self.thaw()
+            self.kill()
+        if self._process.stdout is not None:
+            self._process.stdout.close()
+        self._log.close()
+
+    def _read_addresses(self) -> dict[str, str]:
+        if not self._addresses:
+            line = self._process.stdout.readline()
+            if not line:
+                raise RuntimeError(f"{self._name} did not start:\n{self.read_log_text()[-2000:]}")
+            self._addresses = json.loads(line)
+        return self._addresses
--- a/src/bronzerudder/backend_server/http_server.py
+++ b/src/bronzerudder/backend_server/http_server.py
@@ -13,6 +13,7 @@
 HOP_BY_HOP = frozenset(
     ("connection", "content-length", "host", "keep-alive", "te", "transfer-encoding", "upgrade")
 )
+SET_BY_EACH_SERVER = frozenset(("date", "server"))
 
 
 class HttpAnswer(BackendAnswer):
@@ -30,8 +31,9 @@
     @property
     def headers(self) -> tuple[tuple[str, str], ...]:
         """HTTP headers that concern the caller."""
+        left_out = HOP_BY_HOP | SET_BY_EACH_SERVER
         items = self._response.headers.multi_items()
-        return tuple((name, value) for name, value in items if name.lower() not in HOP_BY_HOP)
+        return tuple((name, value) for name, value in items if name.lower() not in left_out)
 
     async def read(self) -> bytes | None | BackendError:
         """Read the next part; None at the end."""
--- a/src/bronzerudder/observability/logs.py
+++ b/src/bronzerudder/observability/logs.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 import msgspec
-from absl import logging
+from absl import flags, logging
 
 _EXTRA = "bronzerudder_fields"
 
@@ -34,10 +34,13 @@
 
 def configure_logs(role: str, name: str) -> None:
     """Write every log record of this process as a JSON line that names its role and name."""
+    # The library warns before each process's first record unless its flags have been parsed.
+    flags.FLAGS([role])
     logging.use_absl_handler()
     logging.set_verbosity(logging.INFO)
     logging.get_absl_handler().setFormatter(JsonFormatter({"role": role, "name": name}))
-    standard_logging.getLogger("httpx").setLevel(standard_logging.WARNING)
+    for library in ("httpx", "bronzerudder.web"):
+        standard_logging.getLogger(library).setLevel(standard_logging.WARNING)
 
 
 def log_event(message: str, **fields: Any) -> None:
--- a/src/bronzerudder/processes/agent.py
+++ b/src/bronzerudder/processes/agent.py
@@ -48,8 +48,8 @@
         await stopping.wait()
         await agent.drain()
         stopped.set()
-        await agent.close()
         tasks.cancel_scope.cancel()
+    await agent.close()
     return EXIT_OK
 
 
--- a/src/bronzerudder/processes/entry.py
+++ b/src/bronzerudder/processes/entry.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from typing import Any
 
 import anyio
@@ -42,8 +43,8 @@
         entry = EntryProcess(settings, tasks)
         await entry.start()
         await entry.serve_until(stopping)
-        await entry.close()
         tasks.cancel_scope.cancel()
+    await entry.close()
     return EXIT_OK
 
 
@@ -77,7 +78,8 @@
         self._agents = AgentPool(
             settings["entry_id"], settings["failure_domain"], self._source, tasks
         )
-        self._targets = TargetTable(self._agents, lambda row: LeastOutstandingRouting())
+        generator = random.Random()
+        self._targets = TargetTable(self._agents, lambda row: LeastOutstandingRouting(generator))
         self._app = self._build_app()
         self._server = grpc.aio.server(options=GRPC_OPTIONS)
 
