--- /dev/null
+++ b/src/bronzerudder/policy/placement/full.py
@@ -0,0 +1,121 @@
+"""Places every expert anew in each interval."""
+
+from __future__ import annotations
+
+import numpy as np
+
+from bronzerudder.policy.placement.api import (
+    Hold,
+    HoldKind,
+    LoadAllowance,
+    PlacementPolicy,
+    PlacementTerms,
+    Proposal,
+)
+from bronzerudder.policy.placement.errors import PlacementError
+from bronzerudder.policy.placement.expert_map import ExpertMap
+from bronzerudder.policy.placement.layout import (
+    find_loads,
+    keep_slots,
+    layout_of_map,
+    map_with_layout,
+    rank_loads,
+)
+
+
+class FullPlacement(PlacementPolicy):
+    """Greedy placement from scratch: replicas to the hottest experts, then largest first.
+
+    It ignores what moving costs and the allowance, and so gives the skew that others are measured
+    against. Ranks keep the experts that they happen to hold already.
+    """
+
+    def __init__(self, terms: PlacementTerms) -> None:
+        self._terms = terms
+
+    def decide(
+        self, active: ExpertMap, popularity: np.ndarray, allowance: LoadAllowance
+    ) -> Proposal | Hold:
+        """Propose a placement that does not depend on the active one."""
+        layout = layout_of_map(active)
+        if isinstance(layout, PlacementError):
+            return Hold(HoldKind.SHAPE, layout.reason)
+        _, ranks, width = layout.experts.shape
+        replicas = apportion_replicas(popularity, ranks * width, ranks)
+        placed = pack_replicas(popularity, replicas, ranks, width)
+        experts = keep_slots(layout.experts, placed)
+        count = int(find_loads(layout.experts, experts).sum())
+        if not count:
+            return Hold(HoldKind.BALANCED, "the placement would not change")
+        before = rank_loads(layout.experts, popularity)
+        after = rank_loads(experts, popularity)
+        gain = (before.max(axis=1) - after.max(axis=1)).sum() / before.mean(axis=1).sum()
+        proposed = map_with_layout(active, layout, experts)
+        if isinstance(proposed, PlacementError):
+            return Hold(HoldKind.SHAPE, proposed.reason)
+        return Proposal(proposed, count, count * self._terms.expert_bytes, float(gain))
+
+
+def apportion_replicas(popularity: np.ndarray, slots: int, most: int) -> np.ndarray:
+    """Give each expert one slot, then each further slot to the most loaded replica's expert.
+
+    Parameters
+    ----------
+    popularity : numpy.ndarray
+        Shape ``(layers, experts)``.
+    slots : int
+        Slots in each layer.
+    most : int
+        Largest useful number of replicas, one on each rank; exceeded only when slots are left.
+
+    Returns
+    -------
+    numpy.ndarray
+        Replicas of each expert, in the shape of ``popularity``.
+    """
+    layers, experts = popularity.shape
+    replicas = np.ones((layers, experts), dtype=np.intp)
+    shares = popularity.astype(np.float64)
+    rows = np.arange(layers)
+    for _ in range(slots - experts):
+        hottest = shares.argmax(axis=1)
+        replicas[rows, hottest] += 1
+        count = replicas[rows, hottest]
+        shares[rows, hottest] = np.where(count < most, popularity[rows, hottest] / count, -count)
+    return replicas
+
+
+def pack_replicas(
+    popularity: np.ndarray, replicas: np.ndarray, ranks: int, width: int
+) -> np.ndarray:
+    """Place replicas, largest first, each on the least loaded rank that lacks its expert.
+
+    Returns
+    -------
+    numpy.ndarray
+        Experts in shape ``(layers, ranks, width)``.
+    """
+    layers, expert_count = popularity.shape
+    shares = popularity / replicas
+    order = np.argsort(-shares, axis=1, kind="stable")
+    ordered_counts = np.take_along_axis(replicas, order, axis=1)
+    sequence = np.repeat(order.ravel(), ordered_counts.ravel()).reshape(layers, ranks * width)
+    sizes = np.take_along_axis(shares, sequence, axis=1)
+    result = np.zeros((layers, ranks, width), dtype=np.intp)
+    used = np.zeros((layers, ranks), dtype=np.intp)
+    loads = np.zeros((layers, ranks))
+    holds = np.zeros((layers, expert_count, ranks))
+    rows = np.arange(layers)
+    for position in range(ranks * width):
+        expert = sequence[:, position]
+        rank = (loads + holds[rows, expert]).argmin(axis=1)
+        slot = used[rows, rank]
+        result[rows, rank, slot] = expert
+        used[rows, rank] = slot + 1
+        loads[rows, rank] += sizes[:, position]
+        holds[rows, expert, rank] = _REPEATED
+        loads[rows[slot + 1 == width], rank[slot + 1 == width]] = np.inf
+    return result
+
+
+_REPEATED = 1e12
