--- a/src/bronzerudder/policy/placement/incremental.py
+++ b/src/bronzerudder/policy/placement/incremental.py
@@ -76,7 +76,7 @@
     def _choose(
         self, path: MovePath, gains: np.ndarray, affordable: int, bytes_per_s: float
     ) -> np.ndarray:
-        """Number of moves to make in each layer."""
+        """Return the number of moves to make in each layer."""
         values = self._values(path, gains, bytes_per_s)
         wanted = values.argmax(axis=0)
         rows = np.arange(wanted.size)
