--- a/src/bronzerudder/configuration/compiler.py
+++ b/src/bronzerudder/configuration/compiler.py
@@ -92,7 +92,8 @@
             self._record(edit)
             return
         named = ", ".join(users[:MAX_NAMED_ROUTES])
-        self._record(edit, f"the pool is in use by {len(users)} routes, such as {named}")
+        more = ", ..." if len(users) > MAX_NAMED_ROUTES else ""
+        self._record(edit, f"the pool is still used by {len(users)} of the routes: {named}{more}")
 
     def _has_pool(self, name: str) -> bool:
         return name in self._pools or RowKey(POOL_KIND, name) in self._snapshot.rows
--- /dev/null
+++ b/src/bronzerudder/configuration/history.py
@@ -0,0 +1,60 @@
+"""Decisions on one row, as far back as the logs go."""
+
+from __future__ import annotations
+
+import msgspec
+
+from bronzerudder.configuration.documents import (
+    LOG_KIND,
+    RootDocument,
+    decode_decisions,
+    read_decision,
+)
+from bronzerudder.configuration.errors import ConfigurationError
+from bronzerudder.configuration.repository import ConfigurationRepository, corrupt
+from bronzerudder.configuration.rows import Decision, RowKey
+from bronzerudder.platform import StoreError
+
+
+async def read_decisions(
+    repository: ConfigurationRepository,
+    document: RootDocument,
+    key: RowKey,
+    until_version: int | None = None,
+) -> list[Decision] | ConfigurationError:
+    """Return the decisions on a row, oldest first.
+
+    Parameters
+    ----------
+    document : RootDocument
+        The root to start from.
+    until_version : int or None
+        Stop reading older logs once a decision on this version of the row has been found; None
+        reads all.
+    """
+    found = [read_decision(item) for item in document["decisions"] if _key(item) == key]
+    if document["manifest"] is None or _has_version(found, until_version):
+        return found
+    manifest = await repository.read_manifest(document)
+    if isinstance(manifest, ConfigurationError):
+        return manifest
+    for piece in reversed(manifest["logs"]):
+        stored = await repository.store.get(LOG_KIND, piece["name"])
+        if isinstance(stored, StoreError):
+            return ConfigurationError.from_store(stored)
+        try:
+            older = decode_decisions(stored.value)
+        except msgspec.DecodeError as error:
+            return corrupt(f"log {piece['name']}: {error}")
+        found = [decision for decision in older if decision.edit.key == key] + found
+        if _has_version(found, until_version):
+            break
+    return found
+
+
+def _key(item: dict) -> RowKey:
+    return RowKey(item["kind"], item["name"])
+
+
+def _has_version(decisions: list[Decision], version: int | None) -> bool:
+    return any(decision.edit.version == version for decision in decisions)
--- /dev/null
+++ b/src/bronzerudder/operators/editor.py
@@ -0,0 +1,174 @@
+"""Writes rows and finds out what the system made of them."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+import anyio
+
+from bronzerudder.configuration.documents import ROOT_KIND, RootDocument
+from bronzerudder.configuration.errors import ConfigurationError
+from bronzerudder.configuration.history import read_decisions
+from bronzerudder.configuration.repository import ConfigurationRepository
+from bronzerudder.configuration.rows import Decision, Edit, RowKey
+from bronzerudder.operators.errors import OperatorError, OperatorErrorKind, failed
+from bronzerudder.platform import (
+    ABSENT_VERSION,
+    ObjectStore,
+    StoredObject,
+    StoreError,
+    StoreErrorKind,
+)
+
+WRITE_ATTEMPTS = 4
+RETRY_DELAY_S = 0.2
+WATCH_TIMEOUT_S = 5.0
+
+
+class Written(NamedTuple):
+    """An edit on the platform; ``replaced`` is the revision of the row before, 0 for none."""
+
+    edit: Edit
+    replaced: int
+
+
+class RowEditor:
+    """Edits rows of the tables through the platform.
+
+    Parameters
+    ----------
+    store : ObjectStore
+        The platform's store.
+    """
+
+    def __init__(self, store: ObjectStore) -> None:
+        self._store = store
+        self._repository = ConfigurationRepository(store, "operator")
+
+    async def write(
+        self, key: RowKey, value: bytes | None, if_revision: int | None
+    ) -> Written | OperatorError:
+        """Write a row, or delete it where ``value`` is None.
+
+        Parameters
+        ----------
+        if_revision : int or None
+            Write only if the row is at this revision (0: only if there is none); None takes the
+            revision that is there now.
+
+        Returns
+        -------
+        Written or OperatorError
+            ``CONFLICT`` when somebody else has edited the row meanwhile.
+        """
+        present = await self._read(key)
+        if isinstance(present, OperatorError):
+            return present
+        version = ABSENT_VERSION if present is None else present.version
+        if if_revision is not None and version != if_revision:
+            return _conflict(key, f"is at revision {version}, not {if_revision}")
+        if present is None and value is None:
+            return OperatorError(OperatorErrorKind.INVALID, f"there is no {key.kind} {key.name}")
+        return await self._write_over(key, value, version)
+
+    async def await_decision(self, edit: Edit, timeout_s: float) -> Decision | OperatorError | None:
+        """Wait until a recorded revision has decided an edit.
+
+        Returns
+        -------
+        Decision or OperatorError or None
+            None when a later edit of the row came first, so that this one was never in force.
+        """
+        reason = "no entry can be recording"
+        with anyio.move_on_after(timeout_s):
+            while True:
+                root = await self._repository.read_root()
+                if isinstance(root, ConfigurationError):
+                    reason = root.reason
+                    await anyio.sleep(RETRY_DELAY_S)
+                    continue
+                if root.document["rows_version"] >= edit.version:
+                    return await self._find_decision(root.document, edit)
+                await self._store.watch(ROOT_KIND, root.version, WATCH_TIMEOUT_S)
+        key = edit.key
+        return failed(
+            f"{key.kind} {key.name} was written as revision {edit.version}, but not decided within "
+            f"{timeout_s:g} s: {reason}"
+        )
+
+    async def _write_over(
+        self, key: RowKey, value: bytes | None, version: int
+    ) -> Written | OperatorError:
+        unsettled = False
+        reason = ""
+        for _ in range(WRITE_ATTEMPTS):
+            result = await self._write_once(key, value, version)
+            if isinstance(result, int):
+                return Written(Edit(key, result, value), version)
+            if result.kind in (StoreErrorKind.CONFLICT, StoreErrorKind.NOT_FOUND):
+                return await self._settle(key, value, version, unsettled)
+            if result.kind not in (StoreErrorKind.OUTCOME_UNKNOWN, StoreErrorKind.UNAVAILABLE):
+                return OperatorError(OperatorErrorKind.INVALID, result.reason)
+            unsettled = unsettled or result.kind is StoreErrorKind.OUTCOME_UNKNOWN
+            reason = result.reason
+            await anyio.sleep(RETRY_DELAY_S)
+        if unsettled:
+            return failed(f"it is not known whether {key.kind} {key.name} was written: {reason}")
+        return failed(f"{key.kind} {key.name} was not written: {reason}")
+
+    async def _write_once(self, key: RowKey, value: bytes | None, version: int) -> int | StoreError:
+        if value is None:
+            return await self._store.delete(key.kind, key.name, version)
+        return await self._store.put(key.kind, key.name, value, version)
+
+    async def _settle(
+        self, key: RowKey, value: bytes | None, version: int, unsettled: bool
+    ) -> Written | OperatorError:
+        """Tell a write of our own whose answer was lost from somebody else's."""
+        if not unsettled:
+            return _conflict(key, "was edited meanwhile; read it and try again")
+        present = await self._read(key)
+        if isinstance(present, OperatorError):
+            return present
+        if present is not None and present.value == value:
+            return Written(Edit(key, present.version, value), version)
+        if present is None and value is None:
+            deleted_at = await self._find_deletion(key, version)
+            if deleted_at is not None:
+                return Written(Edit(key, deleted_at, None), version)
+        return failed(
+            f"it is not known whether {key.kind} {key.name} was written before somebody else's "
+            f"edit replaced it; see its history"
+        )
+
+    async def _find_deletion(self, key: RowKey, after_version: int) -> int | None:
+        batch = await self._store.watch(key.kind, after_version, 0.0)
+        if isinstance(batch, StoreError):
+            return None
+        for change in batch.changes:
+            if change.name == key.name and change.value is None:
+                return change.version
+        return None
+
+    async def _read(self, key: RowKey) -> StoredObject | OperatorError | None:
+        stored = await self._store.get(key.kind, key.name)
+        if not isinstance(stored, StoreError):
+            return stored
+        if stored.kind is StoreErrorKind.NOT_FOUND:
+            return None
+        return failed(f"the platform can't be read: {stored.reason}")
+
+    async def _find_decision(
+        self, document: RootDocument, edit: Edit
+    ) -> Decision | OperatorError | None:
+        decisions = await read_decisions(self._repository, document, edit.key, edit.version)
+        if isinstance(decisions, ConfigurationError):
+            return failed(decisions.reason)
+        for decision in reversed(decisions):
+            if decision.edit.version == edit.version:
+                return decision
+        return None
+
+
+def _conflict(key: RowKey, reason: str) -> OperatorError:
+    return OperatorError(OperatorErrorKind.CONFLICT, f"{key.kind} {key.name} {reason}")
--- a/tests/configuration/test_compiler.py
+++ b/tests/configuration/test_compiler.py
@@ -54,7 +54,7 @@
         snapshot = compiled(EMPTY_SNAPSHOT, pool_edit("p", 1, pool()), route_edit("r", 2, route()))
         snapshot = compiled(snapshot, pool_edit("p", 3, None))
         self.assertIn(RowKey(POOL_KIND, "p"), snapshot.rows)
-        self.assertIn("in use by 1 routes", snapshot.refused[RowKey(POOL_KIND, "p")].reason)
+        self.assertIn("used by 1 of the routes: r", snapshot.refused[RowKey(POOL_KIND, "p")].reason)
         snapshot = compiled(snapshot, route_edit("r", 4, None))
         self.assertEqual((snapshot.rows, snapshot.refused), ({}, {}))
 
