Check histories of the configuration under failure

Cause: nothing showed that accepted edits stay in force while processes and platform fail. Ruled out: sources hosted inside the test alone; a killed process must be a real one. The first run blamed edits that followed a deletion as unseen overwrites: a row that is gone has version 0 each time, so the check now asks the platform's log for a deletion in between, and also that every edit reported accepted stands in that log. An agent now reports ready only once its source is, and a retired connection is forgotten.

--- /dev/null
+++ b/bench/harness/configuration_history.py
@@ -0,0 +1,134 @@
+"""Records what operators were told and what each process had in force, with times."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+import anyio
+import grpc.aio
+
+from bronzerudder.configuration import EMPTY_SNAPSHOT, RowKey, apply_decisions
+from bronzerudder.configuration.peer_pb2 import DescribeRequest, FetchRequest
+from bronzerudder.configuration.peer_pb2_grpc import ConfigurationPeerStub
+from bronzerudder.configuration.rows import Decision
+from bronzerudder.configuration.wire import join_update
+from bronzerudder.operators.editor import RowEditor
+from bronzerudder.operators.errors import OperatorError
+from bronzerudder.operators.tables import TableReader
+
+ASK_INTERVAL_S = 0.1
+ASK_TIMEOUT_S = 2.0
+
+
+class Accepted(NamedTuple):
+    """An operator was told that an edit was accepted; the time is in monotonic seconds.
+
+    ``replaced`` is the version of the row that the operator had seen.
+    """
+
+    key: RowKey
+    version: int
+    replaced: int
+    revision: int
+    deleted: bool
+    told_at: float
+
+
+class Sighting(NamedTuple):
+    """A process answered that a revision is in force; times are in monotonic seconds.
+
+    ``rows`` has the version of each row in force, and is None where the revision is that of the
+    sighting before.
+    """
+
+    process: str
+    asked_at: float
+    answered_at: float
+    revision: int
+    ready: bool
+    rows: dict[RowKey, int] | None
+
+
+class Gap(NamedTuple):
+    """A process was asked and did not answer."""
+
+    process: str
+    asked_at: float
+
+
+class ConfigurationHistory:
+    """Everything that happened, in the order in which it was noted.
+
+    ``recorded`` has the accepted decisions that the platform's log held at the end.
+    """
+
+    def __init__(self) -> None:
+        self.accepted: list[Accepted] = []
+        self.refused: list[Decision] = []
+        self.failures: list[str] = []
+        self.sightings: list[Sighting] = []
+        self.recorded: list[Decision] = []
+        self.gaps: list[Gap] = []
+        self.started_at: dict[str, float] = {}
+
+    async def observe(self, process: str, address: str, is_running: Callable[[], bool]) -> None:
+        """Ask a process again and again until it has ended."""
+        known = -1
+        async with grpc.aio.insecure_channel(address) as channel:
+            stub = ConfigurationPeerStub(channel)
+            while is_running():
+                asked_at = anyio.current_time()
+                try:
+                    sighting = await self._ask(stub, process, known)
+                except grpc.aio.AioRpcError:
+                    self.gaps.append(Gap(process, asked_at))
+                else:
+                    known = sighting.revision
+                    self.sightings.append(sighting)
+                await anyio.sleep(ASK_INTERVAL_S)
+
+    async def edit(
+        self, editor: RowEditor, key: RowKey, value: bytes | None, timeout_s: float
+    ) -> None:
+        """Edit a row and note what the operator was told."""
+        written = await editor.write(key, value, None)
+        if isinstance(written, OperatorError):
+            self.failures.append(written.reason)
+            return
+        decision = await editor.await_decision(written.edit, timeout_s)
+        if decision is None:
+            self.failures.append("superseded")
+            return
+        if isinstance(decision, OperatorError):
+            self.failures.append(decision.reason)
+            return
+        if decision.reason:
+            self.refused.append(decision)
+            return
+        version, told_at = written.edit.version, anyio.current_time()
+        self.accepted.append(
+            Accepted(key, version, written.replaced, decision.revision, value is None, told_at)
+        )
+
+    async def read_log(self, reader: TableReader) -> None:
+        """Read the platform's log of the rows that were edited."""
+        for key in {edit.key for edit in self.accepted}:
+            decisions = await reader.history(key)
+            if isinstance(decisions, OperatorError):
+                raise RuntimeError(decisions.reason)
+            self.recorded += [decision for decision in decisions if not decision.reason]
+
+    async def _ask(self, stub: ConfigurationPeerStub, process: str, known: int) -> Sighting:
+        asked_at = anyio.current_time()
+        reply = await stub.Describe(DescribeRequest(), timeout=ASK_TIMEOUT_S)
+        revision, rows = reply.revision, None
+        if revision != known:
+            request = FetchRequest(after_revision=0)
+            update = await join_update(stub.Fetch(request, timeout=ASK_TIMEOUT_S))
+            rows = {}
+            if update is not None:
+                revision = update.revision
+                snapshot = apply_decisions(EMPTY_SNAPSHOT, update.decisions, revision, 0)
+                rows = {key: row.version for key, row in snapshot.rows.items()}
+        return Sighting(process, asked_at, anyio.current_time(), revision, reply.ready, rows)
--- a/src/bronzerudder/agent/pool.py
+++ b/src/bronzerudder/agent/pool.py
@@ -62,6 +62,7 @@
                     continue
                 del self._connections[address]
                 self._scopes.pop(address).cancel()
+                self._source.forget(address)
 
     def _connect(self, address: str) -> None:
         connection = AgentConnection(address, self._entry_id, self._failure_domain, self._source)
--- a/src/bronzerudder/processes/agent.py
+++ b/src/bronzerudder/processes/agent.py
@@ -153,7 +153,9 @@
         return executor
 
     def _find_unready_reason(self) -> str:
-        return "leaving" if self._executor.leaving else ""
+        if self._executor.leaving:
+            return "leaving"
+        return "" if self._source.is_ready else "no configuration yet"
 
     def _describe(self) -> dict[str, Any]:
         return {
--- /dev/null
+++ b/tests/configuration/history_check.py
@@ -0,0 +1,138 @@
+"""Predicates over a recorded history; each returns what it found wrong."""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Iterable
+
+from bench.harness.configuration_history import Accepted, ConfigurationHistory, Sighting
+from bronzerudder.configuration import RowKey
+from bronzerudder.platform import ABSENT_VERSION
+
+IN_FORCE_BOUND_S = 4.0
+
+
+def by_process(history: ConfigurationHistory) -> dict[str, list[Sighting]]:
+    """Sort the sightings by process; names are never used twice."""
+    sorted_sightings = collections.defaultdict(list)
+    for sighting in history.sightings:
+        sorted_sightings[sighting.process].append(sighting)
+    return sorted_sightings
+
+
+def find_falling_revisions(history: ConfigurationHistory) -> list[str]:
+    """Find processes whose revision fell."""
+    found = []
+    for process, sightings in by_process(history).items():
+        for earlier, later in zip(sightings, sightings[1:], strict=False):
+            if later.revision < earlier.revision:
+                found.append(f"{process} fell from {earlier.revision} to {later.revision}")
+    return found
+
+
+def find_disagreements(history: ConfigurationHistory) -> list[str]:
+    """Find revisions that don't have the same rows everywhere."""
+    found = []
+    rows_of: dict[int, dict[RowKey, int]] = {}
+    for sighting in history.sightings:
+        if sighting.rows is None:
+            continue
+        if rows_of.setdefault(sighting.revision, sighting.rows) != sighting.rows:
+            found.append(f"{sighting.process} differs at revision {sighting.revision}")
+    return found
+
+
+def find_reverted_edits(history: ConfigurationHistory) -> list[str]:
+    """Find accepted edits that were out of force with no later edit of their row."""
+    found = []
+    latest_deletion: dict[RowKey, int] = {}
+    for edit in history.accepted:
+        if edit.deleted:
+            latest_deletion[edit.key] = max(edit.version, latest_deletion.get(edit.key, 0))
+    for sighting in history.sightings:
+        if sighting.rows is None:
+            continue
+        for edit in history.accepted:
+            if edit.revision > sighting.revision:
+                continue
+            version = sighting.rows.get(edit.key)
+            if version is None and latest_deletion.get(edit.key, 0) >= edit.version:
+                continue
+            if (
+                version is None
+                or version < edit.version
+                or (edit.deleted and version <= edit.version)
+            ):
+                found.append(f"{sighting.process} at {sighting.revision} lost {edit}")
+    return found
+
+
+def find_unrecorded_edits(history: ConfigurationHistory) -> list[str]:
+    """Find accepted edits that the platform's log doesn't have as accepted."""
+    recorded = {(decision.edit.key, decision.edit.version) for decision in history.recorded}
+    return [str(edit) for edit in history.accepted if (edit.key, edit.version) not in recorded]
+
+
+def find_unseen_overwrites(history: ConfigurationHistory) -> list[str]:
+    """Find accepted edits whose author had not seen the accepted edit before it."""
+    found = []
+    ordered = sorted(history.accepted, key=lambda edit: (edit.key, edit.version))
+    for earlier, later in zip(ordered, ordered[1:], strict=False):
+        if earlier.key != later.key or later.replaced >= earlier.version:
+            continue
+        if later.replaced == ABSENT_VERSION and _was_deleted(history, earlier, later):
+            continue
+        found.append(f"{later} overwrote {earlier}")
+    return found
+
+
+def find_late_processes(history: ConfigurationHistory, ended_at: float) -> list[str]:
+    """Find live processes that had an accepted edit in force only after the bound."""
+    found = []
+    for process, sightings in by_process(history).items():
+        for edit in history.accepted:
+            due_at = edit.told_at + IN_FORCE_BOUND_S
+            seen = find_in_force_time(sightings, edit.revision)
+            lived = sightings[0].answered_at <= edit.told_at and due_at <= min(
+                ended_at, sightings[-1].asked_at
+            )
+            if lived and (seen is None or seen > due_at):
+                found.append(f"{process} had revision {edit.revision} late: {seen}, due {due_at}")
+    return found
+
+
+def find_stale_starts(history: ConfigurationHistory) -> list[str]:
+    """Find processes first ready without something accepted before they became ready."""
+    found = []
+    for process, sightings in by_process(history).items():
+        ready = next((sighting for sighting in sightings if sighting.ready), None)
+        if ready is None:
+            continue
+        before = [sighting for sighting in sightings if sighting.answered_at < ready.asked_at]
+        unready_at = before[-1].answered_at if before else history.started_at[process]
+        for edit in _accepted_before(history.accepted, unready_at):
+            if edit.revision > ready.revision:
+                found.append(f"{process} was ready at {ready.revision}, below {edit.revision}")
+    return found
+
+
+def find_in_force_time(sightings: list[Sighting], revision: int) -> float | None:
+    """Say when a process was first seen at a revision or above."""
+    for sighting in sightings:
+        if sighting.revision >= revision:
+            return sighting.answered_at
+    return None
+
+
+def _was_deleted(history: ConfigurationHistory, earlier: Accepted, later: Accepted) -> bool:
+    for decision in history.recorded:
+        edit = decision.edit
+        if edit.key != earlier.key or edit.value is not None:
+            continue
+        if earlier.version <= edit.version < later.version:
+            return True
+    return False
+
+
+def _accepted_before(accepted: Iterable[Accepted], at: float) -> list[Accepted]:
+    return [edit for edit in accepted if edit.told_at < at]
