Drive the claim register with a rule-based state machine

Cause: the dangerous histories are orders of lost answers, late writes, pauses and restarts that no hand-written test lists in full. Two registers share one store whose every call the machine holds, refuses, loses or delays; at most one run a key is the invariant. Ruled out: real timers in the machine, which make a run unrepeatable.

--- /dev/null
+++ b/tests/claims/test_register_machine.py
@@ -0,0 +1,189 @@
+"""Drives several registers over one held store: every order of answers, losses and restarts."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from unittest import mock
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from bronzerudder.claims import (
+    AlreadyFinished,
+    ClaimKey,
+    Granted,
+    StoredAnswer,
+    StoredClaimRegister,
+    committer,
+    compaction,
+)
+from tests.claims.stores import DOWN, LOST, HeldCall, MemoryStore, Objects
+
+FINGERPRINT = b"12345678"
+KEYS = tuple(ClaimKey(bytes(15) + bytes([number]), FINGERPRINT) for number in range(3))
+LOOP_TURNS = 30
+FOREVER_S = 1e6
+SETTINGS = {
+    "finish_delay_s": 0.0,
+    "retry_after_s": 0.0,
+    "store_timeout_s": FOREVER_S,
+    "seal_bytes": 120,
+}
+AGENTS = ("left", "right")
+
+
+class Agent:
+    """One life of a process that claims keys and, later, starts what it was granted."""
+
+    def __init__(self, name: str, incarnation: int, objects: Objects, held: list[HeldCall]) -> None:
+        store = MemoryStore(objects, held_calls=held, owner=f"{name} {incarnation}")
+        self.owner = f"{name} {incarnation}"
+        self.register = StoredClaimRegister(store, "p", incarnation, SETTINGS, lambda: 0.0)
+        self.granted: list[ClaimKey] = []
+        self.running: list[ClaimKey] = []
+        self.tasks: list[asyncio.Task] = []
+
+
+class RegisterMachine(RuleBasedStateMachine):
+    """At most one run for each key, whatever becomes of the calls to the platform."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.runner = asyncio.Runner()
+        self.objects = Objects()
+        self.held: list[HeldCall] = []
+        self.late: list[HeldCall] = []
+        self.runs: list[ClaimKey] = []
+        self.answers: dict[ClaimKey, StoredAnswer] = {}
+        self.wrong: list[str] = []
+        self.lives = 0
+        self.agents: dict[str, Agent] = {}
+        for name in AGENTS:
+            self.start_life(name)
+
+    def start_life(self, name: str) -> None:
+        self.lives += 1
+        agent = Agent(name, self.lives, self.objects, self.held)
+        self.agents[name] = agent
+        self.spawn(agent, agent.register.run())
+
+    def spawn(self, agent: Agent, coroutine) -> None:
+        async def start() -> asyncio.Task:
+            return asyncio.ensure_future(coroutine)
+
+        agent.tasks.append(self.runner.run(start()))
+        self.turn()
+
+    def turn(self) -> None:
+        async def turns() -> None:
+            for _ in range(LOOP_TURNS):
+                await asyncio.sleep(0)
+
+        self.runner.run(turns())
+
+    async def claim(self, agent: Agent, key: ClaimKey) -> None:
+        outcome = await agent.register.claim(key, FOREVER_S)
+        if isinstance(outcome, Granted):
+            agent.granted.append(key)
+        if isinstance(outcome, AlreadyFinished) and outcome.answer != self.answers.get(key):
+            self.wrong.append(f"{key} answered {outcome.answer}")
+
+    @rule(name=st.sampled_from(AGENTS), key=st.sampled_from(KEYS))
+    def ask(self, name, key):
+        self.spawn(self.agents[name], self.claim(self.agents[name], key))
+
+    @rule(name=st.sampled_from(AGENTS), finishes=st.booleans())
+    def start_and_end(self, name, finishes):
+        """Start what was granted some time ago, as a process that was paused would."""
+        agent = self.agents[name]
+        if not agent.granted:
+            return
+        key = agent.granted.pop(0)
+        self.runs.append(key)
+        if finishes:
+            self.answers[key] = StoredAnswer(200, (), str(len(self.runs)).encode())
+            agent.register.finish(key, self.answers[key])
+        else:
+            agent.register.abandon(key)
+        self.turn()
+
+    @rule(name=st.sampled_from(AGENTS))
+    def give_back(self, name):
+        agent = self.agents[name]
+        if agent.granted:
+            agent.register.release(agent.granted.pop(0))
+            self.turn()
+
+    @precondition(lambda self: self.held)
+    @rule(data=st.data(), manner=st.sampled_from(("answer", "lose", "refuse", "delay")))
+    def settle_call(self, data, manner):
+        call = self.held.pop(data.draw(st.integers(0, len(self.held) - 1)))
+        if manner == "refuse" or (manner == "delay" and not call.writes):
+            call.give(DOWN)
+        elif manner == "delay":
+            self.late.append(call)
+            call.give(LOST)
+        else:
+            answer = call.perform()
+            call.give(answer if manner == "answer" or not call.writes else LOST)
+        self.turn()
+
+    @precondition(lambda self: self.held)
+    @rule(turns=st.integers(1, 6))
+    def answer_in_order(self, turns):
+        for _ in range(turns):
+            if self.held:
+                call = self.held.pop(0)
+                call.give(call.perform())
+                self.turn()
+
+    @precondition(lambda self: self.late)
+    @rule()
+    def delayed_write_arrives(self):
+        self.late.pop(0).perform()
+
+    @rule(name=st.sampled_from(AGENTS))
+    def restart(self, name):
+        """Kill a process; its writes on the way may still arrive."""
+        agent = self.agents[name]
+        for call in [call for call in self.held if call.owner == agent.owner]:
+            self.held.remove(call)
+            self.late.append(call)
+        for task in agent.tasks:
+            task.cancel()
+        self.turn()
+        self.start_life(name)
+
+    @invariant()
+    def at_most_one_run(self):
+        assert len(set(self.runs)) == len(self.runs), f"ran twice: {self.runs}"
+
+    @invariant()
+    def stored_answers_are_those_of_the_run(self):
+        assert not self.wrong, self.wrong
+
+    def teardown(self) -> None:
+        for agent in self.agents.values():
+            for task in agent.tasks:
+                task.cancel()
+        self.turn()
+        self.runner.close()
+
+
+class RegisterMachineTest(unittest.TestCase):
+    def test_no_history_runs_a_key_twice(self):
+        chosen = settings(max_examples=150, stateful_step_count=60, deadline=None)
+        case = RegisterMachine.TestCase
+        case.settings = chosen
+        result = unittest.TestResult()
+        merges_early = mock.patch.object(compaction, "MERGE_COUNT", 2)
+        with merges_early, mock.patch.object(committer, "logging"):
+            case("runTest").run(result)
+        problems = [text for _, text in result.failures + result.errors]
+        self.assertEqual(problems, [])
+
+
+if __name__ == "__main__":
+    unittest.main()
