--- a/src/bronzerudder/standin/__init__.py
+++ b/src/bronzerudder/standin/__init__.py
@@ -1,1 +1,1 @@
-"""Small stand-ins for the system's peers, for tests, demonstrations and measurements."""
+"""Small stand-ins for the platform and the backend servers, for tests, the demo and the bench."""
