Claim keyed requests before they start

Cause: the agent sent keyed requests that may not be repeated without any record of them. The claim is made before the attempt waits for a slot, as the number of running requests would otherwise bound how many claims share a write; ruled out for that reason: claiming inside the slot. Entries send a key to its shard's preferred agent. A repeat attaches to a running key, claims again where that run was given back, and gets the stored answer otherwise.

--- a/src/bronzerudder/agent/attempt.py
+++ b/src/bronzerudder/agent/attempt.py
@@ -142,7 +142,7 @@
         if complete:
             self._push(Completed(finished.replayed))
             return
-        self._push(Cut(finished.state, finished.detail))
+        self._push(Cut(finished.state, finished.detail, finished.retry_after_ms / 1000))
 
     def _take_refused(self, refused: pb.Refused) -> None:
         self._push(RefusedEvent(refused.reason, refused.detail, refused.retry_after_ms / 1000))
--- a/src/bronzerudder/agent/events.py
+++ b/src/bronzerudder/agent/events.py
@@ -27,10 +27,11 @@
 
 
 class Cut(NamedTuple):
-    """The attempt ran, or may have run, and its answer is not whole."""
+    """The attempt ran, or may have run, and its answer is not whole; the wait is in seconds."""
 
     state: pb.FinishState
     reason: str
+    retry_after_s: float = 0.0
 
 
 class Refused(NamedTuple):
--- a/src/bronzerudder/claims/api.py
+++ b/src/bronzerudder/claims/api.py
@@ -42,6 +42,12 @@
     retry_after_s: float
 
 
+class Released(NamedTuple):
+    """The key runs no more and may be claimed again."""
+
+    key: ClaimKey
+
+
 ClaimOutcome = Granted | Running | AlreadyFinished | Unknown | ClaimError
 
 
@@ -80,7 +86,7 @@
         """Say that a granted key may or may not have run."""
 
     @abc.abstractmethod
-    async def wait(self, key: ClaimKey) -> AlreadyFinished | Unknown:
+    async def wait(self, key: ClaimKey) -> AlreadyFinished | Unknown | Released:
         """Wait for the end of a key that runs at this incarnation."""
 
     @abc.abstractmethod
--- a/src/bronzerudder/claims/own_keys.py
+++ b/src/bronzerudder/claims/own_keys.py
@@ -15,6 +15,7 @@
     RUNNING = "running"
     FINISHED = "finished"
     UNKNOWN = "unknown"
+    RELEASED = "released"
 
 
 class OwnKey:
@@ -57,7 +58,7 @@
     def remove(self, digest: bytes) -> None:
         """Take out a key that has not run and will not."""
         own = self._keys.pop(digest)
-        own.state = OwnState.UNKNOWN
+        own.state = OwnState.RELEASED
         own.ended.set()
 
     def forget_recorded(self, digest: bytes) -> None:
--- a/src/bronzerudder/claims/register.py
+++ b/src/bronzerudder/claims/register.py
@@ -13,6 +13,7 @@
     ClaimOutcome,
     ClaimRegister,
     Granted,
+    Released,
     Running,
     StoredAnswer,
     Unknown,
@@ -115,12 +116,14 @@
         self._own.end(key.digest, OwnState.UNKNOWN)
         self._close(key, ClaimState.ABANDONED, None)
 
-    async def wait(self, key: ClaimKey) -> AlreadyFinished | Unknown:
+    async def wait(self, key: ClaimKey) -> AlreadyFinished | Unknown | Released:
         """Wait for the end of a key that runs at this incarnation."""
         own = self._own.get(key.digest)
         if own is None:
-            return Unknown("the key runs no more", self._retry_after_s)
+            return Released(key)
         await own.ended.wait()
+        if own.state is OwnState.RELEASED:
+            return Released(key)
         if own.state is OwnState.FINISHED:
             return AlreadyFinished(own.answer)
         return _ended_unknown()
@@ -168,9 +171,7 @@
             ticket.taken = True
             return Granted(key)
         own = self._own.get(key.digest)
-        if own is None:
-            return Unknown("the key's first request has just ended", self._retry_after_s)
-        return self._describe_own(key, own)
+        return Running(key) if own is None else self._describe_own(key, own)
 
     def _describe_own(self, key: ClaimKey, own: OwnKey) -> ClaimOutcome:
         if own.fingerprint != key.fingerprint:
--- a/src/bronzerudder/dispatch/dispatcher.py
+++ b/src/bronzerudder/dispatch/dispatcher.py
@@ -15,6 +15,7 @@
     Refused,
     RemoteAttempt,
 )
+from bronzerudder.claims.keys import key_digest
 from bronzerudder.configuration import Match, Snapshot
 from bronzerudder.dispatch.api import AnswerSink
 from bronzerudder.dispatch.outcome import (
@@ -125,7 +126,11 @@
         routed = RoutedRequest(
             request.estimated_tokens, request.prompt_tokens, request.prefix, tried
         )
-        return self._targets.get(match.pool_name).pick(routed, anyio.current_time())
+        targets = self._targets.get(match.pool_name)
+        if request.idempotency_key and not match.route["repeatable"]:
+            digest = key_digest(request.workspace, request.idempotency_key)
+            return targets.pick_for_key(digest, routed, anyio.current_time())
+        return targets.pick(routed, anyio.current_time())
 
     async def _attempt(
         self,
--- a/src/bronzerudder/dispatch/outcome.py
+++ b/src/bronzerudder/dispatch/outcome.py
@@ -57,6 +57,7 @@
     pb.REFUSAL_REASON_QUARANTINED: STATUS_UNPROCESSABLE,
     pb.REFUSAL_REASON_DUPLICATE: STATUS_CONFLICT,
     pb.REFUSAL_REASON_INVALID: STATUS_BAD_REQUEST,
+    pb.REFUSAL_REASON_KEY_REUSED: STATUS_UNPROCESSABLE,
     pb.REFUSAL_REASON_SHARE_EXCEEDED: STATUS_TOO_MANY_REQUESTS,
 }
 
@@ -93,4 +94,5 @@
 
 def describe_loss(event: Cut | Lost) -> Outcome:
     """Turn an answer that is not whole into an outcome."""
-    return Outcome(OutcomeKind.UNKNOWN, STATUS_BAD_GATEWAY, event.reason)
+    retry_after_s = event.retry_after_s if isinstance(event, Cut) else 0.0
+    return Outcome(OutcomeKind.UNKNOWN, STATUS_BAD_GATEWAY, event.reason, retry_after_s)
--- a/src/bronzerudder/dispatch/targets.py
+++ b/src/bronzerudder/dispatch/targets.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from bronzerudder.agent import AgentConnection, AgentPool
+from bronzerudder.claims.shards import preferred_agents, shard_of
 from bronzerudder.configuration import Snapshot
 from bronzerudder.configuration.matching import decode_pool
 from bronzerudder.frames import exchange_pb2 as pb
@@ -17,6 +18,7 @@
     RoutedRequest,
     RoutingPolicy,
 )
+from bronzerudder.policy.routing.api import select_available
 from bronzerudder.tables import POOL_KIND, PoolRow
 
 
@@ -30,7 +32,8 @@
 class PoolTargets:
     """The backend servers of one pool."""
 
-    def __init__(self, policy: RoutingPolicy) -> None:
+    def __init__(self, name: str, policy: RoutingPolicy) -> None:
+        self._name = name
         self._policy = policy
         self._targets: dict[str, Target] = {}
         self._group_breaker = Breaker()
@@ -67,6 +70,19 @@
             return picked
         return self._targets[picked.name]
 
+    def pick_for_key(
+        self, digest: bytes, request: RoutedRequest, now_s: float
+    ) -> Target | NoCandidate:
+        """Pick the backend server whose agent should record the claim of a key."""
+        for name, target in self._targets.items():
+            self._refresh(name, target, now_s)
+        candidates = [target.candidate for target in self._targets.values()]
+        available = select_available(candidates, request, now_s)
+        if isinstance(available, NoCandidate):
+            return available
+        names = preferred_agents(self._name, [candidate.name for candidate in available])
+        return self._targets[names[shard_of(digest)]]
+
     def _refresh(self, name: str, target: Target, now_s: float) -> None:
         state = target.connection.state
         target.candidate.connected = state.connected
@@ -108,7 +124,7 @@
             del self._pools[name]
         for name, row in rows.items():
             if name not in self._pools:
-                self._pools[name] = PoolTargets(self._build_policy(row))
+                self._pools[name] = PoolTargets(name, self._build_policy(row))
             self._pools[name].update(row, self._agents)
 
 
--- a/src/bronzerudder/execution/attempt.py
+++ b/src/bronzerudder/execution/attempt.py
@@ -12,6 +12,8 @@
 from bronzerudder.frames import exchange_pb2 as pb
 
 BUFFER_LIMIT_BYTES = 1_000_000
+# One part more than this is kept, so that a cut copy is never taken for a whole answer.
+KEPT_ANSWER_LIMIT_BYTES = 65_536
 
 Outlet = Callable[[pb.AgentFrame], None]
 
@@ -31,6 +33,14 @@
     FINISHED = "finished"
 
 
+class KeptAnswer(NamedTuple):
+    """An answer as emitted so far."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
 class _BufferedFrame(NamedTuple):
     sequence: int
     frame: pb.AgentFrame
@@ -55,6 +65,10 @@
         self._next_sequence = 0
         self._room = anyio.Event()
         self._withdrawn = anyio.Event()
+        self._finish_state = pb.FINISH_STATE_UNSPECIFIED
+        self._refused = False
+        self._kept: KeptAnswer | None = None
+        self._keeps_answer = False
 
     @property
     def key(self) -> AttemptKey:
@@ -101,33 +115,62 @@
         """Whether the head has been emitted."""
         return self._next_sequence > 0
 
+    @property
+    def refused(self) -> bool:
+        """Whether it was refused, as proof that it has not run."""
+        return self._refused
+
+    @property
+    def finish_state(self) -> pb.FinishState:
+        """State in the final frame; unspecified until then, and after a refusal."""
+        return self._finish_state
+
+    @property
+    def kept_answer(self) -> KeptAnswer | None:
+        """The answer so far, if it is kept and has begun."""
+        return self._kept
+
+    def keep_answer(self) -> None:
+        """Keep a copy of the answer beyond its acknowledgement."""
+        self._keeps_answer = True
+
     def start(self) -> None:
         """Mark it as running: from here on it may have had an effect."""
         self._state = AttemptState.RUNNING
 
     def emit_head(self, status: int, headers: tuple[tuple[str, str], ...]) -> None:
         """Emit the status and headers."""
+        if self._keeps_answer:
+            self._kept = KeptAnswer(status, headers, b"")
         fields = [pb.Header(name=name, value=value) for name, value in headers]
         head = pb.Head(status=status, headers=fields, **self._key._asdict())
         self._emit(pb.AgentFrame(head=head), 0)
 
     def emit_chunk(self, payload: bytes) -> None:
         """Emit a part of the body."""
+        if self._kept is not None and len(self._kept.body) <= KEPT_ANSWER_LIMIT_BYTES:
+            self._kept = self._kept._replace(body=self._kept.body + payload)
         chunk = pb.Chunk(sequence=self._next_sequence, payload=payload, **self._key._asdict())
         self._emit(pb.AgentFrame(chunk=chunk), len(payload))
 
     def emit_finished(
-        self, state: pb.FinishState, detail: str = "", replayed: bool = False
+        self,
+        state: pb.FinishState,
+        detail: str = "",
+        replayed: bool = False,
+        retry_after_ms: int = 0,
     ) -> None:
         """Emit the final frame."""
         if self._state is AttemptState.FINISHED:
             return
         self._state = AttemptState.FINISHED
+        self._finish_state = state
         finished = pb.Finished(
             chunk_count=self.chunk_count,
             state=state,
             detail=detail,
             replayed=replayed,
+            retry_after_ms=retry_after_ms,
             **self._key._asdict(),
         )
         self._emit(pb.AgentFrame(finished=finished), 0)
@@ -135,6 +178,7 @@
     def emit_refused(self, refused: pb.Refused) -> None:
         """Send a refusal; it is repeated from its tombstone where this copy is lost."""
         self._state = AttemptState.FINISHED
+        self._refused = True
         if self._outlet is not None:
             self._outlet(pb.AgentFrame(refused=refused))
 
--- a/src/bronzerudder/execution/executor.py
+++ b/src/bronzerudder/execution/executor.py
@@ -8,7 +8,9 @@
 from anyio.abc import TaskGroup
 
 from bronzerudder.backend_server import BackendError, BackendErrorKind, BackendServer
+from bronzerudder.claims import ClaimRegister
 from bronzerudder.execution.attempt import Attempt, AttemptKey, AttemptState, Outlet
+from bronzerudder.execution.keyed import KeyedRunner, needs_claim
 from bronzerudder.execution.relay import Relay
 from bronzerudder.execution.table import AttemptTable
 from bronzerudder.frames import exchange_pb2 as pb
@@ -45,6 +47,8 @@
         Of this process.
     tracing : Tracing
         Records a span for each attempt and for each call of the backend server.
+    register : ClaimRegister
+        Grants the keys of requests that may not be repeated.
     """
 
     def __init__(
@@ -55,6 +59,7 @@
         tasks: TaskGroup,
         incarnation: int,
         tracing: Tracing,
+        register: ClaimRegister,
     ) -> None:
         self._backend_server = backend_server
         self._relay = Relay(backend_server, resumable, tracing)
@@ -67,6 +72,7 @@
         self._queued = 0
         self._leaving = False
         self._backend_up = True
+        self._keyed = KeyedRunner(register, self._run_in_slot, self._leave_queue, self._refuse)
 
     @property
     def leaving(self) -> bool:
@@ -197,7 +203,7 @@
     async def _run_within_deadline(self, attempt: Attempt) -> None:
         try:
             with anyio.move_on_after(attempt.submit.time_left_ms / 1000) as deadline:
-                await self._run_in_slot(attempt)
+                await self._run_claimed(attempt)
         finally:
             if attempt.state is AttemptState.QUEUED:
                 self._queued -= 1
@@ -209,12 +215,22 @@
         await self._backend_server.cancel(f"{attempt.key.request_id}.{attempt.key.attempt}")
         attempt.emit_finished(_cut_state(attempt), "deadline passed while it ran")
 
+    async def _run_claimed(self, attempt: Attempt) -> None:
+        if needs_claim(attempt.submit):
+            await self._keyed.run(attempt)
+            return
+        await self._run_in_slot(attempt)
+
+    def _leave_queue(self, attempt: Attempt) -> None:
+        if attempt.state is AttemptState.QUEUED:
+            attempt.start()
+            self._queued -= 1
+
     async def _run_in_slot(self, attempt: Attempt) -> None:
         async with self._slots:
             if self._table.get(attempt.key) is not attempt:
                 return
-            attempt.start()
-            self._queued -= 1
+            self._leave_queue(attempt)
             await self._run_until_withdrawn(attempt)
 
     async def _run_until_withdrawn(self, attempt: Attempt) -> None:
--- /dev/null
+++ b/src/bronzerudder/execution/keyed.py
@@ -0,0 +1,132 @@
+"""Runs keyed attempts that may not be repeated, each under a claim."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+
+from bronzerudder.claims import (
+    AlreadyFinished,
+    ClaimError,
+    ClaimErrorKind,
+    ClaimKey,
+    ClaimRegister,
+    Granted,
+    Released,
+    Running,
+    StoredAnswer,
+    Unknown,
+    make_claim_key,
+)
+from bronzerudder.execution.attempt import Attempt, AttemptState
+from bronzerudder.frames import exchange_pb2 as pb
+
+CLAIM_TIMEOUT_S = 3.0
+STATUS_ANSWER_NOT_KEPT = 409
+ANSWER_NOT_KEPT = b"the request has run; its answer was too large to keep"
+
+Refuse = Callable[[Attempt, pb.RefusalReason, str, int], None]
+
+
+def needs_claim(submit: pb.Submit) -> bool:
+    """Whether the request must be claimed before it starts."""
+    return bool(submit.idempotency_key) and not submit.repeatable
+
+
+class KeyedRunner:
+    """Claims each attempt's key first, and records how the attempt ended.
+
+    Parameters
+    ----------
+    register : ClaimRegister
+        Grants the keys.
+    run_in_slot : callable
+        Runs an attempt on the backend server.
+    leave_queue : callable
+        Marks an attempt as no longer waiting.
+    refuse : callable
+        Refuses an attempt that has not run and will not.
+    """
+
+    def __init__(
+        self,
+        register: ClaimRegister,
+        run_in_slot: Callable[[Attempt], Awaitable[None]],
+        leave_queue: Callable[[Attempt], None],
+        refuse: Refuse,
+    ) -> None:
+        self._register = register
+        self._run_in_slot = run_in_slot
+        self._leave_queue = leave_queue
+        self._refuse = refuse
+
+    async def run(self, attempt: Attempt) -> None:
+        """Run an attempt, attach it to the run of the same key, or refuse it."""
+        key = _make_key(attempt.submit)
+        outcome = await self._claim(attempt, key)
+        if isinstance(outcome, Granted):
+            await self._run_granted(attempt, key)
+            return
+        self._leave_queue(attempt)
+        if isinstance(outcome, ClaimError):
+            self._refuse_claim(attempt, outcome)
+            return
+        _emit_earlier_end(attempt, outcome)
+
+    async def _claim(
+        self, attempt: Attempt, key: ClaimKey
+    ) -> Granted | AlreadyFinished | Unknown | ClaimError:
+        while True:
+            outcome = await self._register.claim(key, CLAIM_TIMEOUT_S)
+            if not isinstance(outcome, Running):
+                return outcome
+            # From here on a refusal would hide that the key may be running.
+            self._leave_queue(attempt)
+            ended = await self._register.wait(key)
+            if not isinstance(ended, Released):
+                return ended
+
+    async def _run_granted(self, attempt: Attempt, key: ClaimKey) -> None:
+        attempt.keep_answer()
+        try:
+            await self._run_in_slot(attempt)
+        finally:
+            self._record_end(attempt, key)
+
+    def _record_end(self, attempt: Attempt, key: ClaimKey) -> None:
+        if attempt.state is AttemptState.QUEUED or attempt.refused:
+            self._register.release(key)
+            return
+        answer = attempt.kept_answer
+        if attempt.finish_state == pb.FINISH_STATE_COMPLETE and answer is not None:
+            self._register.finish(key, StoredAnswer(answer.status, answer.headers, answer.body))
+            return
+        self._register.abandon(key)
+
+    def _refuse_claim(self, attempt: Attempt, error: ClaimError) -> None:
+        reason = pb.REFUSAL_REASON_CLAIM_UNAVAILABLE
+        if error.kind is ClaimErrorKind.MISMATCH:
+            reason = pb.REFUSAL_REASON_KEY_REUSED
+        self._refuse(attempt, reason, error.reason, int(error.retry_after_s * 1000))
+
+
+def _emit_earlier_end(attempt: Attempt, outcome: AlreadyFinished | Unknown) -> None:
+    if isinstance(outcome, Unknown):
+        retry_after_ms = int(outcome.retry_after_s * 1000)
+        attempt.emit_finished(
+            pb.FINISH_STATE_UNKNOWN, outcome.reason, retry_after_ms=retry_after_ms
+        )
+        return
+    answer = outcome.answer
+    if answer is None:
+        headers = (("content-type", "text/plain"),)
+        answer = StoredAnswer(STATUS_ANSWER_NOT_KEPT, headers, ANSWER_NOT_KEPT)
+    attempt.emit_head(answer.status, answer.headers)
+    if answer.body:
+        attempt.emit_chunk(answer.body)
+    attempt.emit_finished(pb.FINISH_STATE_COMPLETE, replayed=True)
+
+
+def _make_key(submit: pb.Submit) -> ClaimKey:
+    return make_claim_key(
+        submit.workspace, submit.idempotency_key, submit.method, submit.path, submit.payload
+    )
--- a/src/bronzerudder/processes/agent.py
+++ b/src/bronzerudder/processes/agent.py
@@ -10,6 +10,7 @@
 from prometheus_client import CollectorRegistry, Gauge
 
 from bronzerudder.backend_server import HttpBackendServer
+from bronzerudder.claims import StoredClaimRegister
 from bronzerudder.cli.api import EXIT_OK
 from bronzerudder.configuration import SharedConfiguration
 from bronzerudder.configuration.peer_service import ConfigurationPeerService
@@ -75,8 +76,11 @@
         )
         self._registry = CollectorRegistry()
         self._backend_server = self._build_backend_server()
-        self._executor = self._build_executor()
         self._store = open_store(settings["platform"], settings["agent_id"])
+        self._register = StoredClaimRegister(
+            self._store.objects, settings["pool"], self._incarnation, settings.get("claims", {})
+        )
+        self._executor = self._build_executor()
         shared = SharedConfiguration()
         self._source = PeerConfigurationSource(
             shared, self._store.objects, settings["agent_id"], tuple(settings.get("peers", ()))
@@ -106,6 +110,7 @@
         app = AdminApp(self._registry, self._find_unready_reason, self._describe)
         self._tasks.start_soon(serve_http, app, admin, stopped, GRPC_STOP_TIMEOUT_S)
         self._tasks.start_soon(self._executor.sweep)
+        self._tasks.start_soon(self._register.run)
         announce_listening(f"{host}:{bound_port}", admin_address=format_address(admin))
         log_event("listening", address=f"{host}:{bound_port}", incarnation=self._incarnation)
 
@@ -118,6 +123,7 @@
         log_event("draining", unfinished=self._executor.unfinished, timeout_s=timeout_s)
         with anyio.move_on_after(timeout_s):
             await self._executor.wait_drained()
+            await self._register.flush()
         log_event("drained", unfinished=self._executor.unfinished)
 
     async def close(self) -> None:
@@ -143,6 +149,7 @@
             self._tasks,
             self._incarnation,
             self._tracing,
+            self._register,
         )
         unfinished = Gauge(
             "bronzerudder_agent_requests_unfinished",
--- a/src/bronzerudder/settings/agent.py
+++ b/src/bronzerudder/settings/agent.py
@@ -4,6 +4,7 @@
 
 from typing import Literal, NotRequired, TypedDict
 
+from bronzerudder.claims.settings import ClaimSettings
 from bronzerudder.settings.fields import Address, Count, Listener, Name, Seconds, Share, Url
 from bronzerudder.settings.platform import PlatformSettings
 
@@ -34,5 +35,6 @@
     backend_server: BackendServerSettings
     platform: PlatformSettings
     peers: NotRequired[list[Address]]
+    claims: NotRequired[ClaimSettings]
     drain_timeout_s: NotRequired[Seconds]
     trace_sample_ratio: NotRequired[Share]
--- a/src/bronzerudder/standin/service/app.py
+++ b/src/bronzerudder/standin/service/app.py
@@ -89,7 +89,7 @@
         number = len(self._runs) + 1
         run = Run(number=number, key=key, body=body.decode(errors="replace"), finished=False)
         self._runs.append(run)
-        line = {"event": "run", "service": self._name, "number": number, "key": key}
+        line = {"event": "run", "service": self._name, **run}
         sys.stdout.write(json.dumps(line) + "\n")
         sys.stdout.flush()
         return run
--- a/tests/execution/test_executor.py
+++ b/tests/execution/test_executor.py
@@ -8,9 +8,11 @@
 import anyio
 
 from bronzerudder.backend_server import BackendError, BackendErrorKind
+from bronzerudder.claims import StoredClaimRegister
 from bronzerudder.execution import Executor, ExecutorLimits
 from bronzerudder.frames import exchange_pb2 as pb
 from bronzerudder.observability import Tracing
+from tests.claims.stores import MemoryStore, Objects
 from tests.fakes import ScriptedBackendServer
 
 INCARNATION = 7
@@ -49,7 +51,9 @@
     async with anyio.create_task_group() as tasks:
         limits = ExecutorLimits(max_running, max_queued)
         tracing = Tracing("agent", "a", 0.0)
-        yield Executor(backend_server, True, limits, tasks, INCARNATION, tracing)
+        register = StoredClaimRegister(MemoryStore(Objects()), "p", INCARNATION, {})
+        tasks.start_soon(register.run)
+        yield Executor(backend_server, True, limits, tasks, INCARNATION, tracing, register)
         tasks.cancel_scope.cancel()
 
 
