--- a/tests/policy/__init__.py
+++ b/tests/policy/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of the decisions under load."""
+"""Tests of the policy package."""
