Search placements of large groups by replica counts and paired swaps

Cause: at 256 ranks and 64 experts a layer, slots far outnumber experts, so replica counts decide the loads; single moves against the largest rank barely helped (64 to 224 ms a decision and a skew of 1.6 to 2.2 after the first). Ruled out: converting only the coldest expert's slots, which stops when all of them share a rank with the hottest expert; swapping every pair, which costs loads that the peak does not need; conversions alone, which upset a balanced layer (hence a second branch of swaps only).

--- a/bench/traces/api.py
+++ b/bench/traces/api.py
@@ -49,7 +49,9 @@
         """Tokens of each sampled step, in shape ``(steps, layers, experts)``."""
         steps = []
         mix = self._mix(interval)
-        tokens = int(self._shape.ranks * TOKENS_PER_RANK * EXPERTS_PER_TOKEN * self._level(interval))
+        tokens = int(
+            self._shape.ranks * TOKENS_PER_RANK * EXPERTS_PER_TOKEN * self._level(interval)
+        )
         for _ in range(STEPS_SAMPLED):
             step_mix = mix * self._random.lognormal(0.0, self._step_noise(), mix.shape)
             step_mix /= step_mix.sum()
@@ -66,7 +68,7 @@
         return 1.0
 
     def _step_noise(self) -> float:
-        """Standard deviation of the logarithm of a topic's share from step to step."""
+        """Give the standard deviation of the logarithm of a topic's share from step to step."""
         return 0.05
 
 
--- a/src/bronzerudder/policy/placement/incremental.py
+++ b/src/bronzerudder/policy/placement/incremental.py
@@ -17,9 +17,7 @@
 from bronzerudder.policy.placement.errors import PlacementError
 from bronzerudder.policy.placement.expert_map import ExpertMap
 from bronzerudder.policy.placement.layout import find_loads, layout_of_map, map_with_layout
-from bronzerudder.policy.placement.search import MovePath, search_moves
-
-MOST_MOVES = 24
+from bronzerudder.policy.placement.search import Candidates, search_moves
 
 
 class IncrementalTuning(NamedTuple):
@@ -38,15 +36,14 @@
 
     horizon_s: float = 300.0
     loading_cost: float = 1.0
-    band: float = 0.05
+    band: float = 0.02
 
 
 class IncrementalPlacement(PlacementPolicy):
     """Fewest moves whose predicted gain over a horizon beats their cost, with hysteresis.
 
-    Each layer follows a path of moves against its largest rank and stops where gain less cost is
-    greatest. The band is the hysteresis: a layer starts to move only when a gain beyond the band
-    is in reach, but then goes on past it to its best point.
+    Each layer follows moves that bring its largest rank down and stops where gain less cost is
+    greatest. The band is the hysteresis: a layer that can gain less than that is left alone.
     """
 
     def __init__(self, terms: PlacementTerms, tuning: IncrementalTuning | None = None) -> None:
@@ -63,49 +60,48 @@
         affordable = allowance.bytes // self._terms.expert_bytes
         if affordable < 1 or allowance.bytes_per_s <= 0:
             return Hold(HoldKind.NO_BUDGET, "no expert may be loaded at present")
-        path = search_moves(layout.experts, popularity, MOST_MOVES)
-        if len(path.experts) == 1:
+        found = search_moves(layout.experts, popularity)
+        if len(found.experts) == 1:
             return Hold(HoldKind.BALANCED, "no single move makes any layer's largest rank smaller")
         even = popularity.sum(axis=1) / layout.experts.shape[1]
-        gains = (path.peaks[0] - path.peaks) / even
-        chosen = self._choose(path, gains, affordable, allowance.bytes_per_s)
+        gains = (found.peaks[0] - found.peaks) / even
+        chosen = self._choose(found, gains, affordable, allowance.bytes_per_s)
         if not chosen.any():
             return Hold(HoldKind.NOT_WORTH_ITS_COST, f"best gain {gains.max():.3f} of a layer")
-        return self._propose(active, path, gains, chosen)
+        return self._propose(active, found, gains, chosen)
 
     def _choose(
-        self, path: MovePath, gains: np.ndarray, affordable: int, bytes_per_s: float
+        self, found: Candidates, gains: np.ndarray, affordable: int, bytes_per_s: float
     ) -> np.ndarray:
-        """Number of moves to make in each layer."""
-        values = self._values(path, gains, bytes_per_s)
+        """Candidate to take in each layer, the most valuable loads first."""
+        values = self._values(found, gains, bytes_per_s)
+        values[gains < self._band()] = 0.0
         wanted = values.argmax(axis=0)
         rows = np.arange(wanted.size)
-        wanted[gains[wanted, rows] < self._band()] = 0
-        loads = path.loads[wanted, rows]
-        density = values[wanted, rows] / np.maximum(loads, 1)
+        density = values[wanted, rows] / np.maximum(found.loads[wanted, rows], 1)
         chosen = np.zeros_like(wanted)
         for layer in np.argsort(-density, kind="stable"):
-            fitting = np.flatnonzero(path.loads[: wanted[layer] + 1, layer] <= affordable)[-1]
-            chosen[layer] = fitting
-            affordable -= int(path.loads[fitting, layer])
+            fitting = np.where(found.loads[:, layer] <= affordable, values[:, layer], -np.inf)
+            chosen[layer] = fitting.argmax()
+            affordable -= int(found.loads[chosen[layer], layer])
         return chosen
 
     def _band(self) -> float:
         weights = self._terms
         return self._tuning.band * weights.rebalancing_weight / max(weights.skew_weight, 1e-3)
 
-    def _values(self, path: MovePath, gains: np.ndarray, bytes_per_s: float) -> np.ndarray:
-        """Weighted seconds won by each number of moves in each layer."""
+    def _values(self, found: Candidates, gains: np.ndarray, bytes_per_s: float) -> np.ndarray:
+        """Weighted seconds won by each candidate in each layer."""
         saved_s = gains / gains.shape[1] * self._tuning.horizon_s
-        loading_s = path.loads * self._terms.expert_bytes / bytes_per_s
+        loading_s = found.loads * self._terms.expert_bytes / bytes_per_s
         cost_s = loading_s * self._tuning.loading_cost
         return self._terms.skew_weight * saved_s - self._terms.rebalancing_weight * cost_s
 
     def _propose(
-        self, active: ExpertMap, path: MovePath, gains: np.ndarray, chosen: np.ndarray
+        self, active: ExpertMap, found: Candidates, gains: np.ndarray, chosen: np.ndarray
     ) -> Proposal | Hold:
         rows = np.arange(chosen.size)
-        experts = _take(path, chosen)
+        experts = _take(found, chosen)
         layout = layout_of_map(active)
         count = int(find_loads(layout.experts, experts).sum())
         proposed = map_with_layout(active, layout, experts)
@@ -115,6 +111,6 @@
         return Proposal(proposed, count, count * self._terms.expert_bytes, gain)
 
 
-def _take(path: MovePath, chosen: np.ndarray) -> np.ndarray:
-    layers = [path.experts[moves][layer] for layer, moves in enumerate(chosen)]
+def _take(found: Candidates, chosen: np.ndarray) -> np.ndarray:
+    layers = [found.experts[candidate][layer] for layer, candidate in enumerate(chosen)]
     return np.stack(layers)
--- a/src/bronzerudder/policy/placement/layout.py
+++ b/src/bronzerudder/policy/placement/layout.py
@@ -89,7 +89,23 @@
     shares = popularity / count_replicas(experts, popularity.shape[1])
     layers = experts.shape[0]
     flat = np.take_along_axis(shares, experts.reshape(layers, -1), axis=1)
-    return flat.reshape(experts.shape).sum(axis=2)
+    return sum_slots(flat.reshape(experts.shape))
+
+
+def sum_slots(values: np.ndarray) -> np.ndarray:
+    """Sum over the last axis; for a few slots this is faster than a reduction by numpy."""
+    total = values[..., 0].copy()
+    for slot in range(1, values.shape[-1]):
+        total += values[..., slot]
+    return total
+
+
+def any_slot(marks: np.ndarray) -> np.ndarray:
+    """Mark where any item of the last axis is marked; see `sum_slots`."""
+    found = marks[..., 0].copy()
+    for slot in range(1, marks.shape[-1]):
+        found |= marks[..., slot]
+    return found
 
 
 def step_skew(loads: np.ndarray) -> float:
@@ -123,9 +139,9 @@
     numpy.ndarray
         Truth values in the same shape.
     """
-    needed = ~(proposed[..., :, None] == active[..., None, :]).any(axis=-1)
+    needed = ~any_slot(proposed[..., :, None] == active[..., None, :])
     for slot in range(1, proposed.shape[2]):
-        repeated = (proposed[..., :slot] == proposed[..., slot : slot + 1]).any(axis=-1)
+        repeated = any_slot(proposed[..., :slot] == proposed[..., slot : slot + 1])
         needed[..., slot] &= ~repeated
     return needed
 
--- a/src/bronzerudder/policy/placement/search.py
+++ b/src/bronzerudder/policy/placement/search.py
@@ -2,26 +2,38 @@
 
 from __future__ import annotations
 
+import functools
+from collections.abc import Callable
 from typing import NamedTuple
 
 import numpy as np
 
-from bronzerudder.policy.placement.layout import count_replicas
+from bronzerudder.policy.placement.moves import Scene, look_at, move_once
+from bronzerudder.policy.placement.pairing import swap_in_pairs
+from bronzerudder.policy.placement.proportional import convert_slots
 
-_IMPOSSIBLE = np.inf
+LOAD_NOISE = 0.015
+MOST_MOVES = 24
+MANY_REPLICAS = 2
+CONVERSION_STEPS = 6
+CONVERSIONS_PER_STEP = 8
+PAIRING_STEPS = 6
+FIRST_PAIRING_STEPS = 3
 
+_Step = Callable[[Scene, np.ndarray], tuple[np.ndarray, np.ndarray]]
 
-class MovePath(NamedTuple):
-    """Moves found for every layer, one after the other.
+
+class Candidates(NamedTuple):
+    """Placements reached step by step; the first is the active one.
 
     Parameters
     ----------
     peaks : numpy.ndarray
-        Shape ``(moves + 1, layers)``: largest rank load before any move and after each.
+        Shape ``(candidates, layers)``: largest rank load to be expected.
     loads : numpy.ndarray
-        Shape ``(moves + 1, layers)``: experts to load for that many moves.
+        Shape ``(candidates, layers)``: experts to load to get there.
     experts : list of numpy.ndarray
-        The placement before any move and after each.
+        The placement of each candidate.
     """
 
     peaks: np.ndarray
@@ -29,33 +41,13 @@
     experts: list[np.ndarray]
 
 
-class _Moves(NamedTuple):
-    """The best move of one sort for each layer."""
-
-    peak: np.ndarray
-    source: np.ndarray
-    target: np.ndarray
-
-
-class _Scene(NamedTuple):
-    """Loads of a placement, and what its largest ranks hold."""
-
-    experts: np.ndarray
-    replicas: np.ndarray
-    shares: np.ndarray
-    slot_loads: np.ndarray
-    rank_loads: np.ndarray
-    worst: np.ndarray
-    worst_load: np.ndarray
-
+def search_moves(experts: np.ndarray, popularity: np.ndarray) -> Candidates:
+    """Collect candidates, for all layers at once.
 
-def search_moves(experts: np.ndarray, popularity: np.ndarray, most_moves: int) -> MovePath:
-    """Find moves for all layers at once, each against the largest rank of its layer.
-
-    A move either turns a slot elsewhere, whose expert has another replica, into a further replica
-    of one of the largest rank's experts (one load), or swaps an expert of the largest rank with a
-    lighter one elsewhere (two loads). The one that leaves the lower peak among the ranks it
-    touches is taken; a layer is done when no move helps.
+    Where slots are `MANY_REPLICAS` times the experts or more, replica counts decide the loads:
+    one branch brings those towards popularity, several slots a step, before heavy and light ranks
+    swap in pairs; the other only swaps. Elsewhere single moves against the largest rank follow
+    each other.
 
     Parameters
     ----------
@@ -63,111 +55,60 @@
         Shape ``(layers, ranks, slots of a rank)``.
     popularity : numpy.ndarray
         Shape ``(layers, experts)``.
-    most_moves : int
-        Bound on the moves of a layer.
     """
-    scene = _look(experts, popularity)
-    peaks = [scene.worst_load]
+    start = look_at(experts, popularity)
+    peaks = [expected_peak(start.rank_loads)]
     loads = [np.zeros(experts.shape[0], dtype=np.intp)]
     placements = [experts]
-    for _ in range(most_moves):
-        moved, cost = _move_once(scene)
-        if not cost.any():
-            break
-        scene = _look(moved, popularity)
-        peaks.append(scene.worst_load)
-        loads.append(loads[-1] + cost)
-        placements.append(moved)
-    return MovePath(np.array(peaks), np.array(loads), placements)
-
-
-def _look(experts: np.ndarray, popularity: np.ndarray) -> _Scene:
-    layers = experts.shape[0]
-    replicas = count_replicas(experts, popularity.shape[1])
-    shares = (popularity / replicas).astype(np.float32)
-    slot_loads = np.take_along_axis(shares, experts.reshape(layers, -1), axis=1)
-    slot_loads = slot_loads.reshape(experts.shape)
-    loads = slot_loads.sum(axis=2)
-    worst = loads.argmax(axis=1)
-    worst_load = loads[np.arange(layers), worst]
-    return _Scene(experts, replicas, shares, slot_loads, loads, worst, worst_load)
-
-
-def _move_once(scene: _Scene) -> tuple[np.ndarray, np.ndarray]:
-    """Make the best move in each layer; return the placement and the loads of each layer."""
-    rows = np.arange(scene.experts.shape[0])
-    replicated = _best_replica(scene)
-    swapped = _best_swap(scene)
-    replicate = (replicated.peak < scene.worst_load) & (replicated.peak <= swapped.peak)
-    swap = (swapped.peak < scene.worst_load) & ~replicate
-    flat = scene.experts.reshape(rows.size, -1).copy()
-    hot = scene.experts[rows, scene.worst]
-    chosen = rows[replicate]
-    flat[chosen, replicated.target[chosen]] = hot[chosen, replicated.source[chosen]]
-    chosen = rows[swap]
-    width = scene.experts.shape[2]
-    own_slot = scene.worst[chosen] * width + swapped.source[chosen]
-    other_slot = swapped.target[chosen]
-    lighter = flat[chosen, other_slot]
-    flat[chosen, other_slot] = flat[chosen, own_slot]
-    flat[chosen, own_slot] = lighter
-    return flat.reshape(scene.experts.shape), replicate.astype(np.intp) + 2 * swap
-
-
-def _best_replica(scene: _Scene) -> _Moves:
-    layers, ranks, width = scene.experts.shape
-    rows = np.arange(layers)
-    hot = scene.experts[rows, scene.worst]
-    hot_replicas = np.take_along_axis(scene.replicas, hot, axis=1)
-    hot_share = np.take_along_axis(scene.shares, hot, axis=1)
-    lower_share = hot_share * hot_replicas / (hot_replicas + 1)
-    fill_peak = _peak_after_removal(scene)
-    others_peak = np.take_along_axis(fill_peak, scene.experts.reshape(layers, -1), axis=1)
-    left = (scene.rank_loads[:, :, None] - scene.slot_loads).reshape(layers, 1, -1)
-    peak = np.maximum(left + lower_share[:, :, None], others_peak[:, None, :])
-    own_peak = scene.worst_load[:, None] - hot_share + lower_share
-    peak = np.maximum(peak, own_peak[:, :, None])
-    held = _ranks_holding(scene.experts, hot)
-    peak = np.where(np.repeat(held, width, axis=2), _IMPOSSIBLE, peak)
-    return _pick(peak)
-
-
-def _peak_after_removal(scene: _Scene) -> np.ndarray:
-    """Largest load among an expert's ranks when it loses one replica."""
-    layers, _, width = scene.experts.shape
-    expert_count = scene.shares.shape[1]
-    peak = np.zeros(layers * expert_count, dtype=np.float32)
-    offsets = np.arange(layers)[:, None, None] * expert_count
-    loads = np.repeat(scene.rank_loads[:, :, None], width, axis=2)
-    np.maximum.at(peak, (scene.experts + offsets).ravel(), loads.ravel())
-    rise = scene.shares / np.maximum(scene.replicas - 1, 1)
-    peak = peak.reshape(layers, expert_count) + rise
-    return np.where(scene.replicas > 1, peak, _IMPOSSIBLE)
-
-
-def _best_swap(scene: _Scene) -> _Moves:
-    layers, ranks, width = scene.experts.shape
-    rows = np.arange(layers)
-    hot = scene.experts[rows, scene.worst]
-    hot_share = np.take_along_axis(scene.shares, hot, axis=1)[:, :, None]
-    other_share = scene.slot_loads.reshape(layers, 1, -1)
-    others = np.repeat(scene.rank_loads, width, axis=1)[:, None, :]
-    own_after = scene.worst_load[:, None, None] - hot_share + other_share
-    other_after = others + hot_share - other_share
-    peak = np.maximum(own_after, other_after)
-    held = np.repeat(_ranks_holding(scene.experts, hot), width, axis=2)
-    here = (scene.experts.reshape(layers, -1)[:, :, None] == hot[:, None, :]).any(axis=2)
-    peak = np.where(held | here[:, None, :], _IMPOSSIBLE, peak)
-    return _pick(peak)
-
-
-def _ranks_holding(experts: np.ndarray, hot: np.ndarray) -> np.ndarray:
-    """Mark the ranks that hold each hot expert, in shape ``(layers, hot experts, ranks)``."""
-    return (experts[:, None, :, :] == hot[:, :, None, None]).any(axis=3)
-
-
-def _pick(peak: np.ndarray) -> _Moves:
-    layers, _, slots = peak.shape
-    flat = peak.reshape(layers, -1)
-    best = flat.argmin(axis=1)
-    return _Moves(flat[np.arange(layers), best], best // slots, best % slots)
+    for steps in _branches_for(experts, popularity):
+        scene = start
+        total = loads[0]
+        for step in steps:
+            moved, cost = step(scene, popularity)
+            if not cost.any():
+                continue
+            scene = look_at(moved, popularity)
+            total = total + cost
+            peaks.append(expected_peak(scene.rank_loads))
+            loads.append(total)
+            placements.append(moved)
+    return Candidates(np.array(peaks), np.array(loads), placements)
+
+
+def _branches_for(experts: np.ndarray, popularity: np.ndarray) -> list[list[_Step]]:
+    slots = experts.shape[1] * experts.shape[2]
+    if slots < MANY_REPLICAS * popularity.shape[1]:
+        return [[_move_once] * MOST_MOVES]
+    pairing = [functools.partial(_swap_in_pairs, turn=turn) for turn in range(PAIRING_STEPS)]
+    return [[_convert_slots] * CONVERSION_STEPS + pairing, pairing[:FIRST_PAIRING_STEPS]]
+
+
+def _move_once(scene: Scene, popularity: np.ndarray) -> tuple[np.ndarray, np.ndarray]:
+    return move_once(scene)
+
+
+def _convert_slots(scene: Scene, popularity: np.ndarray) -> tuple[np.ndarray, np.ndarray]:
+    return convert_slots(scene, popularity, CONVERSIONS_PER_STEP)
+
+
+def _swap_in_pairs(
+    scene: Scene, popularity: np.ndarray, turn: int
+) -> tuple[np.ndarray, np.ndarray]:
+    return swap_in_pairs(scene, turn)
+
+
+def expected_peak(loads: np.ndarray) -> np.ndarray:
+    """Largest rank load of each layer to be expected when every rank's load is noisy.
+
+    Several ranks near the largest make a larger peak likely, so they all count: it is the
+    log-sum-exp of the loads, at a temperature of `LOAD_NOISE` of their mean.
+
+    Parameters
+    ----------
+    loads : numpy.ndarray
+        Shape ``(layers, ranks)``.
+    """
+    temperature = LOAD_NOISE * loads.mean(axis=1, keepdims=True)
+    top = loads.max(axis=1, keepdims=True)
+    spread = np.log(np.exp((loads - top) / temperature).sum(axis=1, keepdims=True))
+    return (top + temperature * spread)[:, 0]
--- a/src/bronzerudder/policy/popularity/shift_following.py
+++ b/src/bronzerudder/policy/popularity/shift_following.py
@@ -9,8 +9,8 @@
 from bronzerudder.policy.popularity.api import LoadObservation, PopularityEstimator
 from bronzerudder.policy.popularity.decaying import DecayingEstimator
 
-SLOW_HALF_LIFE_S = 900.0
-FAST_HALF_LIFE_S = 120.0
+SLOW_HALF_LIFE_S = 300.0
+FAST_HALF_LIFE_S = 60.0
 USUAL_HALF_LIFE_S = 3600.0
 SHIFT_DEVIATIONS = 5.0
 LEAST_SHIFT = 0.04
