--- a/src/bronzerudder/policy/__init__.py
+++ b/src/bronzerudder/policy/__init__.py
@@ -1,3 +1,1 @@
-"""Strategies that the processes call inline."""
-
-from __future__ import annotations
+"""Decisions under load: where work goes, what is admitted, and how experts are placed."""
--- a/src/bronzerudder/policy/placement/incremental.py
+++ b/src/bronzerudder/policy/placement/incremental.py
@@ -73,7 +73,7 @@
     def _choose(
         self, found: Candidates, gains: np.ndarray, affordable: int, bytes_per_s: float
     ) -> np.ndarray:
-        """Candidate to take in each layer, the most valuable loads first."""
+        """Return the candidate to take in each layer, the most valuable loads first."""
         values = self._values(found, gains, bytes_per_s)
         values[gains < self._band()] = 0.0
         wanted = values.argmax(axis=0)
@@ -91,7 +91,7 @@
         return self._tuning.band * weights.rebalancing_weight / max(weights.skew_weight, 1e-3)
 
     def _values(self, found: Candidates, gains: np.ndarray, bytes_per_s: float) -> np.ndarray:
-        """Weighted seconds won by each candidate in each layer."""
+        """Return the weighted seconds won by each candidate in each layer."""
         saved_s = gains / gains.shape[1] * self._tuning.horizon_s
         loading_s = found.loads * self._terms.expert_bytes / bytes_per_s
         cost_s = loading_s * self._tuning.loading_cost
