--- a/src/bronzerudder/policy/placement/__init__.py
+++ b/src/bronzerudder/policy/placement/__init__.py
@@ -1,7 +1,16 @@
-"""Where a group's experts are placed."""
+"""Where a group's experts are placed, and when they move."""
 
 from __future__ import annotations
 
+from bronzerudder.policy.placement.api import (
+    Hold,
+    HoldKind,
+    LoadAllowance,
+    PlacementPolicy,
+    PlacementTerms,
+    Proposal,
+    terms_of_group,
+)
 from bronzerudder.policy.placement.errors import PlacementError, PlacementErrorKind
 from bronzerudder.policy.placement.expert_map import (
     ExpertMap,
@@ -11,14 +20,33 @@
     encode_map,
     same_placement,
 )
+from bronzerudder.policy.placement.full import FullPlacement
+from bronzerudder.policy.placement.incremental import IncrementalPlacement, IncrementalTuning
+from bronzerudder.policy.placement.layout import initial_map
+from bronzerudder.policy.placement.rebalancer import GrantedProposal, Rebalancer
+from bronzerudder.policy.placement.static import StaticPlacement
 
 __all__ = [
     "ExpertMap",
+    "FullPlacement",
+    "GrantedProposal",
+    "Hold",
+    "HoldKind",
+    "IncrementalPlacement",
+    "IncrementalTuning",
+    "LoadAllowance",
     "PlacementError",
     "PlacementErrorKind",
+    "PlacementPolicy",
+    "PlacementTerms",
+    "Proposal",
+    "Rebalancer",
+    "StaticPlacement",
     "build_map",
     "decode_map",
     "digest_map",
     "encode_map",
+    "initial_map",
     "same_placement",
+    "terms_of_group",
 ]
--- /dev/null
+++ b/tests/policy/weight_budget/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the weight_budget package."""
