--- /dev/null
+++ b/tests/policy/placement/test_policies.py
@@ -0,0 +1,157 @@
+"""Tests of what every policy must keep, and of what each is for."""
+
+from __future__ import annotations
+
+import time
+import unittest
+
+import numpy as np
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from bronzerudder.policy.placement import (
+    ExpertMap,
+    FullPlacement,
+    Hold,
+    HoldKind,
+    IncrementalPlacement,
+    LoadAllowance,
+    PlacementTerms,
+    Proposal,
+    StaticPlacement,
+    build_map,
+    initial_map,
+)
+from bronzerudder.policy.placement.layout import find_loads, layout_of_map, rank_loads, step_skew
+
+EXPERT_BYTES = 1_000
+AMPLE = LoadAllowance(10**12, 1e9)
+EVEN_TERMS = PlacementTerms(0.5, 0.5, EXPERT_BYTES)
+DECISION_TARGET_S = 0.050
+shapes = st.sampled_from([(4, 5, 16, 3), (8, 3, 20, 2), (32, 2, 16, 2), (64, 1, 8, 2)])
+
+
+def skewed_popularity(seed, layers, experts, sigma=1.0):
+    popularity = np.random.default_rng(seed).lognormal(0, sigma, (layers, experts))
+    return popularity / popularity.sum(axis=1, keepdims=True)
+
+
+def skew_of(expert_map, popularity):
+    return step_skew(rank_loads(layout_of_map(expert_map).experts, popularity))
+
+
+class EveryPolicyTest(unittest.TestCase):
+    @settings(max_examples=30)
+    @given(shapes, st.integers(0, 10_000), st.integers(0, 60))
+    def test_a_proposal_is_a_whole_map_and_says_its_true_cost(self, shape, seed, affordable):
+        ranks, width, experts, layers = shape
+        active = initial_map(ranks, width, experts, layers)
+        allowance = LoadAllowance(affordable * EXPERT_BYTES, 1e9)
+        for policy in (FullPlacement(EVEN_TERMS), IncrementalPlacement(EVEN_TERMS)):
+            decision = policy.decide(active, skewed_popularity(seed, layers, experts), allowance)
+            if isinstance(decision, Hold):
+                continue
+            proposed = decision.expert_map
+            checked = build_map(
+                proposed.version, experts, proposed.experts.copy(), proposed.slot_ranks
+            )
+            self.assertIsInstance(checked, ExpertMap)
+            self.assertEqual(proposed.version, active.version + 1)
+            loads = find_loads(layout_of_map(active).experts, layout_of_map(proposed).experts)
+            self.assertEqual(decision.load_count, loads.sum())
+            self.assertEqual(decision.load_bytes, loads.sum() * EXPERT_BYTES)
+            if isinstance(policy, IncrementalPlacement):
+                self.assertLessEqual(decision.load_bytes, allowance.bytes)
+
+    def test_the_static_policy_never_moves(self):
+        decision = StaticPlacement().decide(
+            initial_map(4, 5, 16, 3), skewed_popularity(1, 3, 16), AMPLE
+        )
+        self.assertEqual(decision.kind, HoldKind.STATIC)
+
+
+class FullPlacementTest(unittest.TestCase):
+    def test_it_evens_out_a_skewed_group(self):
+        popularity = skewed_popularity(1, 4, 64)
+        active = initial_map(16, 5, 64, 4)
+        decision = FullPlacement(EVEN_TERMS).decide(active, popularity, AMPLE)
+        self.assertGreater(skew_of(active, popularity), 1.5)
+        self.assertLess(skew_of(decision.expert_map, popularity), 1.05)
+
+
+class IncrementalPlacementTest(unittest.TestCase):
+    def test_a_few_decisions_come_near_full_with_fewer_loads(self):
+        popularity = skewed_popularity(1, 4, 64)
+        active = initial_map(16, 5, 64, 4)
+        full = FullPlacement(EVEN_TERMS).decide(active, popularity, AMPLE)
+        loads = 0
+        for _ in range(4):
+            decision = IncrementalPlacement(EVEN_TERMS).decide(active, popularity, AMPLE)
+            if isinstance(decision, Hold):
+                break
+            loads += decision.load_count
+            active = decision.expert_map
+        self.assertLess(skew_of(active, popularity), 1.05 * skew_of(full.expert_map, popularity))
+        self.assertLess(loads, full.load_count / 1.5)
+
+    def test_a_balanced_group_is_left_alone(self):
+        popularity = np.full((3, 16), 1 / 16)
+        active = initial_map(4, 4, 16, 3)
+        decision = IncrementalPlacement(EVEN_TERMS).decide(active, popularity, AMPLE)
+        self.assertIn(decision.kind, (HoldKind.BALANCED, HoldKind.NOT_WORTH_ITS_COST))
+
+    def test_nothing_is_proposed_without_a_budget(self):
+        decision = IncrementalPlacement(EVEN_TERMS).decide(
+            initial_map(4, 5, 16, 3), skewed_popularity(1, 3, 16), LoadAllowance(0, 0.0)
+        )
+        self.assertEqual(decision.kind, HoldKind.NO_BUDGET)
+
+    def test_a_slow_store_makes_moving_not_worth_its_cost(self):
+        decision = IncrementalPlacement(EVEN_TERMS).decide(
+            initial_map(4, 5, 16, 3), skewed_popularity(1, 3, 16), LoadAllowance(10**12, 1.0)
+        )
+        self.assertEqual(decision.kind, HoldKind.NOT_WORTH_ITS_COST)
+
+    def test_terms_that_weigh_the_cost_move_less(self):
+        loads = []
+        for terms in (
+            PlacementTerms(0.8, 0.2, EXPERT_BYTES),
+            PlacementTerms(0.1, 0.9, EXPERT_BYTES),
+        ):
+            allowance = LoadAllowance(10**12, 1e5)
+            decision = IncrementalPlacement(terms).decide(
+                initial_map(16, 5, 64, 4), skewed_popularity(1, 4, 64), allowance
+            )
+            loads.append(decision.load_count)
+        self.assertLess(loads[1], loads[0])
+
+    def test_noise_around_a_settled_placement_moves_nothing_on_terms_of_cost(self):
+        terms = PlacementTerms(0.3, 0.7, EXPERT_BYTES)
+        policy = IncrementalPlacement(terms)
+        popularity = skewed_popularity(1, 4, 64)
+        active = initial_map(16, 5, 64, 4)
+        for _ in range(6):
+            decision = policy.decide(active, popularity, AMPLE)
+            if isinstance(decision, Proposal):
+                active = decision.expert_map
+        random = np.random.default_rng(2)
+        for _ in range(20):
+            noisy = popularity * random.normal(1.0, 0.02, popularity.shape)
+            decision = policy.decide(active, noisy, AMPLE)
+            self.assertIsInstance(decision, Hold)
+
+    def test_a_decision_for_256_ranks_keeps_within_its_time(self):
+        for width in (1, 2):
+            with self.subTest(slots_per_rank=width):
+                active = initial_map(256, width, 64, 58)
+                popularity = skewed_popularity(1, 58, 64)
+                times = []
+                for _ in range(5):
+                    started = time.thread_time()
+                    IncrementalPlacement(EVEN_TERMS).decide(active, popularity, AMPLE)
+                    times.append(time.thread_time() - started)
+                self.assertLess(min(times), DECISION_TARGET_S)
+
+
+if __name__ == "__main__":
+    unittest.main()
