Answer a request that fails unexpectedly

Any exception now ends in 'unknown' with status 500 and a log line. Ruled out: catching it in the server library, which knows no outcomes.

--- a/bench/harness/deployment.py
+++ b/bench/harness/deployment.py
@@ -52,6 +52,8 @@
     entry: dict[str, Any] = {}
     platform: dict[str, Any] = {}
     deadline_s: float = 30.0
+    # Whether rows are written for what was started; without them nothing waits to be ready.
+    tables: bool = True
     # Puts a link that can fail before every agent, and before every backend server.
     agent_links: bool = False
     backend_links: bool = False
@@ -227,8 +229,11 @@
         self.services = self._start_agents(services, "service", BOOKING_POOL)
         for _ in range(shape.entries):
             self.start_entry()
-        self._write_tables()
-        self.wait_ready()
+        for process in (*self.entries, *(backend.agent for backend in self.engines)):
+            process.wait_listening()
+        if shape.tables:
+            self._write_tables()
+            self.wait_ready()
 
     def _start_agents(self, servers: list[ManagedProcess], kind: str, pool: str) -> list[Backend]:
         return [self._start_backend(server, kind, pool) for server in servers]
--- a/bench/harness/process.py
+++ b/bench/harness/process.py
@@ -76,6 +76,10 @@
         """``host:port`` of its listener for peers."""
         return self._read_addresses()["peer_address"]
 
+    def wait_listening(self) -> None:
+        """Wait until it listens."""
+        self._read_addresses()
+
     def read_log(self) -> list[dict[str, Any]]:
         """Return the log's JSON lines so far."""
         lines = self._log_path.read_text(encoding="utf-8").splitlines()
--- a/src/bronzerudder/caller/app.py
+++ b/src/bronzerudder/caller/app.py
@@ -5,17 +5,19 @@
 from typing import Any
 
 import anyio
+from absl import logging
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
 from bronzerudder.caller.errors import BadRequest
 from bronzerudder.caller.headers import CallerHeaders
 from bronzerudder.caller.reader import RequestReader
 from bronzerudder.caller.sink import CallerSink
-from bronzerudder.dispatch import Dispatcher, Outcome, OutcomeKind
+from bronzerudder.dispatch import CallerRequest, Dispatcher, Outcome, OutcomeKind
 from bronzerudder.observability import Tracing
 from bronzerudder.observability.traces import TRACEPARENT
 from bronzerudder.web import CallerGone, read_headers
 
+STATUS_INTERNAL_ERROR = 500
 DURATION_BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60)
 
 
@@ -94,11 +96,18 @@
         outcome = None
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(_cancel_when_gone, receive, tasks.cancel_scope)
-            outcome = await self._dispatcher.serve(request, sink)
+            outcome = await self._dispatch(request, sink)
             await sink.conclude(outcome)
             tasks.cancel_scope.cancel()
         return outcome
 
+    async def _dispatch(self, request: CallerRequest, sink: CallerSink) -> Outcome:
+        try:
+            return await self._dispatcher.serve(request, sink)
+        except Exception:
+            logging.exception("request %s failed unexpectedly", request.request_id)
+            return Outcome(OutcomeKind.UNKNOWN, STATUS_INTERNAL_ERROR, "internal error")
+
 
 async def _cancel_when_gone(receive: Any, scope: anyio.CancelScope) -> None:
     while (await receive())["type"] != "http.disconnect":
--- a/src/bronzerudder/dispatch/dispatcher.py
+++ b/src/bronzerudder/dispatch/dispatcher.py
@@ -144,12 +144,12 @@
         time_left_s = deadline - anyio.current_time()
         submit = build_submit(request, match, number, time_left_s, progress.last_event_id)
         attempt = target.connection.start(submit)
-        target.candidate.begin(request.estimated_tokens)
+        placement = target.candidate.begin(request.estimated_tokens)
         repeatable = match.route["repeatable"]
         try:
             return await self._follow(attempt, progress, deadline, repeatable)
         finally:
-            target.candidate.finish(request.estimated_tokens)
+            placement.finish()
             if not attempt.final:
                 attempt.cancel(only_if_not_started=not repeatable)
             target.connection.forget(attempt)
