--- a/src/bronzerudder/claims/shards.py
+++ b/src/bronzerudder/claims/shards.py
@@ -5,11 +5,13 @@
 
 from __future__ import annotations
 
+import functools
 from collections.abc import Iterable
 
 import xxhash
 
 SHARDS_PER_POOL = 3
+_CACHED_ASSIGNMENTS = 256
 
 
 def shard_of(digest: bytes) -> int:
@@ -33,7 +35,11 @@
         One name for each shard, no name more than one time oftener than any other; empty when
         there are no agents.
     """
-    names = sorted(set(agents))
+    return _assign(pool, tuple(sorted(set(agents))))
+
+
+@functools.lru_cache(maxsize=_CACHED_ASSIGNMENTS)
+def _assign(pool: str, names: tuple[str, ...]) -> tuple[str, ...]:
     if not names:
         return ()
     limit = -(-SHARDS_PER_POOL // len(names))
@@ -48,4 +54,4 @@
 
 
 def _weight(pool: str, shard: int, agent: str) -> int:
-    return xxhash.xxh3_64_intdigest(f"{pool}\0{shard}\0{agent}")
+    return xxhash.xxh3_64_intdigest(f"{pool}\0{shard}\0{agent}".encode())
--- /dev/null
+++ b/tests/processes/history.py
@@ -0,0 +1,50 @@
+"""Predicates over recorded histories of calls that may not be repeated."""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Iterable
+from typing import Any
+
+from bench.harness.load import CallResult
+
+
+def find_keys_run_twice(runs: Iterable[dict[str, Any]]) -> list[str]:
+    """Return the keys with more than one run in the services' own records."""
+    counts = collections.Counter(run["key"] for run in runs if run["key"])
+    return sorted(key for key, count in counts.items() if count > 1)
+
+
+def find_false_not_run(
+    runs: Iterable[dict[str, Any]], results: dict[str, list[CallResult]]
+) -> list[str]:
+    """Return the keys that ran although every call was told ``not-run``."""
+    ran = {run["key"] for run in runs}
+    told = {key for key, calls in results.items() if all(c.outcome == "not-run" for c in calls)}
+    return sorted(ran & told)
+
+
+def find_differing_answers(results: dict[str, list[CallResult]]) -> list[str]:
+    """Return the keys whose calls were given different answers."""
+    differing = []
+    for key, calls in results.items():
+        if len({call.body for call in calls if call.outcome == "done"}) > 1:
+            differing.append(key)
+    return sorted(differing)
+
+
+def find_untold(results: dict[str, list[CallResult]]) -> list[str]:
+    """Return the keys of which a call ended without an outcome."""
+    told = ("done", "not-run", "unknown")
+    return sorted(
+        key for key, calls in results.items() if any(c.outcome not in told for c in calls)
+    )
+
+
+def find_done_without_run(
+    runs: Iterable[dict[str, Any]], results: dict[str, list[CallResult]]
+) -> list[str]:
+    """Return the keys reported ``done`` that no service has run."""
+    ran = {run["key"] for run in runs}
+    done = {key for key, calls in results.items() if any(c.outcome == "done" for c in calls)}
+    return sorted(done - ran)
