--- a/Makefile
+++ b/Makefile
@@ -30,10 +30,17 @@
 bench: $(STAMP)
 	$(BIN)/python -m bench
 
-binary: $(STAMP)
+binary: dist/bronzerudder
+
+dist/bronzerudder: $(STAMP) requirements-runtime.lock $(shell find src -name '*.py')
+	rm -rf build/binary
+	$(BIN)/pip install --quiet --target build/binary --requirement requirements-runtime.lock
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation --target build/binary .
+	find build/binary -type d -name tests -prune -exec rm -rf {} +
 	mkdir -p dist
-	$(BIN)/shiv --compressed --no-deps --reproducible --site-packages build/binary \
-		--console-script bronzerudder --output-file dist/bronzerudder .
+	$(BIN)/shiv --compressed --reproducible --site-packages build/binary \
+		--python '/usr/bin/env python3.11' \
+		--console-script bronzerudder --output-file dist/bronzerudder
 
 proto: $(STAMP)
 	$(BIN)/python -m grpc_tools.protoc --proto_path=src --python_out=src --grpc_python_out=src \
