Follow the platform's list of leaving instances

Cause: an agent that its instance does not tell is only known to leave by the platform's list, which nothing read. Ruled out: a watch, as the list has none.

--- a/bench/harness/deployment.py
+++ b/bench/harness/deployment.py
@@ -133,6 +133,23 @@
         with urllib.request.urlopen(request, timeout=5):
             return
 
+    def list_leaving(self, agent: ManagedProcess) -> None:
+        """Have the platform list an agent as leaving, without telling the agent."""
+        instance = {
+            "name": agent.name,
+            "role": "agent",
+            "address": agent.address,
+            "failure_domain": FAILURE_DOMAINS[0],
+            "state": "leaving",
+        }
+        request = urllib.request.Request(
+            f"http://{self.platform.address}/control/instances",
+            json.dumps(instance).encode(),
+            method="PUT",
+        )
+        with urllib.request.urlopen(request, timeout=5):
+            return
+
     def start_entry(self) -> ManagedProcess:
         """Start one more entry."""
         index = len(self.entries)
--- a/src/bronzerudder/agent/connection.py
+++ b/src/bronzerudder/agent/connection.py
@@ -73,6 +73,7 @@
         self._connected = False
         self._incarnation = 0
         self._leaving = False
+        self._listed_leaving = False
         self._load = pb.Load()
         self._load_received_at = 0.0
         self._last_heard = 0.0
@@ -88,7 +89,11 @@
     def state(self) -> AgentState:
         """What is known of the agent."""
         return AgentState(
-            self._connected, self._incarnation, self._leaving, self._load, self._load_received_at
+            connected=self._connected,
+            incarnation=self._incarnation,
+            leaving=self._leaving or self._listed_leaving,
+            load=self._load,
+            load_received_at=self._load_received_at,
         )
 
     @property
@@ -96,6 +101,10 @@
         """Attempts without a final event."""
         return len(self._attempts)
 
+    def mark_listed(self, leaving: bool) -> None:
+        """Note whether the platform lists the agent as leaving."""
+        self._listed_leaving = leaving
+
     async def wait_connected(self, timeout_s: float) -> bool:
         """Wait until the agent has been heard; tell whether it has."""
         with anyio.move_on_after(timeout_s):
--- a/src/bronzerudder/agent/pool.py
+++ b/src/bronzerudder/agent/pool.py
@@ -55,6 +55,11 @@
             if address not in self._connections:
                 self._connect(address)
 
+    def mark_leaving(self, addresses: frozenset[str]) -> None:
+        """Note which agents the platform lists as leaving."""
+        for address, connection in self._connections.items():
+            connection.mark_listed(address in addresses)
+
     async def retire_unwanted(self) -> None:
         """Drop unwanted connections that carry nothing, for ever."""
         while True:
--- a/src/bronzerudder/processes/entry.py
+++ b/src/bronzerudder/processes/entry.py
@@ -18,6 +18,7 @@
 from bronzerudder.dispatch import Dispatcher, TargetTable
 from bronzerudder.observability import AdminApp, Tracing, configure_logs, log_event
 from bronzerudder.observability.traces import DEFAULT_SAMPLE_RATIO
+from bronzerudder.platform.follower import LeavingFollower
 from bronzerudder.policy.limits import EvenSplitLimiter
 from bronzerudder.policy.retry import ShareBudget
 from bronzerudder.policy.routing import LeastOutstandingRouting
@@ -92,6 +93,8 @@
         self._tasks.start_soon(self._source.run)
         self._tasks.start_soon(self._follow_configuration)
         self._tasks.start_soon(self._agents.retire_unwanted)
+        follower = LeavingFollower(self._store.instances, self._agents.mark_leaving)
+        self._tasks.start_soon(follower.run)
 
     async def serve_until(self, stopping: anyio.Event) -> None:
         """Serve callers; once told to stop, let requests in flight finish."""
--- a/tests/processes/history.py
+++ b/tests/processes/history.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterable
 from typing import Any
 
+from bench.harness import ManagedProcess
 from bench.harness.load import CallResult
 
 
@@ -48,3 +49,8 @@
     ran = {run["key"] for run in runs}
     done = {key for key, calls in results.items() if any(c.outcome == "done" for c in calls)}
     return sorted(done - ran)
+
+
+def service_runs(server: ManagedProcess) -> list[dict[str, Any]]:
+    """Return the runs that a service has recorded."""
+    return [line for line in server.read_output() if line["event"] == "run"]
--- a/tests/processes/test_at_most_once.py
+++ b/tests/processes/test_at_most_once.py
@@ -139,8 +139,8 @@
         return build_pool("service", backends)
 
     def read_runs(self, deployment: Deployment) -> list[dict]:
-        lines = [line for backend in deployment.services for line in backend.server.read_output()]
-        return [line for line in lines if line["event"] == "run"]
+        servers = [backend.server for backend in deployment.services]
+        return [run for server in servers for run in history.service_runs(server)]
 
     def judge(self, deployment: Deployment) -> None:
         runs = self.read_runs(deployment)
--- /dev/null
+++ b/tests/processes/test_silence.py
@@ -0,0 +1,54 @@
+"""Connections that go silent for good while new ones work."""
+
+from __future__ import annotations
+
+import anyio
+
+from bench.harness import Deployment, Shape
+from bench.harness.load import expected_text, open_client, stream_completion
+from tests.processes.case import ProcessTestCase
+
+STREAMS = 10
+TOKENS = 60
+STEP_TIME_S = 0.05
+SILENCE_AFTER_S = 1.0
+NOTICE_S = 2.0
+# A replacement needs its own connection and the tokens missed meanwhile.
+REPLACEMENT_S = 0.5
+
+
+class SilenceTest(ProcessTestCase):
+    async def test_between_entry_and_agent_in_each_direction(self):
+        shape = Shape(engines=1, engine={"step_time_s": STEP_TIME_S}, agent_links=True)
+        with Deployment(shape) as deployment:
+            link = deployment.engines[0].agent_link
+            for directions in ({"to_server": False}, {"to_client": False}, {}):
+                with self.subTest(directions):
+                    await self._check(deployment, lambda d=directions: link.silence(**d))
+
+    async def test_between_agent_and_engine(self):
+        shape = Shape(engines=1, engine={"step_time_s": STEP_TIME_S}, backend_links=True)
+        with Deployment(shape) as deployment:
+            link = deployment.engines[0].backend_link
+            for directions in ({"to_server": False}, {}):
+                with self.subTest(directions):
+                    await self._check(deployment, lambda d=directions: link.silence(**d))
+
+    async def _check(self, deployment, fault):
+        results = []
+
+        async def stream(client, prompt):
+            entry = deployment.entries[0].address
+            results.append(await stream_completion(client, entry, prompt, TOKENS))
+
+        async with open_client() as client, anyio.create_task_group() as tasks:
+            for index in range(STREAMS):
+                tasks.start_soon(stream, client, f"caller {index}")
+            await anyio.sleep(SILENCE_AFTER_S)
+            fault()
+        for result in results:
+            self.assertEqual(result.outcome, "done", result.problem)
+            self.assertEqual(result.text, expected_text(result.prompt, TOKENS))
+            pairs = zip(result.token_times, result.token_times[1:], strict=False)
+            longest_gap_s = max(later - earlier for earlier, later in pairs)
+            self.assertLess(longest_gap_s, NOTICE_S + REPLACEMENT_S)
