--- a/src/bronzerudder/dispatch/outcome.py
+++ b/src/bronzerudder/dispatch/outcome.py
@@ -57,6 +57,7 @@
     pb.REFUSAL_REASON_QUARANTINED: STATUS_UNPROCESSABLE,
     pb.REFUSAL_REASON_DUPLICATE: STATUS_CONFLICT,
     pb.REFUSAL_REASON_INVALID: STATUS_BAD_REQUEST,
+    pb.REFUSAL_REASON_KEY_REUSED: STATUS_UNPROCESSABLE,
     pb.REFUSAL_REASON_SHARE_EXCEEDED: STATUS_TOO_MANY_REQUESTS,
 }
 
@@ -64,12 +65,21 @@
 FREE_REFUSALS = frozenset(
     (
         pb.REFUSAL_REASON_UNSPECIFIED,
+        pb.REFUSAL_REASON_CANCELLED,
         pb.REFUSAL_REASON_LEAVING,
         pb.REFUSAL_REASON_WRONG_INCARNATION,
         pb.REFUSAL_REASON_BACKEND_DOWN,
         pb.REFUSAL_REASON_WRONG_OWNER,
     )
 )
+# The request never arrived where it was meant to; the same backend server may be tried again.
+STRAY_REFUSALS = frozenset(
+    (
+        pb.REFUSAL_REASON_UNSPECIFIED,
+        pb.REFUSAL_REASON_CANCELLED,
+        pb.REFUSAL_REASON_WRONG_INCARNATION,
+    )
+)
 RETRYABLE_REFUSALS = FREE_REFUSALS | {pb.REFUSAL_REASON_QUEUE_FULL}
 
 
@@ -84,4 +94,5 @@
 
 def describe_loss(event: Cut | Lost) -> Outcome:
     """Turn an answer that is not whole into an outcome."""
-    return Outcome(OutcomeKind.UNKNOWN, STATUS_BAD_GATEWAY, event.reason)
+    retry_after_s = event.retry_after_s if isinstance(event, Cut) else 0.0
+    return Outcome(OutcomeKind.UNKNOWN, STATUS_BAD_GATEWAY, event.reason, retry_after_s)
--- /dev/null
+++ b/src/bronzerudder/policy/routing/token_load.py
@@ -0,0 +1,122 @@
+"""Our strategy: the least work outstanding in tokens, less what a cached prefix saves."""
+
+from __future__ import annotations
+
+import math
+import random
+from collections.abc import Sequence
+from typing import NamedTuple
+
+from bronzerudder.policy.routing.api import (
+    NoCandidate,
+    RoutedRequest,
+    RoutingPolicy,
+    select_available,
+)
+from bronzerudder.policy.routing.candidate import Candidate
+from bronzerudder.policy.routing.prefix_memory import PrefixMemory
+
+
+class TokenLoadTerms(NamedTuple):
+    """What the strategy weighs.
+
+    Parameters
+    ----------
+    choices : int
+        Candidates drawn at random for each pick, besides holders of the prefix.
+    report_time_constant_s : float
+        Time constant in seconds with which a report's weight falls with its age.
+    report_bound : float
+        Tokens of other entries count only above this multiple of their mean. Reports are old, and
+        entries that all act on small differences between them overload the same candidate.
+    report_doubt : float
+        Random error added to each load, as a part of the mean load of the other entries. It keeps
+        many entries with the same old reports from all picking the same candidate.
+    prefix_weight : float
+        Outstanding tokens that one saved prompt token is worth.
+    remote_tokens : int
+        Tokens that the way to another failure domain is worth.
+    """
+
+    choices: int = 4
+    report_time_constant_s: float = 2.0
+    report_bound: float = 1.5
+    prefix_weight: float = 2.0
+    remote_tokens: int = 50
+
+
+DEFAULT_TERMS = TokenLoadTerms()
+
+
+class TokenLoadRouting(RoutingPolicy):
+    """Picks the least loaded of a few random candidates and the holders of the prefix.
+
+    Parameters
+    ----------
+    generator : random.Random
+        Source of the draws.
+    failure_domain : str
+        The entry's own.
+    terms : TokenLoadTerms
+        What is weighed.
+    """
+
+    def __init__(
+        self,
+        generator: random.Random,
+        failure_domain: str = "",
+        terms: TokenLoadTerms = DEFAULT_TERMS,
+    ) -> None:
+        self._generator = generator
+        self._failure_domain = failure_domain
+        self._terms = terms
+        self._memory = PrefixMemory()
+
+    def pick(
+        self, candidates: Sequence[Candidate], request: RoutedRequest, now_s: float
+    ) -> Candidate | NoCandidate:
+        """Pick by work outstanding, prefix and failure domain."""
+        available = select_available(candidates, request, now_s)
+        if isinstance(available, NoCandidate):
+            return available
+        others_mean = sum(candidate.others_tokens for candidate in available) / len(available)
+        holders = self._find_holders(available, request, now_s)
+        picked = available[0]
+        least = math.inf
+        for candidate in self._draw(available) + holders:
+            cost = self._load(candidate, now_s, others_mean)
+            if candidate.failure_domain != self._failure_domain:
+                cost += self._terms.remote_tokens
+            if candidate not in holders:
+                cost += request.prompt_tokens * self._terms.prefix_weight
+            if cost < least:
+                picked, least = candidate, cost
+        if request.prefix:
+            self._memory.record(request.prefix, picked.name, now_s)
+        return picked
+
+    def _draw(self, available: list[Candidate]) -> list[Candidate]:
+        if len(available) <= self._terms.choices:
+            return available
+        return self._generator.sample(available, self._terms.choices)
+
+    def _load(self, candidate: Candidate, now_s: float, others_mean: float) -> float:
+        excess = candidate.others_tokens - self._terms.report_bound * others_mean
+        if excess <= 0:
+            return candidate.own_tokens
+        age_s = max(0.0, now_s - candidate.reported_at_s)
+        weight = math.exp(-age_s / self._terms.report_time_constant_s)
+        return candidate.own_tokens + weight * excess
+
+    def _find_holders(
+        self, available: list[Candidate], request: RoutedRequest, now_s: float
+    ) -> list[Candidate]:
+        if not request.prefix:
+            return []
+        prefix = request.prefix
+        names = self._memory.holders(prefix, now_s)
+        return [
+            candidate
+            for candidate in available
+            if candidate.name in names or prefix in candidate.report.cached_prefixes
+        ]
