--- a/src/bronzerudder/configuration/peer_source.py
+++ b/src/bronzerudder/configuration/peer_source.py
@@ -49,7 +49,8 @@
         super().__init__(shared)
         self._repository = ConfigurationRepository(store, process_name)
         self._client = PeerClient(shared)
-        self._backoff = Backoff(random_source or random.Random())
+        self._random = random_source or random.Random()
+        self._backoff = Backoff(self._random)
         self._startup = Startup(
             self._repository, shared, self._client, seeds, self._ready, is_pushed_to=True
         )
@@ -79,7 +80,8 @@
 
     async def _catch_up(self) -> None:
         while self._shared.revision < self._shown_revision:
-            with anyio.move_on_after(PUSH_WAIT_S):
+            # Spread, as every agent that an entry failed to reach waits from the same moment.
+            with anyio.move_on_after(PUSH_WAIT_S * (1 + self._random.random())):
                 await self._shared.wait_newer(self._shown_revision - 1)
                 return
             await self._startup.ask_seeds()
--- a/tests/configuration/test_history.py
+++ b/tests/configuration/test_history.py
@@ -127,7 +127,10 @@
         await anyio.sleep(PHASE_S)
         await scenario.set_fault(cut.name)
         await scenario.set_fault(EVERYONE, lost_share=0.5)
+        frozen = fleet.entries[-1]
+        frozen.freeze()
         await anyio.sleep(PHASE_S)
+        frozen.thaw()
         await scenario.set_fault(EVERYONE, down=True)
         await scenario.start(0, 1)
         await anyio.sleep(PHASE_S)
