--- a/tests/configuration/test_history.py
+++ b/tests/configuration/test_history.py
@@ -84,7 +84,8 @@
         for number in itertools.count():
             if not self._editing:
                 break
-            value = route(weight=number % 900 + 1)
+            # No two edits are alike, so that each version has one author.
+            value = route(weight=number % 900 + 1, models=[name, "*"])
             if key != SHARED_ROW and number % 5 == 4:
                 value = None
             await self.history.edit(editor, key, value, EDIT_TIMEOUT_S)
@@ -126,7 +127,10 @@
         await anyio.sleep(PHASE_S)
         await scenario.set_fault(cut.name)
         await scenario.set_fault(EVERYONE, lost_share=0.5)
+        frozen = fleet.entries[-1]
+        frozen.freeze()
         await anyio.sleep(PHASE_S)
+        frozen.thaw()
         await scenario.set_fault(EVERYONE, down=True)
         await scenario.start(0, 1)
         await anyio.sleep(PHASE_S)
