Measure claims and show their totals

Cause: operators must see the share of unknown outcomes and of updates in doubt, and the targets for writes and added time need figures. Ruled out: metrics kept twice; the collector reads the register's own totals at each scrape.

--- /dev/null
+++ b/bench/claims.py
@@ -0,0 +1,326 @@
+"""Measures claims: per platform write, added time, bytes, memory and unknown outcomes.
+
+The register runs over a store in memory that answers after a fixed round trip, which stands for
+the platform; one process plays one agent and drives one shard, as an agent of a small pool does.
+"""
+
+from __future__ import annotations
+
+import itertools
+import random
+import resource
+import time
+from typing import NamedTuple
+
+import anyio
+import hdrh.histogram
+import httpx
+
+from bench.harness import Deployment, Shape
+from bench.harness.load import call_service, open_client
+from bronzerudder.claims import (
+    AlreadyFinished,
+    ClaimKey,
+    Granted,
+    StoredAnswer,
+    StoredClaimRegister,
+    Unknown,
+)
+from bronzerudder.claims.settings import ClaimSettings
+from bronzerudder.platform import (
+    ABSENT_VERSION,
+    ChangeBatch,
+    Listing,
+    ObjectStore,
+    StoredObject,
+    StoreError,
+    StoreErrorKind,
+)
+
+ROUND_TRIP_S = 0.01
+BASE_RATE = 125.0
+FACTORS = (1, 4, 16)
+DURATION_S = 4.0
+RUN_TIME_S = 0.02
+TICK_S = 0.002
+ANSWER = StoredAnswer(201, (("content-type", "application/json"),), b'{"booking":123456}' * 8)
+FINGERPRINT = bytes(8)
+MICROSECONDS = 1_000_000
+SEED = 20261203
+PATH_CALLS = 400
+PATH_CONCURRENCY = 6
+
+
+class Sample(NamedTuple):
+    """One measured row; times are in mean round trips, bytes are of every write."""
+
+    rate: float
+    claims: int
+    writes_per_s: float
+    claims_per_write: float
+    median_trips: float
+    p99_trips: float
+    bytes_per_claim: float
+    cpu_us_per_claim: float
+
+
+class DelayedStore(ObjectStore):
+    """Objects in memory behind a round trip; loses a share of the answers of writes."""
+
+    def __init__(self, round_trip_s: float, lost_share: float = 0.0) -> None:
+        self._round_trip_s = round_trip_s
+        self._lost_share = lost_share
+        self._random = random.Random(SEED)
+        self._objects: dict[tuple[str, str], StoredObject] = {}
+        self._version = 0
+        self.writes = 0
+        self.bytes_written = 0
+        self.seconds_in_writes = 0.0
+
+    @property
+    def mean_trip_s(self) -> float:
+        """Time that a write has really taken, in seconds."""
+        return self.seconds_in_writes / self.writes
+
+    async def get(self, kind: str, name: str) -> StoredObject | StoreError:
+        """Read one object."""
+        await anyio.sleep(self._round_trip_s)
+        missing = StoreError(StoreErrorKind.NOT_FOUND, name)
+        return self._objects.get((kind, name), missing)
+
+    async def put(self, kind: str, name: str, value: bytes, if_version: int) -> int | StoreError:
+        """Write an object if its version is still the one given."""
+        self.writes += 1
+        self.bytes_written += len(value)
+        began = time.monotonic()
+        try:
+            return await self._put(kind, name, value, if_version)
+        finally:
+            self.seconds_in_writes += time.monotonic() - began
+
+    async def _put(self, kind: str, name: str, value: bytes, if_version: int) -> int | StoreError:
+        await anyio.sleep(self._round_trip_s / 2)
+        current = self._objects.get((kind, name))
+        if (current.version if current else ABSENT_VERSION) != if_version:
+            return StoreError(StoreErrorKind.CONFLICT, name)
+        self._version += 1
+        version = self._version
+        self._objects[kind, name] = StoredObject(kind, name, version, value)
+        await anyio.sleep(self._round_trip_s / 2)
+        if self._random.random() < self._lost_share:
+            return StoreError(StoreErrorKind.OUTCOME_UNKNOWN, "lost")
+        return version
+
+    async def delete(self, kind: str, name: str, if_version: int) -> int | StoreError:
+        """Delete an object."""
+        await anyio.sleep(self._round_trip_s)
+        del self._objects[kind, name]
+        self._version += 1
+        return self._version
+
+    async def list(self, kind: str) -> Listing | StoreError:
+        """Read all objects of a kind; not used here."""
+        raise NotImplementedError
+
+    async def watch(
+        self, kind: str, after_version: int, timeout_s: float
+    ) -> ChangeBatch | StoreError:
+        """Wait for changes; not used here."""
+        raise NotImplementedError
+
+
+class Load:
+    """Sends claims at a rate, whether or not earlier ones have been answered."""
+
+    def __init__(self, register: StoredClaimRegister, shards: int = 1) -> None:
+        self._register = register
+        self._shards = shards
+        self._numbers = itertools.count()
+        self.granted = 0
+        self.histogram = hdrh.histogram.HdrHistogram(1, 60 * MICROSECONDS, 3)
+
+    async def run(self, rate: float, duration_s: float) -> None:
+        """Send for a time, and wait for every answer."""
+        began = time.monotonic()
+        sent = 0
+        async with anyio.create_task_group() as tasks:
+            while time.monotonic() - began < duration_s:
+                due = int((time.monotonic() - began) * rate)
+                for _ in range(due - sent):
+                    tasks.start_soon(self._claim)
+                sent = due
+                await anyio.sleep(TICK_S)
+
+    async def _claim(self) -> None:
+        number = next(self._numbers)
+        key = ClaimKey(make_digest(number % self._shards, number), FINGERPRINT)
+        began = time.monotonic()
+        outcome = await self._register.claim(key, 10.0)
+        self.histogram.record_value(max(1, int((time.monotonic() - began) * MICROSECONDS)))
+        if not isinstance(outcome, Granted):
+            return
+        self.granted += 1
+        await anyio.sleep(RUN_TIME_S)
+        self._register.finish(key, ANSWER)
+
+
+def make_digest(shard: int, number: int) -> bytes:
+    """Make a digest that belongs to a shard."""
+    return (shard).to_bytes(8, "big") + number.to_bytes(8, "big")
+
+
+async def measure(
+    rate: float, settings: ClaimSettings, shards: int = 1, round_trip_s: float = ROUND_TRIP_S
+) -> Sample:
+    """Measure one rate."""
+    store = DelayedStore(round_trip_s)
+    register = StoredClaimRegister(store, "p", 1, settings)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(register.run)
+        load = Load(register, shards)
+        cpu_s = time.process_time()
+        await load.run(rate, DURATION_S)
+        cpu_s = time.process_time() - cpu_s
+        await register.flush()
+        tasks.cancel_scope.cancel()
+    trip_us = store.mean_trip_s * MICROSECONDS
+    return Sample(
+        rate,
+        load.granted,
+        store.writes / DURATION_S,
+        load.granted / store.writes,
+        load.histogram.get_value_at_percentile(50) / trip_us,
+        load.histogram.get_value_at_percentile(99) / trip_us,
+        store.bytes_written / load.granted,
+        cpu_s / load.granted * MICROSECONDS,
+    )
+
+
+async def measure_unknown(lost_share: float, kills: int, keys: int) -> tuple[int, int, int]:
+    """Replace the register while keys run, repeat every key, and count what repeats are told.
+
+    Returns
+    -------
+    tuple of int
+        Repeats, those told the stored answer, and those told that it is unknown.
+    """
+    store = DelayedStore(ROUND_TRIP_S, lost_share)
+    finished = unknown = asked = 0
+    for life in range(1, kills + 1):
+        register = StoredClaimRegister(store, "p", life, {})
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(register.run)
+            load = Load(register)
+            load._numbers = itertools.count(life * keys)
+            await load.run(keys / DURATION_S, DURATION_S)
+            tasks.cancel_scope.cancel()
+        successor = StoredClaimRegister(store, "p", kills + life, {})
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(successor.run)
+            for number in range(life * keys, life * keys + load.histogram.get_total_count()):
+                key = ClaimKey(make_digest(0, number), FINGERPRINT)
+                outcome = await successor.claim(key, 10.0)
+                asked += 1
+                finished += isinstance(outcome, AlreadyFinished)
+                unknown += isinstance(outcome, Unknown)
+            tasks.cancel_scope.cancel()
+    return asked, finished, unknown
+
+
+async def measure_memory(keys: int) -> tuple[float, float]:
+    """Return bytes of resident memory per finished key kept, and seconds to take a shard over."""
+    store = DelayedStore(0.0)
+    register = StoredClaimRegister(store, "p", 1, {})
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(register.run)
+        await Load(register).run(keys / DURATION_S, DURATION_S)
+        await register.flush()
+        tasks.cancel_scope.cancel()
+    before = _resident_bytes()
+    successor = StoredClaimRegister(store, "p", 2, {})
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(successor.run)
+        began = time.monotonic()
+        await successor.claim(ClaimKey(make_digest(0, keys * 2), FINGERPRINT), 60.0)
+        took_s = time.monotonic() - began
+        tasks.cancel_scope.cancel()
+    return (_resident_bytes() - before) / keys, took_s
+
+
+def _resident_bytes() -> int:
+    with open("/proc/self/statm", encoding="ascii") as statm:
+        return int(statm.read().split()[1]) * resource.getpagesize()
+
+
+async def measure_whole_path(deployment: Deployment, keyed: bool) -> tuple[float, float]:
+    """Return the median and the 99th percentile of a booking's time, in seconds."""
+    histogram = hdrh.histogram.HdrHistogram(1, 60 * MICROSECONDS, 3)
+    limiter = anyio.CapacityLimiter(PATH_CONCURRENCY)
+
+    async def book(client: httpx.AsyncClient, number: int) -> None:
+        async with limiter:
+            entry = deployment.entries[number % len(deployment.entries)].address
+            label = f"booking {number}"
+            began = time.monotonic()
+            result = await call_service(client, entry, label, label if keyed else "")
+            if result.outcome != "done":
+                raise RuntimeError(f"{label}: {result}")
+            histogram.record_value(int((time.monotonic() - began) * MICROSECONDS))
+
+    async with open_client() as client, anyio.create_task_group() as tasks:
+        for number in range(PATH_CALLS):
+            tasks.start_soon(book, client, number)
+    percentiles = [histogram.get_value_at_percentile(share) for share in (50, 99)]
+    return percentiles[0] / MICROSECONDS, percentiles[1] / MICROSECONDS
+
+
+def print_whole_path() -> None:
+    """Print the time of a booking with and without a key, with real processes."""
+    with Deployment(Shape(services=3, entries=2)) as deployment:
+        address = f"http://{deployment.platform.address}/control/faults/*"
+        httpx.put(address, json={"delay_s": ROUND_TRIP_S}).raise_for_status()
+        for keyed in (False, True, False, True):
+            median_s, p99_s = anyio.run(measure_whole_path, deployment, keyed)
+            name = "with a key" if keyed else "without a key"
+            print(f"{name}: median {median_s * 1000:.1f} ms, p99 {p99_s * 1000:.1f} ms")
+
+
+def main() -> None:
+    """Print the tables."""
+    names = "rate/s  claims  writes/s  claims/write  p50 trips  p99 trips  bytes/claim  cpu us"
+    print(f"one shard, round trip {ROUND_TRIP_S * 1000:.0f} ms, no least interval")
+    print(names)
+    for factor in FACTORS:
+        _print_sample(anyio.run(measure, BASE_RATE * factor, {}))
+    print("least interval between writes 20 ms")
+    for factor in FACTORS:
+        _print_sample(anyio.run(measure, BASE_RATE * factor, {"write_interval_s": 0.02}))
+    print("three shards at one agent")
+    _print_sample(anyio.run(measure, BASE_RATE * FACTORS[-1], {}, 3))
+    print("bytes by size at which a head is sealed, 1000 claims/s")
+    for seal_bytes in (8_192, 32_768, 131_072, 262_144):
+        print(f"seal at {seal_bytes}")
+        _print_sample(anyio.run(measure, 1000.0, {"seal_bytes": seal_bytes}))
+    for lost_share in (0.0, 0.01, 0.1):
+        asked, finished, unknown = anyio.run(measure_unknown, lost_share, 3, 400)
+        print(
+            f"answers lost {lost_share:.0%}, agent killed 3 times under 100 claims/s: "
+            f"{asked} repeats, {finished} stored answers, {unknown} unknown ({unknown / asked:.2%})"
+        )
+    bytes_per_key, took_s = anyio.run(measure_memory, 8000)
+    print(f"memory {bytes_per_key:.0f} bytes per key kept; 8000 keys taken over in {took_s:.2f} s")
+
+    print(f"whole path, real processes, platform delayed by {ROUND_TRIP_S * 1000:.0f} ms")
+    print_whole_path()
+
+
+def _print_sample(sample: Sample) -> None:
+    print(
+        f"{sample.rate:6.0f}  {sample.claims:6d}  {sample.writes_per_s:8.1f}"
+        f"  {sample.claims_per_write:12.1f}  {sample.median_trips:9.2f}  {sample.p99_trips:9.2f}"
+        f"  {sample.bytes_per_claim:11.0f}  {sample.cpu_us_per_claim:6.0f}"
+    )
+
+
+if __name__ == "__main__":
+    main()
--- a/src/bronzerudder/claims/register.py
+++ b/src/bronzerudder/claims/register.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import time
 from collections.abc import Callable
 
@@ -33,6 +34,13 @@
 from bronzerudder.claims.ticket import Ticket, Verdict
 from bronzerudder.platform import ObjectStore, StoreError
 
+_OUTCOME_NAMES = {
+    Granted: "granted",
+    Running: "running",
+    AlreadyFinished: "finished",
+    Unknown: "unknown",
+}
+
 
 class StoredClaimRegister(ClaimRegister):
     """Keeps the claims of one pool in the platform's store.
@@ -67,6 +75,7 @@
         self._retry_after_s = settings.get("retry_after_s", DEFAULT_RETRY_AFTER_S)
         self._answer_limit = settings.get("answer_limit_bytes", DEFAULT_ANSWER_LIMIT_BYTES)
         self._own = OwnKeys()
+        self._outcomes: collections.Counter[str] = collections.Counter()
         self._committers: dict[int, ShardCommitter] = {}
         self._new_committers: list[ShardCommitter] = []
         self._shard_opened = anyio.Event()
@@ -74,8 +83,16 @@
     @property
     def counts(self) -> CommitterCounts:
         """Totals over all shards since the start."""
-        each = [committer.counts for committer in self._committers.values()]
-        return CommitterCounts(*(sum(column) for column in zip(*each, strict=True)))
+        total = CommitterCounts(0, 0, 0, 0)
+        for committer in self._committers.values():
+            pairs = zip(total, committer.counts, strict=True)
+            total = CommitterCounts(*(left + right for left, right in pairs))
+        return total
+
+    @property
+    def outcomes(self) -> collections.Counter[str]:
+        """Claims since the start, by the kind of their outcome."""
+        return self._outcomes
 
     async def run(self) -> None:
         """Record claims until cancelled."""
@@ -88,17 +105,9 @@
 
     async def claim(self, key: ClaimKey, timeout_s: float) -> ClaimOutcome:
         """Ask to start a key."""
-        own = self._own.get(key.digest)
-        if own is not None:
-            return self._describe_own(key, own)
-        committer = self._committer(key.digest)
-        if committer.closed_for_s > 0:
-            return await self._refuse_while_closed(committer, key)
-        ticket = committer.ticket(key.digest, key.fingerprint)
-        if ticket.fingerprint != key.fingerprint:
-            return _mismatch()
-        await self._wait_for_verdict(ticket, timeout_s)
-        return await self._describe(committer, ticket, key)
+        outcome = await self._claim(key, timeout_s)
+        self._outcomes[_name_outcome(outcome)] += 1
+        return outcome
 
     def finish(self, key: ClaimKey, answer: StoredAnswer) -> None:
         """Keep the answer of a granted key."""
@@ -134,6 +143,19 @@
             for committer in self._committers.values():
                 tasks.start_soon(committer.flush)
 
+    async def _claim(self, key: ClaimKey, timeout_s: float) -> ClaimOutcome:
+        own = self._own.get(key.digest)
+        if own is not None:
+            return self._describe_own(key, own)
+        committer = self._committer(key.digest)
+        if committer.closed_for_s > 0:
+            return await self._refuse_while_closed(committer, key)
+        ticket = committer.ticket(key.digest, key.fingerprint)
+        if ticket.fingerprint != key.fingerprint:
+            return _mismatch()
+        await self._wait_for_verdict(ticket, timeout_s)
+        return await self._describe(committer, ticket, key)
+
     def _committer(self, digest: bytes) -> ShardCommitter:
         shard = shard_of(digest)
         committer = self._committers.get(shard)
@@ -213,6 +235,12 @@
         return ClaimError(ClaimErrorKind.UNAVAILABLE, reason, self._retry_after_s)
 
 
+def _name_outcome(outcome: ClaimOutcome) -> str:
+    if isinstance(outcome, ClaimError):
+        return outcome.kind.value
+    return _OUTCOME_NAMES[type(outcome)]
+
+
 def _ended_unknown() -> Unknown:
     return Unknown("the key's first request ended without an answer", 0.0)
 
--- a/src/bronzerudder/processes/agent.py
+++ b/src/bronzerudder/processes/agent.py
@@ -11,6 +11,7 @@
 
 from bronzerudder.backend_server import HttpBackendServer
 from bronzerudder.claims import StoredClaimRegister
+from bronzerudder.claims.metrics import ClaimCollector
 from bronzerudder.cli.api import EXIT_OK
 from bronzerudder.configuration import SharedConfiguration
 from bronzerudder.configuration.peer_service import ConfigurationPeerService
@@ -80,6 +81,7 @@
         self._register = StoredClaimRegister(
             self._store.objects, settings["pool"], self._incarnation, settings.get("claims", {})
         )
+        ClaimCollector(self._register, self._registry)
         self._executor = self._build_executor()
         shared = SharedConfiguration()
         self._source = PeerConfigurationSource(
--- a/tests/claims/test_register.py
+++ b/tests/claims/test_register.py
@@ -9,6 +9,7 @@
 from collections.abc import AsyncIterator
 
 import anyio
+from prometheus_client import CollectorRegistry, generate_latest
 
 from bronzerudder.claims import (
     AlreadyFinished,
@@ -22,6 +23,7 @@
     Unknown,
     make_claim_key,
 )
+from bronzerudder.claims.metrics import ClaimCollector
 from bronzerudder.claims.records import HEAD_KIND, SEGMENT_KIND
 from bronzerudder.platform import MAX_VALUE_BYTES
 from tests.claims.stores import DOWN, LOST, MemoryStore, Objects
@@ -208,6 +210,18 @@
                 tasks.cancel_scope.cancel()
             self.assertEqual(await register.claim(key("a"), TIMEOUT_S), Granted(key("a")))
 
+    async def test_shows_its_totals(self):
+        register, _ = self.make(1)
+        registry = CollectorRegistry()
+        ClaimCollector(register, registry)
+        async with running(register):
+            await register.claim(key("a"), TIMEOUT_S)
+            await register.claim(key("a"), TIMEOUT_S)
+        text = generate_latest(registry).decode()
+        self.assertIn('bronzerudder_claim_outcomes_total{outcome="granted"} 1.0', text)
+        self.assertIn('bronzerudder_claim_outcomes_total{outcome="running"} 1.0', text)
+        self.assertIn("bronzerudder_claim_writes_total 1.0", text)
+
     async def test_refused_writes_leave_the_key_free(self):
         register, store = self.make(1, retry_after_s=0.0)
         answers = iter([DOWN])
