Route the entry's requests by outstanding tokens

Cause: the entry counted its whole estimate until a request ended, and picked by the number of requests. Each request's work is now a Placement that shrinks with each part of the answer and can be ended once only, so an error path can't count it twice or leave it behind. Ruled out: passing the remaining tokens to finish, which every caller would have to keep.

--- a/bench/fakes/routed_pool.py
+++ b/bench/fakes/routed_pool.py
@@ -77,7 +77,7 @@
         picked = entry.policy.pick(entry.candidates, request, self._clock.now_s)
         if isinstance(picked, NoCandidate):
             return
-        self._placements[job.job_id] = picked.begin(estimated)
+        self._placements[job.job_id] = picked.begin(estimated, job.prompt_tokens)
         rank = entry.candidates.index(picked)
         self._clock.after(PROCESS_LAG_S, self.group.submit, rank, job)
 
@@ -85,9 +85,8 @@
         """Count tokens in the view of the entry, which sees them only from the first on."""
         if is_first:
             self._first_s[job.job_id] = now_s
-            self._placements[job.job_id].progress(job.prompt_tokens)
         if job.job_id in self._first_s:
-            self._placements[job.job_id].progress(1)
+            self._placements[job.job_id].count_answer_part()
 
     def on_finished(self, job: Job, now_s: float) -> None:
         """Record how the request fared."""
--- a/src/bronzerudder/dispatch/dispatcher.py
+++ b/src/bronzerudder/dispatch/dispatcher.py
@@ -9,6 +9,7 @@
 
 from bronzerudder.agent import (
     FINAL_EVENTS,
+    Body,
     Completed,
     Cut,
     Lost,
@@ -37,7 +38,7 @@
 from bronzerudder.dispatch.targets import Target, TargetTable
 from bronzerudder.policy.limits import RouteLimited, RouteLimiter
 from bronzerudder.policy.retry import RetryBudget, RetryDenial
-from bronzerudder.policy.routing import NoCandidate, RoutedRequest
+from bronzerudder.policy.routing import NoCandidate, Placement, RoutedRequest
 
 PROOF_TIMEOUT_S = 0.25
 MAX_ATTEMPTS = 8
@@ -139,32 +140,41 @@
         time_left_s = deadline - anyio.current_time()
         submit = build_submit(request, match, number, time_left_s, progress.last_event_id)
         attempt = target.connection.start(submit)
-        target.candidate.begin(request.estimated_tokens)
+        placement = target.candidate.begin(request.estimated_tokens, request.prompt_tokens)
         repeatable = match.route["repeatable"]
         try:
-            return await self._follow(attempt, progress, deadline, repeatable)
+            return await self._follow(attempt, placement, progress, deadline, repeatable)
         finally:
-            target.candidate.finish(request.estimated_tokens)
+            placement.finish()
             if not attempt.final:
                 attempt.cancel(only_if_not_started=not repeatable)
             target.connection.forget(attempt)
 
     async def _follow(
-        self, attempt: RemoteAttempt, progress: Progress, deadline: float, repeatable: bool
+        self,
+        attempt: RemoteAttempt,
+        placement: Placement,
+        progress: Progress,
+        deadline: float,
+        repeatable: bool,
     ) -> _Attempted:
         with anyio.move_on_after(deadline - anyio.current_time()):
-            return _Attempted(await _relay_events(attempt, progress), False)
+            return _Attempted(await _relay_events(attempt, placement, progress), False)
         attempt.cancel(only_if_not_started=not repeatable)
         with anyio.move_on_after(PROOF_TIMEOUT_S):
             return _Attempted(await _await_final(attempt), True)
         return _Attempted(Lost("the deadline passed"), True)
 
 
-async def _relay_events(attempt: RemoteAttempt, progress: Progress) -> FinalEvent:
+async def _relay_events(
+    attempt: RemoteAttempt, placement: Placement, progress: Progress
+) -> FinalEvent:
     while True:
         event = await attempt.next_event()
         if isinstance(event, FINAL_EVENTS):
             return event
+        if isinstance(event, Body):
+            placement.count_answer_part()
         await progress.deliver(event)
 
 
--- a/src/bronzerudder/policy/routing/candidate.py
+++ b/src/bronzerudder/policy/routing/candidate.py
@@ -49,13 +49,21 @@
         Where it was sent.
     tokens : int
         Estimated work.
+    prompt_tokens : int
+        The part of it that is done before the answer begins.
     """
 
-    def __init__(self, candidate: Candidate, tokens: int) -> None:
+    def __init__(self, candidate: Candidate, tokens: int, prompt_tokens: int) -> None:
         self.candidate = candidate
         self._left = tokens
+        self._prompt_left = prompt_tokens
         self._ended = False
 
+    def count_answer_part(self) -> None:
+        """Count a token of the answer as done, and with the first one the prompt."""
+        self.progress(self._prompt_left + 1)
+        self._prompt_left = 0
+
     def progress(self, tokens: int) -> None:
         """Count `tokens` as done; more than was estimated counts as nothing."""
         done = min(tokens, self._left)
@@ -126,11 +134,19 @@
         """Seconds after which the backend server might be available again."""
         return max(UNAVAILABLE_RETRY_AFTER_S, self.breaker.retry_after_s(now_s))
 
-    def begin(self, tokens: int) -> Placement:
-        """Count a request of `tokens` as sent."""
+    def begin(self, tokens: int, prompt_tokens: int = 0) -> Placement:
+        """Count a request as sent.
+
+        Parameters
+        ----------
+        tokens : int
+            Estimated work.
+        prompt_tokens : int
+            The part of it that is done before the answer begins.
+        """
         self._own_requests += 1
         self._own_tokens += tokens
-        return Placement(self, tokens)
+        return Placement(self, tokens, prompt_tokens)
 
     def _settle(self, requests: int, tokens: int) -> None:
         self._own_requests -= requests
--- a/src/bronzerudder/processes/entry.py
+++ b/src/bronzerudder/processes/entry.py
@@ -20,7 +20,7 @@
 from bronzerudder.observability.traces import DEFAULT_SAMPLE_RATIO
 from bronzerudder.policy.limits import EvenSplitLimiter
 from bronzerudder.policy.retry import ShareBudget
-from bronzerudder.policy.routing import LeastOutstandingRouting
+from bronzerudder.policy.routing import TokenLoadRouting
 from bronzerudder.processes.platform import open_store
 from bronzerudder.processes.signals import set_on_termination
 from bronzerudder.settings.entry import EntrySettings
@@ -79,7 +79,9 @@
             settings["entry_id"], settings["failure_domain"], self._source, tasks
         )
         generator = random.Random()
-        self._targets = TargetTable(self._agents, lambda row: LeastOutstandingRouting(generator))
+        self._targets = TargetTable(
+            self._agents, lambda row: TokenLoadRouting(generator, settings["failure_domain"])
+        )
         self._app = self._build_app()
         self._server = grpc.aio.server(options=GRPC_OPTIONS)
 
