Add the ledger that finds requests which crash backend servers

A fingerprint in flight at one crash is a suspect, the culprit of two is refused for a time. Ruled out: counting crashes alone, as an innocent that met two killers would be condemned with them; a suspect alone on its backend server, as one crash under load makes dozens of suspects and running each alone would stop a pool. Instead suspects are kept apart from each other, and the smallest sets of fingerprints that account for the repeated crashes are the culprits. Seen red: with plain counting the test of two killers fails; with suspects side by side or explained crashes held against others, tests fail too.

--- /dev/null
+++ b/src/bronzerudder/policy/quarantine/__init__.py
@@ -0,0 +1,17 @@
+"""Decides which requests are suspected of crashing backend servers, and which are refused."""
+
+from __future__ import annotations
+
+from bronzerudder.policy.quarantine.api import Clearance, CrashReport, Standing, Verdict
+from bronzerudder.policy.quarantine.blame import find_culprits
+from bronzerudder.policy.quarantine.ledger import QUARANTINE_S, QuarantineLedger
+
+__all__ = [
+    "QUARANTINE_S",
+    "Clearance",
+    "CrashReport",
+    "QuarantineLedger",
+    "Standing",
+    "Verdict",
+    "find_culprits",
+]
--- /dev/null
+++ b/src/bronzerudder/policy/quarantine/ledger.py
@@ -0,0 +1,107 @@
+"""Holds crash reports and clearances, and judges fingerprints by them."""
+
+from __future__ import annotations
+
+from bronzerudder.policy.quarantine.api import CLEAR, Clearance, CrashReport, Standing, Verdict
+from bronzerudder.policy.quarantine.blame import find_culprits
+
+QUARANTINE_S = 600.0
+MOST_REPORTS = 256
+
+
+class QuarantineLedger:
+    """Judges requests by the crashes that they were in flight at.
+
+    In flight at one crash, a request is a suspect; a culprit of two or more crashes is in
+    quarantine until the last of these is `QUARANTINE_S` old. A crash that a culprit accounts for
+    is held against nobody else, and one that a request was cleared of is not held against it.
+
+    Reports and clearances may arrive in any order and more than once: two ledgers that hold the
+    same ones judge alike.
+    """
+
+    def __init__(self) -> None:
+        self._reports: dict[str, CrashReport] = {}
+        self._cleared: dict[str, set[str]] = {}
+        self._evidence: dict[str, frozenset[str]] = {}
+        self._culprits: frozenset[str] = frozenset()
+        self._explained: frozenset[str] = frozenset()
+
+    @property
+    def reports(self) -> tuple[CrashReport, ...]:
+        """Reports that count."""
+        return tuple(self._reports.values())
+
+    @property
+    def clearances(self) -> tuple[Clearance, ...]:
+        """Clearances of crashes that count."""
+        by_fingerprint: dict[str, set[str]] = {}
+        for crash_id, fingerprints in self._cleared.items():
+            for fingerprint in fingerprints:
+                by_fingerprint.setdefault(fingerprint, set()).add(crash_id)
+        return tuple(Clearance(name, frozenset(ids)) for name, ids in by_fingerprint.items())
+
+    @property
+    def culprits(self) -> frozenset[str]:
+        """Fingerprints in quarantine."""
+        return self._culprits
+
+    def record_crash(self, report: CrashReport) -> bool:
+        """Take in a report; tell whether it is news."""
+        if report.crash_id in self._reports or not report.fingerprints:
+            return False
+        self._reports[report.crash_id] = report
+        if len(self._reports) > MOST_REPORTS:
+            self._forget(min(self._reports, key=lambda name: self._reports[name].expires_at))
+        self._judge_all()
+        return True
+
+    def record_clearance(self, clearance: Clearance) -> bool:
+        """Take in a clearance; tell whether it is news."""
+        news = False
+        for crash_id in clearance.crash_ids:
+            cleared = self._cleared.setdefault(crash_id, set())
+            if clearance.fingerprint in cleared:
+                continue
+            cleared.add(clearance.fingerprint)
+            news = True
+        if news:
+            self._bound_clearances()
+            self._judge_all()
+        return news
+
+    def judge(self, fingerprint: str, now: float) -> Verdict:
+        """Say how a request stands."""
+        if not self._reports or not fingerprint:
+            return CLEAR
+        self._expire(now)
+        crash_ids = self._evidence.get(fingerprint, frozenset())
+        if fingerprint in self._culprits:
+            until = max(self._reports[crash_id].expires_at for crash_id in crash_ids)
+            return Verdict(Standing.QUARANTINED, crash_ids, until - now)
+        unexplained = crash_ids - self._explained
+        return Verdict(Standing.SUSPECT, unexplained) if unexplained else CLEAR
+
+    def _judge_all(self) -> None:
+        evidence: dict[str, set[str]] = {}
+        for crash_id, report in self._reports.items():
+            for fingerprint in report.fingerprints - self._cleared.get(crash_id, set()):
+                evidence.setdefault(fingerprint, set()).add(crash_id)
+        self._evidence = {name: frozenset(crashes) for name, crashes in evidence.items()}
+        self._culprits = find_culprits(self._evidence)
+        self._explained = frozenset().union(*(self._evidence[name] for name in self._culprits))
+
+    def _expire(self, now: float) -> None:
+        expired = [name for name, report in self._reports.items() if report.expires_at <= now]
+        for crash_id in expired:
+            self._forget(crash_id)
+        if expired:
+            self._judge_all()
+
+    def _forget(self, crash_id: str) -> None:
+        del self._reports[crash_id]
+        self._cleared.pop(crash_id, None)
+
+    def _bound_clearances(self) -> None:
+        while len(self._cleared) > MOST_REPORTS:
+            del self._cleared[next(iter(self._cleared))]
