Keep requests that crash backend servers away from them

An agent notices a crash when an answer breaks off and the backend server then refuses connections, names all that ran in one report, and spreads it over the streams to entries and from there to the other agents, before it concludes any of them. Ruled out: counting any broken connection, as a cut link is no crash; a check in the dispatcher, as agents know of a report before the request that follows it on the same stream. The Quarantine frame now carries crashes and clearances; nothing used its old fields.

--- a/src/bronzerudder/agent/connection.py
+++ b/src/bronzerudder/agent/connection.py
@@ -13,6 +13,7 @@
 from bronzerudder.configuration import ConfigurationSource
 from bronzerudder.frames import exchange_pb2 as pb
 from bronzerudder.frames import exchange_pb2_grpc
+from bronzerudder.quarantine import QuarantineFeed
 
 HEARTBEAT_INTERVAL_S = 0.5
 SILENCE_TIMEOUT_S = 1.5
@@ -58,12 +59,20 @@
         Named to the agent.
     source : ConfigurationSource
         Whose revision is shown to the agent, and which learns the agent's.
+    feed : QuarantineFeed
+        Exchanges news of crashes with the agent.
     """
 
     def __init__(
-        self, address: str, entry_id: str, failure_domain: str, source: ConfigurationSource
+        self,
+        address: str,
+        entry_id: str,
+        failure_domain: str,
+        source: ConfigurationSource,
+        feed: QuarantineFeed,
     ) -> None:
         self._address = address
+        self._feed = feed
         self._source = source
         self._entry_id = entry_id
         self._failure_domain = failure_domain
@@ -196,6 +205,9 @@
         self._pending.append(frame)
         self._due.set()
 
+    def _send_news(self, news: pb.Quarantine) -> None:
+        self._send(pb.EntryFrame(quarantine=news))
+
     def _take(self, batch: pb.AgentBatch) -> None:
         self._source.observe(self._address, batch.revision)
         for frame in batch.frames:
@@ -207,6 +219,8 @@
                 self._load_received_at = anyio.current_time()
             elif kind == "leaving":
                 self._leaving = True
+            elif kind == "quarantine":
+                self._feed.take(frame.quarantine, self._send_news)
             else:
                 self._take_attempt_frame(frame, kind)
 
@@ -216,7 +230,11 @@
         self._incarnation = incarnation
         self._leaving = hello.leaving
         resumes = [self._resume(attempt) for attempt in self._attempts.values() if attempt.sent]
-        self._pending = resumes + self._pending
+        unsent, self._pending = self._pending, resumes
+        # The agent must know of suspects before it takes their requests.
+        self._feed.detach(self._send_news)
+        self._feed.attach(self._send_news)
+        self._pending += unsent
         for attempt in self._attempts.values():
             attempt.repeat_cancel()
         self._connected = True
@@ -233,7 +251,7 @@
         return pb.EntryFrame(resume=resume)
 
     def _take_attempt_frame(self, frame: pb.AgentFrame, kind: str | None) -> None:
-        if kind is None or kind in ("ping", "quarantine"):
+        if kind is None or kind == "ping":
             return
         body = getattr(frame, kind)
         attempt = self._attempts.get((body.request_id, body.attempt))
@@ -247,6 +265,7 @@
         if self._connected:
             self._disconnected_at = anyio.current_time()
         self._connected = False
+        self._feed.detach(self._send_news)
         self._ready = anyio.Event()
         self._source.forget(self._address)
         self._lose_unsent_attempts()
--- a/src/bronzerudder/agent/pool.py
+++ b/src/bronzerudder/agent/pool.py
@@ -10,6 +10,7 @@
 
 from bronzerudder.agent.connection import AgentConnection
 from bronzerudder.configuration import ConfigurationSource
+from bronzerudder.quarantine import QuarantineFeed
 
 RETIRE_INTERVAL_S = 1.0
 RESTART_DELAY_S = 0.5
@@ -24,13 +25,21 @@
         Named to the agents.
     source : ConfigurationSource
         Whose revision the agents are shown.
+    feed : QuarantineFeed
+        Exchanges news of crashes with the agents.
     tasks : TaskGroup
         Runs a task for each connection.
     """
 
     def __init__(
-        self, entry_id: str, failure_domain: str, source: ConfigurationSource, tasks: TaskGroup
+        self,
+        entry_id: str,
+        failure_domain: str,
+        source: ConfigurationSource,
+        feed: QuarantineFeed,
+        tasks: TaskGroup,
     ) -> None:
+        self._feed = feed
         self._entry_id = entry_id
         self._failure_domain = failure_domain
         self._source = source
@@ -67,7 +76,9 @@
                 self._source.forget(address)
 
     def _connect(self, address: str) -> None:
-        connection = AgentConnection(address, self._entry_id, self._failure_domain, self._source)
+        connection = AgentConnection(
+            address, self._entry_id, self._failure_domain, self._source, self._feed
+        )
         scope = anyio.CancelScope()
         self._connections[address] = connection
         self._scopes[address] = scope
--- a/src/bronzerudder/backend_server/api.py
+++ b/src/bronzerudder/backend_server/api.py
@@ -56,7 +56,14 @@
 
     @abc.abstractmethod
     async def probe(self) -> BackendError | None:
-        """Ask on a fresh connection whether the backend server answers."""
+        """Ask on a fresh connection whether the backend server answers.
+
+        Returns
+        -------
+        BackendError or None
+            ``UNREACHABLE`` when nothing accepts connections there; ``SILENT`` when that is not
+            known, because the time is up.
+        """
 
     @abc.abstractmethod
     async def close(self) -> None:
--- a/src/bronzerudder/backend_server/http_server.py
+++ b/src/bronzerudder/backend_server/http_server.py
@@ -97,7 +97,7 @@
         try:
             async with httpx.AsyncClient(timeout=PROBE_TIMEOUT_S, trust_env=False) as client:
                 await client.get(self._url + "/healthz")
-        except (httpx.ConnectError, httpx.ConnectTimeout) as error:
+        except httpx.ConnectError as error:
             return BackendError(BackendErrorKind.UNREACHABLE, f"cannot connect: {error}")
         except httpx.HTTPError as error:
             return BackendError(BackendErrorKind.SILENT, f"probe failed: {error!r}")
--- a/src/bronzerudder/entry/service.py
+++ b/src/bronzerudder/entry/service.py
@@ -12,6 +12,7 @@
 from bronzerudder.execution import Executor
 from bronzerudder.frames import exchange_pb2 as pb
 from bronzerudder.frames import exchange_pb2_grpc
+from bronzerudder.quarantine import QuarantineFeed
 
 HELLO_TIMEOUT_S = 2.0
 
@@ -26,8 +27,10 @@
         agent_id: str,
         failure_domain: str,
         source: ConfigurationSource,
+        feed: QuarantineFeed,
     ) -> None:
         self._executor = executor
+        self._feed = feed
         self._source = source
         self._incarnation = incarnation
         self._agent_id = agent_id
@@ -49,7 +52,12 @@
     ) -> None:
         """Serve one connection until either side ends it."""
         session = EntrySession(
-            self._executor, self._incarnation, self._agent_id, self._failure_domain, self._source
+            self._executor,
+            self._incarnation,
+            self._agent_id,
+            self._failure_domain,
+            self._source,
+            self._feed,
         )
         try:
             async with anyio.create_task_group() as tasks:
--- a/src/bronzerudder/entry/session.py
+++ b/src/bronzerudder/entry/session.py
@@ -9,6 +9,7 @@
 from bronzerudder.configuration import ConfigurationSource
 from bronzerudder.execution import Executor
 from bronzerudder.frames import exchange_pb2 as pb
+from bronzerudder.quarantine import QuarantineFeed
 
 SILENCE_TIMEOUT_S = 5.0
 LOAD_INTERVAL_S = 0.25
@@ -30,6 +31,8 @@
         Named to the entry.
     source : ConfigurationSource
         Whose revision is shown to the entry, and which learns the entry's.
+    feed : QuarantineFeed
+        Exchanges news of crashes with the entry.
     """
 
     def __init__(
@@ -39,8 +42,10 @@
         agent_id: str,
         failure_domain: str,
         source: ConfigurationSource,
+        feed: QuarantineFeed,
     ) -> None:
         self._executor = executor
+        self._feed = feed
         self._source = source
         self._incarnation = incarnation
         self._pending: list[pb.AgentFrame] = []
@@ -53,6 +58,7 @@
             agent_id=agent_id, failure_domain=failure_domain, leaving=executor.leaving
         )
         self.send(pb.AgentFrame(hello=hello))
+        feed.attach(self._send_news)
 
     @property
     def entry_id(self) -> str:
@@ -78,6 +84,7 @@
         """Stop; answers wait for the entry's next connection."""
         self._closed = True
         self._due.set()
+        self._feed.detach(self._send_news)
         self._executor.detach(self.send)
 
     async def write_all(self, context: Any) -> None:
@@ -114,6 +121,9 @@
             self._take_frame(frame)
         self._source.observe(self._entry_id, batch.revision)
 
+    def _send_news(self, news: pb.Quarantine) -> None:
+        self.send(pb.AgentFrame(quarantine=news))
+
     def _take_frame(self, frame: pb.EntryFrame) -> None:
         kind = frame.WhichOneof("body")
         if kind == "submit":
@@ -126,6 +136,8 @@
             self._executor.resume(frame.resume, self.send)
         elif kind == "ping" and frame.ping.reply:
             self.send(pb.AgentFrame(ping=pb.Ping(nonce=frame.ping.nonce)))
+        elif kind == "quarantine":
+            self._feed.take(frame.quarantine, self._send_news)
         elif kind == "hello":
             self._entry_id = frame.hello.entry_id
             self._connection = frame.hello.connection
--- a/src/bronzerudder/execution/__init__.py
+++ b/src/bronzerudder/execution/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from bronzerudder.execution.attempt import Attempt, AttemptKey, AttemptState
+from bronzerudder.execution.crash_guard import CrashGuard
 from bronzerudder.execution.executor import Executor, ExecutorLimits
 from bronzerudder.execution.relay import Relay
 from bronzerudder.execution.table import AttemptTable
@@ -12,6 +13,7 @@
     "AttemptKey",
     "AttemptState",
     "AttemptTable",
+    "CrashGuard",
     "Executor",
     "ExecutorLimits",
     "Relay",
--- a/src/bronzerudder/execution/executor.py
+++ b/src/bronzerudder/execution/executor.py
@@ -10,17 +10,20 @@
 from bronzerudder.backend_server import BackendError, BackendErrorKind, BackendServer
 from bronzerudder.claims import ClaimRegister
 from bronzerudder.execution.attempt import Attempt, AttemptKey, AttemptState, Outlet
+from bronzerudder.execution.crash_guard import CrashGuard
 from bronzerudder.execution.keyed import KeyedRunner, needs_claim
 from bronzerudder.execution.relay import Relay
 from bronzerudder.execution.table import AttemptTable
 from bronzerudder.frames import exchange_pb2 as pb
 from bronzerudder.observability import Tracing
+from bronzerudder.policy.quarantine import Standing, Verdict
 
 ORPHAN_TIMEOUT_S = 10.0
 SWEEP_INTERVAL_S = 1.0
 LEAVING_RETRY_AFTER_MS = 100
 QUEUE_FULL_RETRY_AFTER_MS = 1_000
 BACKEND_DOWN_RETRY_AFTER_MS = 1_000
+QUARANTINED_DETAIL = "backend servers crashed while this request ran"
 
 
 class ExecutorLimits(NamedTuple):
@@ -49,6 +52,8 @@
         Records a span for each attempt and for each call of the backend server.
     register : ClaimRegister
         Grants the keys of requests that may not be repeated.
+    guard : CrashGuard
+        Keeps requests that crash the backend server away from it.
     """
 
     def __init__(
@@ -60,10 +65,12 @@
         incarnation: int,
         tracing: Tracing,
         register: ClaimRegister,
+        guard: CrashGuard,
     ) -> None:
         self._backend_server = backend_server
         self._relay = Relay(backend_server, resumable, tracing)
         self._tracing = tracing
+        self._guard = guard
         self._limits = limits
         self._tasks = tasks
         self._incarnation = incarnation
@@ -178,6 +185,11 @@
             return _build_refusal(submit, pb.REFUSAL_REASON_WRONG_INCARNATION, 0)
         if self._leaving:
             return _build_refusal(submit, pb.REFUSAL_REASON_LEAVING, LEAVING_RETRY_AFTER_MS)
+        verdict = self._guard.judge(submit.fingerprint)
+        if verdict.standing is Standing.QUARANTINED:
+            retry_after_ms = _to_ms(verdict.retry_after_s)
+            reason = pb.REFUSAL_REASON_QUARANTINED
+            return _build_refusal(submit, reason, retry_after_ms, QUARANTINED_DETAIL)
         if self._queued >= self._limits.max_queued and not self._slots.available_tokens:
             return _build_refusal(submit, pb.REFUSAL_REASON_QUEUE_FULL, QUEUE_FULL_RETRY_AFTER_MS)
         return None
@@ -227,6 +239,13 @@
             self._queued -= 1
 
     async def _run_in_slot(self, attempt: Attempt) -> None:
+        async with self._guard.take_turn(attempt.key, attempt.submit.fingerprint) as verdict:
+            if verdict.standing is Standing.QUARANTINED:
+                self._refuse_quarantined(attempt, verdict)
+                return
+            await self._run_in_turn(attempt)
+
+    async def _run_in_turn(self, attempt: Attempt) -> None:
         async with self._slots:
             if self._table.get(attempt.key) is not attempt:
                 return
@@ -236,7 +255,9 @@
     async def _run_until_withdrawn(self, attempt: Attempt) -> None:
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._cancel_when_withdrawn, attempt, tasks.cancel_scope)
+            self._guard.begin(attempt.key)
             error = await self._relay.run(attempt)
+            await self._guard.settle(attempt.key, error)
             tasks.cancel_scope.cancel()
             self._conclude(attempt, error)
 
@@ -259,6 +280,14 @@
             return
         attempt.emit_finished(_cut_state(attempt), error.reason)
 
+    def _refuse_quarantined(self, attempt: Attempt, verdict: Verdict) -> None:
+        if self._table.get(attempt.key) is not attempt:
+            return
+        self._leave_queue(attempt)
+        retry_after_ms = _to_ms(verdict.retry_after_s)
+        reason = pb.REFUSAL_REASON_QUARANTINED
+        self._refuse(attempt, reason, QUARANTINED_DETAIL, retry_after_ms)
+
     def _refuse(
         self, attempt: Attempt, reason: pb.RefusalReason, detail: str, retry_after_ms: int
     ) -> None:
@@ -271,6 +300,10 @@
     return pb.FINISH_STATE_BROKEN if attempt.has_head else pb.FINISH_STATE_UNKNOWN
 
 
+def _to_ms(seconds: float) -> int:
+    return max(1, int(seconds * 1000))
+
+
 def _build_refusal(
     submit: pb.Submit, reason: pb.RefusalReason, retry_after_ms: int, detail: str = ""
 ) -> pb.Refused:
--- a/src/bronzerudder/processes/agent.py
+++ b/src/bronzerudder/processes/agent.py
@@ -16,13 +16,14 @@
 from bronzerudder.configuration.peer_service import ConfigurationPeerService
 from bronzerudder.configuration.peer_source import PeerConfigurationSource
 from bronzerudder.entry import ExchangeService
-from bronzerudder.execution import Executor, ExecutorLimits
+from bronzerudder.execution import CrashGuard, Executor, ExecutorLimits
 from bronzerudder.frames import exchange_pb2 as pb
 from bronzerudder.frames import exchange_pb2_grpc
 from bronzerudder.observability import AdminApp, Tracing, configure_logs, log_event
 from bronzerudder.observability.traces import DEFAULT_SAMPLE_RATIO
 from bronzerudder.processes.platform import open_store
 from bronzerudder.processes.signals import set_on_termination
+from bronzerudder.quarantine import QuarantineFeed
 from bronzerudder.settings.agent import AgentSettings
 from bronzerudder.web import announce_listening, bind_listener, format_address, serve_http
 
@@ -80,6 +81,7 @@
         self._register = StoredClaimRegister(
             self._store.objects, settings["pool"], self._incarnation, settings.get("claims", {})
         )
+        self._feed = QuarantineFeed()
         self._executor = self._build_executor()
         shared = SharedConfiguration()
         self._source = PeerConfigurationSource(
@@ -92,6 +94,7 @@
             settings["agent_id"],
             settings["failure_domain"],
             self._source,
+            self._feed,
         )
         self._server = grpc.aio.server(options=GRPC_OPTIONS)
 
@@ -150,6 +153,7 @@
             self._incarnation,
             self._tracing,
             self._register,
+            CrashGuard(self._backend_server, self._feed, self._tasks, self._incarnation),
         )
         unfinished = Gauge(
             "bronzerudder_agent_requests_unfinished",
--- a/src/bronzerudder/processes/entry.py
+++ b/src/bronzerudder/processes/entry.py
@@ -23,6 +23,7 @@
 from bronzerudder.policy.routing import LeastOutstandingRouting
 from bronzerudder.processes.platform import open_store
 from bronzerudder.processes.signals import set_on_termination
+from bronzerudder.quarantine import QuarantineFeed
 from bronzerudder.settings.entry import EntrySettings
 from bronzerudder.web import announce_listening, bind_listener, format_address, serve_http
 
@@ -76,7 +77,7 @@
         )
         self._peer_service = ConfigurationPeerService(shared, self._source)
         self._agents = AgentPool(
-            settings["entry_id"], settings["failure_domain"], self._source, tasks
+            settings["entry_id"], settings["failure_domain"], self._source, QuarantineFeed(), tasks
         )
         generator = random.Random()
         self._targets = TargetTable(self._agents, lambda row: LeastOutstandingRouting(generator))
--- a/tests/execution/test_executor.py
+++ b/tests/execution/test_executor.py
@@ -9,9 +9,10 @@
 
 from bronzerudder.backend_server import BackendError, BackendErrorKind
 from bronzerudder.claims import StoredClaimRegister
-from bronzerudder.execution import Executor, ExecutorLimits
+from bronzerudder.execution import CrashGuard, Executor, ExecutorLimits
 from bronzerudder.frames import exchange_pb2 as pb
 from bronzerudder.observability import Tracing
+from bronzerudder.quarantine import QuarantineFeed
 from tests.claims.stores import MemoryStore, Objects
 from tests.fakes import ScriptedBackendServer
 
@@ -53,7 +54,8 @@
         tracing = Tracing("agent", "a", 0.0)
         register = StoredClaimRegister(MemoryStore(Objects()), "p", INCARNATION, {})
         tasks.start_soon(register.run)
-        yield Executor(backend_server, True, limits, tasks, INCARNATION, tracing, register)
+        guard = CrashGuard(backend_server, QuarantineFeed(), tasks, INCARNATION)
+        yield Executor(backend_server, True, limits, tasks, INCARNATION, tracing, register, guard)
         tasks.cancel_scope.cancel()
 
 
--- a/tests/execution/test_keyed.py
+++ b/tests/execution/test_keyed.py
@@ -9,9 +9,10 @@
 
 from bronzerudder.backend_server import BackendError, BackendErrorKind
 from bronzerudder.claims import StoredClaimRegister
-from bronzerudder.execution import Executor, ExecutorLimits
+from bronzerudder.execution import CrashGuard, Executor, ExecutorLimits
 from bronzerudder.frames import exchange_pb2 as pb
 from bronzerudder.observability import Tracing
+from bronzerudder.quarantine import QuarantineFeed
 from tests.claims.stores import MemoryStore, Objects
 from tests.execution.test_executor import INCARNATION, Recorder, build_submit
 from tests.fakes import ScriptedBackendServer
@@ -32,7 +33,8 @@
         tasks.start_soon(register.run)
         limits = ExecutorLimits(max_running, 10)
         tracing = Tracing("agent", "a", 0.0)
-        yield Executor(backend_server, False, limits, tasks, INCARNATION, tracing, register)
+        guard = CrashGuard(backend_server, QuarantineFeed(), tasks, INCARNATION)
+        yield Executor(backend_server, False, limits, tasks, INCARNATION, tracing, register, guard)
         tasks.cancel_scope.cancel()
 
 
--- /dev/null
+++ b/tests/quarantine/test_feed.py
@@ -0,0 +1,76 @@
+"""Tests that news of crashes reaches everyone once."""
+
+from __future__ import annotations
+
+import unittest
+
+import anyio
+
+from bronzerudder.frames import exchange_pb2 as pb
+from bronzerudder.policy.quarantine import QUARANTINE_S, Standing
+from bronzerudder.quarantine import QuarantineFeed
+
+
+class Link:
+    """Connects two feeds both ways and counts what passes."""
+
+    def __init__(self, first, second):
+        self.passed = 0
+        self._ends = (first, second)
+        first.attach(self.to_second)
+        second.attach(self.to_first)
+
+    def to_second(self, news):
+        self.passed += 1
+        self._ends[1].take(news, self.to_first)
+
+    def to_first(self, news):
+        self.passed += 1
+        self._ends[0].take(news, self.to_second)
+
+
+class QuarantineFeedTest(unittest.IsolatedAsyncioTestCase):
+    def standing(self, feed, fingerprint):
+        return feed.ledger.judge(fingerprint, anyio.current_time()).standing
+
+    async def test_news_crosses_entries_and_agents_and_comes_to_rest(self):
+        agents = [QuarantineFeed() for _ in range(4)]
+        entries = [QuarantineFeed() for _ in range(3)]
+        links = [Link(agent, entry) for agent in agents for entry in entries]
+        agents[0].publish_crash("a", ["killer", "beside"])
+        agents[1].publish_crash("b", ["killer"])
+        agents[2].publish_clearance("other", frozenset(["a"]))
+        for feed in agents + entries:
+            self.assertEqual(self.standing(feed, "killer"), Standing.QUARANTINED)
+            self.assertEqual(self.standing(feed, "beside"), Standing.CLEAR)
+        self.assertLessEqual(sum(link.passed for link in links), 3 * 2 * len(links))
+
+    async def test_a_peer_that_connects_later_learns_everything(self):
+        agent, entry = QuarantineFeed(), QuarantineFeed()
+        agent.publish_crash("a", ["killer", "beside"])
+        agent.publish_clearance("beside", frozenset(["a"]))
+        Link(agent, entry)
+        self.assertEqual(self.standing(entry, "killer"), Standing.SUSPECT)
+        self.assertEqual(self.standing(entry, "beside"), Standing.CLEAR)
+
+    async def test_a_report_never_lasts_longer_at_the_next(self):
+        feed = QuarantineFeed()
+        crash = pb.Crash(crash_id="a", fingerprints=["f"], time_left_ms=10**12)
+        feed.take(pb.Quarantine(crash=crash), None)
+        left_s = feed.ledger.reports[0].expires_at - anyio.current_time()
+        self.assertLessEqual(left_s, QUARANTINE_S)
+
+    async def test_malformed_news_is_passed_over(self):
+        feed = QuarantineFeed()
+        for news in (
+            pb.Quarantine(),
+            pb.Quarantine(crash=pb.Crash(fingerprints=["f"], time_left_ms=1000)),
+            pb.Quarantine(crash=pb.Crash(crash_id="a", fingerprints=["f"])),
+            pb.Quarantine(crash=pb.Crash(crash_id="a", fingerprints=[""], time_left_ms=1000)),
+        ):
+            feed.take(news, None)
+        self.assertEqual(feed.ledger.reports, ())
+
+
+if __name__ == "__main__":
+    unittest.main()
