Move a stream of which only the head was delivered

Nothing of the body was delivered then, so another backend server may start it again. Ruled out: a second crash of the same neighbours; all of them had delivered no event.

--- a/src/bronzerudder/dispatch/progress.py
+++ b/src/bronzerudder/dispatch/progress.py
@@ -16,6 +16,7 @@
         self._streaming = False
         self._last_event_id = ""
         self._terminated = False
+        self._body_begun = False
         self.may_have_run = False
         self.failovers = 0
 
@@ -39,7 +40,9 @@
         """Whether another backend server may continue the answer."""
         if not self._begun:
             return True
-        return self._streaming and bool(self._last_event_id)
+        if not self._streaming:
+            return False
+        return not self._body_begun or bool(self._last_event_id)
 
     async def deliver(self, event: Head | Body) -> None:
         """Deliver a part; the head of a continued answer has been delivered before."""
@@ -54,6 +57,7 @@
         await self._sink.begin(event.status, event.headers)
 
     async def _deliver_body(self, payload: bytes) -> None:
+        self._body_begun = True
         if self._streaming:
             self._last_event_id = find_last_event_id(payload) or self._last_event_id
             self._terminated = payload.endswith(TERMINATOR)
