Add the expert map protocol of a lock-step group and its stand-in ranks

Cause: nothing made the ranks of a group change their expert map together. Ruled out: a step window granted by the agent, as a restarted agent can't tell a window that ran out from a step it had armed. Before: no mechanism.

--- /dev/null
+++ b/src/bronzerudder/backend_server/rank_http.py
@@ -0,0 +1,109 @@
+"""A rank's engine controlled over HTTP."""
+
+from __future__ import annotations
+
+from typing import TypedDict
+
+import httpx
+import msgspec
+
+from bronzerudder.backend_server.rank_api import RankEngine, RankStatus
+from bronzerudder.backend_server.rank_errors import RankEngineError, RankEngineErrorKind
+
+ORDER_TIMEOUT_S = 0.25
+HTTP_OK = 200
+
+
+class OrderDocument(TypedDict):
+    """Body of an order; fields that it doesn't need are 0 or empty."""
+
+    term: int
+    version: int
+    step: int
+    expert_map: bytes
+
+
+class StatusDocument(TypedDict):
+    """Body of an answer: the fields of `RankStatus`."""
+
+    next_step: int
+    active: int
+    pending: int
+    held: int
+    held_step: int
+    staged: tuple[int, ...]
+
+
+class RefusalDocument(TypedDict):
+    """Body of a refusal."""
+
+    kind: str
+    reason: str
+
+
+class HttpRankEngine(RankEngine):
+    """Sends orders to one rank's engine, one at a time on one connection.
+
+    Parameters
+    ----------
+    url : str
+        Base URL of the engine's control interface.
+    """
+
+    def __init__(self, url: str) -> None:
+        self._url = url.rstrip("/")
+        limits = httpx.Limits(max_connections=2)
+        self._client = httpx.AsyncClient(timeout=ORDER_TIMEOUT_S, limits=limits, trust_env=False)
+
+    async def read(self, term: int) -> RankStatus | RankEngineError:
+        """Read maps and progress."""
+        return await self._order("read", term)
+
+    async def stage(
+        self, term: int, version: int, expert_map: bytes
+    ) -> RankStatus | RankEngineError:
+        """Start to load the weights of a version."""
+        return await self._order("stage", term, version, 0, expert_map)
+
+    async def hold(self, term: int, version: int, step: int) -> RankStatus | RankEngineError:
+        """Hold before a step."""
+        return await self._order("hold", term, version, step)
+
+    async def reset(
+        self, term: int, version: int, step: int, expert_map: bytes
+    ) -> RankStatus | RankEngineError:
+        """Drop all maps and hold before a step."""
+        return await self._order("reset", term, version, step, expert_map)
+
+    async def activate(self, term: int, version: int) -> RankStatus | RankEngineError:
+        """Use a held version from its step on."""
+        return await self._order("activate", term, version)
+
+    async def release(self, term: int, version: int) -> RankStatus | RankEngineError:
+        """End a hold."""
+        return await self._order("release", term, version)
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self._client.aclose()
+
+    async def _order(
+        self, name: str, term: int, version: int = 0, step: int = 0, expert_map: bytes = b""
+    ) -> RankStatus | RankEngineError:
+        document = OrderDocument(term=term, version=version, step=step, expert_map=expert_map)
+        body = msgspec.json.encode(document)
+        try:
+            response = await self._client.post(f"{self._url}/rank/{name}", content=body)
+        except httpx.HTTPError as error:
+            return RankEngineError(RankEngineErrorKind.UNREACHABLE, repr(error))
+        try:
+            return _decode(response.status_code, response.content)
+        except (msgspec.MsgspecError, ValueError) as error:
+            return RankEngineError(RankEngineErrorKind.INVALID, str(error))
+
+
+def _decode(status: int, body: bytes) -> RankStatus | RankEngineError:
+    if status == HTTP_OK:
+        return RankStatus(**msgspec.json.decode(body, type=StatusDocument))
+    refusal = msgspec.json.decode(body, type=RefusalDocument)
+    return RankEngineError(RankEngineErrorKind(refusal["kind"]), refusal["reason"])
--- /dev/null
+++ b/src/bronzerudder/rank_group/__init__.py
@@ -0,0 +1,1 @@
+"""Agents of one lock-step group among themselves: they agree on its expert map."""
--- /dev/null
+++ b/src/bronzerudder/rank_group/errors.py
@@ -0,0 +1,12 @@
+"""Errors between the agents of a group."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+
+class PeerError(NamedTuple):
+    """The agent of a rank gave no answer; the request may or may not have been carried out."""
+
+    rank: int
+    reason: str
--- /dev/null
+++ b/src/bronzerudder/rank_group/member.py
@@ -0,0 +1,205 @@
+"""One agent's membership of a lock-step group."""
+
+from __future__ import annotations
+
+import math
+import time
+
+import anyio
+
+from bronzerudder.backend_server.rank_api import NO_MAP, RankEngine
+from bronzerudder.backend_server.rank_errors import RankEngineError
+from bronzerudder.rank_group.attempt import Attempt, AttemptResult
+from bronzerudder.rank_group.messages import GroupReply, GroupRequest, Phase
+from bronzerudder.rank_group.participant import Participant
+from bronzerudder.rank_group.peers import RankPeers
+from bronzerudder.rank_group.progress import RankProgress
+from bronzerudder.rank_group.proposer import Proposer, next_term
+from bronzerudder.rank_group.record import CommittedMap, MapRecord
+
+FLOOR_TIMEOUT_S = 0.3
+RETRY_DELAY_S = 0.1
+WATCH_INTERVAL_S = 0.1
+SETTLE_TIMEOUT_S = 0.4
+SETTLE_STAGGER_S = 0.15
+MAX_SETTLE_DELAY_S = 1.2
+RECORD_TIMEOUT_S = 0.5
+RECORD_RETRY_DELAY_S = 1.0
+ARM_TIME_S = 0.3
+MIN_MARGIN_STEPS = 2
+MAX_MARGIN_STEPS = 1_000
+RECORDING_RANKS = 3
+KEPT_OFFERS = 4
+
+
+class RankGroupMember:
+    """Answers the group's proposers, settles what they leave unfinished, and proposes itself.
+
+    Parameters
+    ----------
+    rank, rank_count : int
+        This rank and the number of ranks.
+    engine : RankEngine
+        The engine of this rank.
+    peers : RankPeers
+        The agents of all ranks.
+    record : MapRecord
+        The platform's record of the last committed map.
+    incarnation : int
+        Distinguishes one life of the agent's process from the next.
+    initial_map : bytes
+        The map to form the group on while no committed one is known.
+    """
+
+    def __init__(
+        self,
+        rank: int,
+        rank_count: int,
+        engine: RankEngine,
+        peers: RankPeers,
+        record: MapRecord,
+        incarnation: int,
+        initial_map: bytes,
+    ) -> None:
+        self._rank = rank
+        self._rank_count = rank_count
+        self._engine = engine
+        self._peers = peers
+        self._record = record
+        self._participant = Participant(engine, incarnation)
+        self._answering = anyio.Lock()
+        self._proposing = anyio.Lock()
+        self._progress = RankProgress()
+        self._last_map = CommittedMap(NO_MAP, initial_map)
+        self._offered_maps: dict[int, bytes] = {}
+        self._unrecorded = anyio.Event()
+        self._highest_term = 0
+
+    @property
+    def group_stalled(self) -> bool:
+        """Whether this rank, and with it the whole lock-step group, makes no progress."""
+        return self._progress.stalled
+
+    @property
+    def active_version(self) -> int:
+        """Version of the map that the engine was last seen to use."""
+        return self._progress.status.active
+
+    async def run(self) -> None:
+        """Recover, then watch the engine for ever."""
+        await self._recover()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._watch)
+            if self._rank < RECORDING_RANKS:
+                tasks.start_soon(self._keep_record)
+
+    async def answer(self, request: GroupRequest) -> GroupReply:
+        """Answer one request of a proposer."""
+        if request.phase is Phase.FLOOR:
+            return await self._participant.answer(request)
+        async with self._answering:
+            reply = await self._participant.answer(request)
+        if request.expert_map and reply.accepted:
+            self._note_offered(request)
+        if request.phase is Phase.COMMIT and reply.accepted:
+            self._note_committed(request.version)
+        return reply
+
+    async def change_map(self, expert_map: bytes) -> AttemptResult:
+        """Propose a map to the group; anything left unfinished is settled in its place."""
+        return await self._propose(expert_map)
+
+    async def is_lowest_live(self) -> bool:
+        """Whether no agent of a lower rank answers; it decides only who tries to propose."""
+        for rank in range(self._rank):
+            reply = await self._peers.call(rank, GroupRequest(Phase.FLOOR, 0), FLOOR_TIMEOUT_S)
+            if isinstance(reply, GroupReply):
+                return False
+        return True
+
+    async def _recover(self) -> None:
+        floors: dict[int, int] = {}
+        async with anyio.create_task_group() as tasks:
+            for rank in range(self._rank_count):
+                if rank != self._rank:
+                    tasks.start_soon(self._ask_floor, rank, floors)
+        while True:
+            async with self._answering:
+                error = await self._participant.recover(list(floors.values()))
+            if error is None:
+                return
+            await anyio.sleep(RETRY_DELAY_S)
+
+    async def _ask_floor(self, rank: int, floors: dict[int, int]) -> None:
+        while True:
+            reply = await self._peers.call(rank, GroupRequest(Phase.FLOOR, 0), FLOOR_TIMEOUT_S)
+            if isinstance(reply, GroupReply):
+                floors[rank] = reply.promised
+                return
+            await anyio.sleep(RETRY_DELAY_S)
+
+    async def _watch(self) -> None:
+        delay_s = min(SETTLE_TIMEOUT_S + self._rank * SETTLE_STAGGER_S, MAX_SETTLE_DELAY_S)
+        while True:
+            await anyio.sleep(WATCH_INTERVAL_S)
+            status = await self._engine.read(self._participant.promised)
+            if isinstance(status, RankEngineError):
+                self._progress.note_failure(time.monotonic())
+                continue
+            self._progress.note(status, time.monotonic())
+            if self._progress.unsettled_s < delay_s or self._proposing.locked():
+                continue
+            await self._propose(None)
+            self._progress.restart_settling(time.monotonic())
+
+    async def _propose(self, new_map: bytes | None) -> AttemptResult:
+        async with self._proposing:
+            if self._progress.status.active == NO_MAP:
+                await self._load_record()
+            floor = max(self._participant.promised, self._highest_term)
+            proposer = Proposer(
+                self._rank_count,
+                next_term(floor, self._rank, self._rank_count),
+                new_map,
+                self._last_map.expert_map,
+                self._margin_steps(),
+            )
+            attempt = Attempt(proposer, self._rank, self._rank_count, self._peers, self.answer)
+            result = await attempt.run()
+            self._highest_term = max(self._highest_term, result.highest_term)
+            return result
+
+    def _margin_steps(self) -> int:
+        steps = math.ceil(ARM_TIME_S / self._progress.step_time_s)
+        return min(max(steps, MIN_MARGIN_STEPS), MAX_MARGIN_STEPS)
+
+    def _note_offered(self, request: GroupRequest) -> None:
+        self._offered_maps[request.version] = request.expert_map
+        if len(self._offered_maps) > KEPT_OFFERS:
+            del self._offered_maps[min(self._offered_maps)]
+
+    def _note_committed(self, version: int) -> None:
+        expert_map = self._offered_maps.get(version)
+        if expert_map is None or version <= self._last_map.version:
+            return
+        self._last_map = CommittedMap(version, expert_map)
+        self._unrecorded.set()
+
+    async def _load_record(self) -> None:
+        with anyio.move_on_after(RECORD_TIMEOUT_S):
+            found = await self._record.load()
+            if isinstance(found, CommittedMap) and found.version > self._last_map.version:
+                self._last_map = found
+                self._highest_term = max(self._highest_term, found.version)
+
+    async def _keep_record(self) -> None:
+        while True:
+            await self._unrecorded.wait()
+            # A later rank finds the record written and spares the platform the update.
+            await anyio.sleep(RECORD_RETRY_DELAY_S * self._rank)
+            self._unrecorded = anyio.Event()
+            while True:
+                error = await self._record.save(self._last_map)
+                if error is None:
+                    break
+                await anyio.sleep(RECORD_RETRY_DELAY_S)
--- /dev/null
+++ b/src/bronzerudder/rank_group/participant.py
@@ -0,0 +1,118 @@
+"""The part of an agent that answers proposers and gives its engine orders about maps."""
+
+from __future__ import annotations
+
+from bronzerudder.backend_server.rank_api import NO_MAP, RankEngine, RankStatus
+from bronzerudder.backend_server.rank_errors import RankEngineError
+from bronzerudder.rank_group.messages import GroupReply, GroupRequest, Phase, Refusal
+
+
+class Participant:
+    """Promises terms and carries out accepted requests, one at a time.
+
+    The caller must not let two calls of `answer` overlap.
+
+    Parameters
+    ----------
+    engine : RankEngine
+        The engine of this rank.
+    incarnation : int
+        Distinguishes one life of the agent's process from the next; greater than 0.
+    """
+
+    def __init__(self, engine: RankEngine, incarnation: int) -> None:
+        self._engine = engine
+        self._incarnation = incarnation
+        self._promised = 0
+        self._recovered = False
+        self._aborted: frozenset[int] = frozenset()
+
+    @property
+    def promised(self) -> int:
+        """Highest promised term, or the floor learned while recovering."""
+        return self._promised
+
+    @property
+    def recovered(self) -> bool:
+        """Whether promises may be given."""
+        return self._recovered
+
+    def learn_floor(self, term: int) -> None:
+        """Promise nothing below a term that an earlier incarnation may have promised."""
+        self._promised = max(self._promised, term)
+
+    async def recover(self, peer_floors: list[int]) -> RankEngineError | None:
+        """Take over from an earlier incarnation, whose promises and orders are unknown.
+
+        Parameters
+        ----------
+        peer_floors : list of int
+            Highest promised term of every other rank's agent, asked for after this incarnation
+            started. A proposer promises its own term before it asks others, so whichever live
+            proposer the earlier incarnation served is covered.
+        """
+        status = await self._engine.read(self._promised)
+        if isinstance(status, RankEngineError):
+            return status
+        self.learn_floor(max(status.active, status.pending, status.held, *status.staged, 0))
+        for floor in peer_floors:
+            self.learn_floor(floor)
+        self._recovered = True
+        return None
+
+    async def answer(self, request: GroupRequest) -> GroupReply:
+        """Carry out a request, or refuse it."""
+        refusal = self._check(request)
+        if refusal is not Refusal.NONE:
+            return self._refuse(refusal, f"promised term {self._promised}")
+        if request.phase is Phase.FLOOR:
+            return self._accept(RankStatus())
+        if request.phase is Phase.PROMISE:
+            self._promised = request.term
+        if request.phase is Phase.ABORT:
+            self._aborted |= {request.version}
+        result = await self._give_order(request)
+        if isinstance(result, RankEngineError):
+            return self._refuse(Refusal.ENGINE, f"{result.kind.value}: {result.reason}")
+        if request.phase is Phase.STAGE and request.version not in result.staged:
+            return self._refuse(Refusal.NOT_STAGED, "weights are being loaded")
+        return self._accept(result)
+
+    def _check(self, request: GroupRequest) -> Refusal:
+        if request.phase is Phase.FLOOR:
+            return Refusal.NONE
+        if not self._recovered:
+            return Refusal.RECOVERING
+        if self._is_stale(request):
+            return Refusal.STALE_TERM
+        if request.phase is not Phase.PROMISE and request.incarnation != self._incarnation:
+            return Refusal.WRONG_INCARNATION
+        return Refusal.NONE
+
+    def _is_stale(self, request: GroupRequest) -> bool:
+        return request.term < self._promised
+
+    async def _give_order(self, request: GroupRequest) -> RankStatus | RankEngineError:
+        term, version = request.term, request.version
+        if request.phase is Phase.STAGE:
+            return await self._engine.stage(term, version, request.expert_map)
+        if request.phase is Phase.ARM:
+            return await self._engine.hold(term, version, request.step)
+        if request.phase is Phase.RESET:
+            return await self._engine.reset(term, version, request.step, request.expert_map)
+        if request.phase is Phase.COMMIT:
+            return await self._engine.activate(term, version)
+        if request.phase is Phase.RELEASE:
+            return await self._engine.release(term, version)
+        return await self._read()
+
+    async def _read(self) -> RankStatus | RankEngineError:
+        return await self._engine.read(self._promised)
+
+    def _accept(self, status: RankStatus) -> GroupReply:
+        self._aborted = frozenset(version for version in self._aborted if version > status.active)
+        aborted = status.held if status.held in self._aborted else NO_MAP
+        return GroupReply(Refusal.NONE, "", self._incarnation, self._promised, aborted, status)
+
+    def _refuse(self, refusal: Refusal, reason: str) -> GroupReply:
+        return GroupReply(refusal, reason, self._incarnation, self._promised, NO_MAP, RankStatus())
--- /dev/null
+++ b/src/bronzerudder/rank_group/service.py
@@ -0,0 +1,31 @@
+"""The gRPC service by which the agents of a group call each other."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import grpc
+import grpc.aio
+
+from bronzerudder.rank_group import rank_group_pb2 as pb
+from bronzerudder.rank_group import rank_group_pb2_grpc
+from bronzerudder.rank_group.codec import decode_request, encode_reply
+from bronzerudder.rank_group.member import RankGroupMember
+
+
+class RankGroupService(rank_group_pb2_grpc.RankGroupServicer):
+    """Hands the requests of other ranks' agents to this agent's member of the group."""
+
+    def __init__(self, member: RankGroupMember) -> None:
+        self._member = member
+
+    def add_to(self, server: grpc.aio.Server) -> None:
+        """Serve on an agent's port."""
+        rank_group_pb2_grpc.add_RankGroupServicer_to_server(self, server)
+
+    async def Call(self, request: pb.GroupRequest, context: Any) -> pb.GroupReply:  # noqa: N802
+        """Answer one request."""
+        decoded = decode_request(request)
+        if decoded is None:
+            await context.abort(grpc.StatusCode.INVALID_ARGUMENT, "unknown phase")
+        return encode_reply(await self._member.answer(decoded))
--- /dev/null
+++ b/src/bronzerudder/standin/rank/maps.py
@@ -0,0 +1,110 @@
+"""Maps, holds and readiness of one stand-in rank, without any input or output."""
+
+from __future__ import annotations
+
+from bronzerudder.backend_server.rank_api import NO_MAP, RankStatus
+from bronzerudder.backend_server.rank_errors import RankEngineError, RankEngineErrorKind
+
+Result = RankStatus | RankEngineError
+
+
+def _fail(kind: RankEngineErrorKind, reason: str) -> RankEngineError:
+    return RankEngineError(kind, reason)
+
+
+class RankMaps:
+    """Carries out the orders of a `RankEngine` on the state of one rank.
+
+    Parameters
+    ----------
+    honours_terms : bool
+        Whether orders with a lower term than one seen before are refused.
+    """
+
+    def __init__(self, honours_terms: bool) -> None:
+        self._honours_terms = honours_terms
+        self._term = 0
+        self._status = RankStatus()
+
+    @property
+    def status(self) -> RankStatus:
+        """Present state."""
+        return self._status
+
+    def read(self, term: int) -> Result:
+        """Return the state."""
+        return self._fence(term) or self._status
+
+    def finish_staging(self, version: int) -> None:
+        """Note that the weights of a version are loaded."""
+        kept = {version, self._status.active, self._status.pending, self._status.held} - {NO_MAP}
+        self._status = self._status._replace(staged=tuple(sorted(kept)))
+
+    def hold(self, term: int, version: int, step: int) -> Result:
+        """Hold before a step."""
+        refused = self._fence(term)
+        if refused is not None:
+            return refused
+        if version in (self._status.held, self._status.pending, self._status.active):
+            return self._status
+        if self._status.held or self._status.pending or self._status.active == NO_MAP:
+            return _fail(RankEngineErrorKind.HELD, f"holds {self._status.held}")
+        if step < self._status.next_step:
+            return _fail(RankEngineErrorKind.STEP_PASSED, f"at {self._status.next_step}")
+        if version not in self._status.staged:
+            return _fail(RankEngineErrorKind.NOT_STAGED, f"{version} is not staged")
+        self._status = self._status._replace(held=version, held_step=step)
+        return self._status
+
+    def reset(self, term: int, version: int, step: int) -> Result:
+        """Drop all maps and hold before a step."""
+        refused = self._fence(term)
+        if refused is not None:
+            return refused
+        if version in (self._status.held, self._status.pending, self._status.active):
+            return self._status
+        if step < self._status.next_step:
+            return _fail(RankEngineErrorKind.STEP_PASSED, f"at {self._status.next_step}")
+        self._status = RankStatus(next_step=step, held=version, held_step=step, staged=(version,))
+        return self._status
+
+    def activate(self, term: int, version: int) -> Result:
+        """Use a held version from its step on."""
+        refused = self._fence(term)
+        if refused is not None:
+            return refused
+        if version in (self._status.pending, self._status.active):
+            return self._status
+        if self._status.held != version:
+            return _fail(RankEngineErrorKind.NOT_HELD, f"holds {self._status.held}")
+        self._status = self._status._replace(held=NO_MAP, pending=version)
+        return self._status
+
+    def release(self, term: int, version: int) -> Result:
+        """End a hold; a rank without a map stays held."""
+        refused = self._fence(term)
+        if refused is not None:
+            return refused
+        if self._status.held == version and self._status.active != NO_MAP:
+            self._status = self._status._replace(held=NO_MAP, held_step=0)
+        return self._status
+
+    def declare_ready(self) -> int | None:
+        """Declare readiness for the next step, switching maps if it is due; None while held."""
+        status = self._status
+        if status.pending and status.next_step >= status.held_step:
+            status = status._replace(active=status.pending, pending=NO_MAP, held_step=0)
+        if status.active == NO_MAP:
+            return None
+        if status.held and status.next_step >= status.held_step:
+            return None
+        self._status = status._replace(next_step=status.next_step + 1)
+        return status.next_step
+
+    def _fence(self, term: int) -> RankEngineError | None:
+        if not self._honours_terms:
+            return None
+        if term < self._term:
+            return _fail(RankEngineErrorKind.STALE_TERM, f"seen term {self._term}")
+        self._term = term
+        return None
--- /dev/null
+++ b/tests/rank_group/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of rank_group."""
--- /dev/null
+++ b/tests/rank_group/processes.py
@@ -0,0 +1,156 @@
+"""Runs a small group as real processes: a stand-in rank and a member for each rank."""
+
+from __future__ import annotations
+
+import json
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+from typing import Any
+
+RANKS = 3
+STEP_TIME_S = 0.02
+POLL_INTERVAL_S = 0.02
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+
+
+def free_addresses(count: int) -> list[str]:
+    """Return addresses whose ports were free a moment ago; restarts need them to be known."""
+    listeners = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+    addresses = [f"127.0.0.1:{listener.getsockname()[1]}" for listener in listeners]
+    for listener in listeners:
+        listener.close()
+    return addresses
+
+
+class Group:
+    """Processes of one group; a context manager that ends those that it started."""
+
+    def __init__(self, folder: str, **member_settings: Any) -> None:
+        self._folder = pathlib.Path(folder)
+        self._member_settings = member_settings
+        self._control = free_addresses(RANKS)
+        self._steps = free_addresses(RANKS)
+        self._peers = free_addresses(RANKS)
+        self._dead_platform = free_addresses(1)[0]
+        self._engines: list[subprocess.Popen | None] = [None] * RANKS
+        self._members: list[subprocess.Popen | None] = [None] * RANKS
+
+    def __enter__(self) -> Group:
+        for rank in range(RANKS):
+            self.start_engine(rank)
+        for rank in range(RANKS):
+            self.start_member(rank)
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        for process in [*self._members, *self._engines]:
+            if process is not None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+                process.wait()
+
+    def start_engine(self, rank: int) -> None:
+        settings = {
+            "address": self._control[rank],
+            "rank": rank,
+            "step_peers": self._steps,
+            "step_time_s": STEP_TIME_S,
+            "honours_terms": False,
+            "history": str(self._folder / f"steps-{rank}.jsonl"),
+        }
+        path = self._folder / f"rank-{rank}.json"
+        path.write_text(json.dumps(settings), encoding="utf-8")
+        command = [sys.executable, "-m", "bronzerudder", "standin", "rank", str(path)]
+        self._engines[rank] = self._start(command, f"engine-{rank}.out")
+
+    def start_member(self, rank: int) -> None:
+        settings = {
+            "engine_url": f"http://{self._control[rank]}",
+            "peers": self._peers,
+            "platform": self._dead_platform,
+            "rank": rank,
+            "seed": rank,
+            **self._member_settings,
+        }
+        module = "tests.rank_group.member_process"
+        command = [sys.executable, "-m", module, json.dumps(settings)]
+        self._members[rank] = self._start(command, f"member-{rank}.out")
+
+    def _start(self, command: list[str], output: str) -> subprocess.Popen:
+        with open(self._folder / output, "ab") as file:
+            return subprocess.Popen(command, stdout=file, stderr=file, cwd=ROOT)
+
+    def kill_engine(self, rank: int) -> None:
+        self._kill(self._engines[rank])
+
+    def kill_member(self, rank: int) -> None:
+        self._kill(self._members[rank])
+
+    def _kill(self, process: subprocess.Popen) -> None:
+        process.send_signal(signal.SIGCONT)
+        process.kill()
+        process.wait()
+
+    def freeze_member(self, rank: int) -> None:
+        self._members[rank].send_signal(signal.SIGSTOP)
+
+    def thaw_member(self, rank: int) -> None:
+        self._members[rank].send_signal(signal.SIGCONT)
+
+    def freeze_engine(self, rank: int) -> None:
+        self._engines[rank].send_signal(signal.SIGSTOP)
+
+    def thaw_engine(self, rank: int) -> None:
+        self._engines[rank].send_signal(signal.SIGCONT)
+
+    def steps(self, rank: int) -> list[dict]:
+        return _read_lines(self._folder / f"steps-{rank}.jsonl")
+
+    def reports(self, rank: int, event: str) -> list[dict]:
+        lines = _read_lines(self._folder / f"member-{rank}.out")
+        return [line for line in lines if line.get("event") == event]
+
+    def output(self) -> str:
+        names = [*self._folder.glob("*.out")]
+        return "\n".join(f"{name.name}: {name.read_text()[-2000:]}" for name in names)
+
+    def wait_until(self, condition: Callable[[], bool], timeout_s: float, what: str) -> float:
+        """Wait for a condition; return the seconds it took."""
+        start = time.monotonic()
+        while not condition():
+            if time.monotonic() - start > timeout_s:
+                raise AssertionError(f"{what} not within {timeout_s} s\n{self.output()}")
+            self._wait_a_moment()
+        return time.monotonic() - start
+
+    def _wait_a_moment(self) -> None:
+        try:
+            self._engines[0].wait(POLL_INTERVAL_S)
+        except subprocess.TimeoutExpired:
+            return
+
+    def advanced(self, count: int) -> Callable[[], bool]:
+        """Return a condition that holds once every rank has run ``count`` more steps."""
+        goals = [len(self.steps(rank)) + count for rank in range(RANKS)]
+        return lambda: all(len(self.steps(rank)) >= goals[rank] for rank in range(RANKS))
+
+    def find_mixed_steps(self) -> list[tuple[int, set[int]]]:
+        """Return the steps that ranks ran on more than one map."""
+        versions: dict[int, set[int]] = {}
+        for rank in range(RANKS):
+            for line in self.steps(rank):
+                versions.setdefault(line["step"], set()).add(line["version"])
+        return [(step, found) for step, found in versions.items() if len(found) > 1]
+
+
+def _read_lines(path: pathlib.Path) -> list[dict]:
+    if not path.exists():
+        return []
+    lines = path.read_bytes().split(b"\n")
+    found = [json.loads(line) for line in lines[:-1] if line.startswith(b"{")]
+    return [line for line in found if isinstance(line, dict)]
--- /dev/null
+++ b/tests/rank_group/test_history.py
@@ -0,0 +1,74 @@
+"""Checks the history of real groups: every step ran on one map, whatever was killed or frozen.
+
+The platform is down throughout, the engines ignore fencing numbers, and every agent proposes.
+"""
+
+from __future__ import annotations
+
+import random
+import tempfile
+import unittest
+
+from tests.rank_group.processes import RANKS, Group
+
+FORMATION_TIMEOUT_S = 15
+RECOVERY_TIMEOUT_S = 15
+FAULTS = 6
+
+
+class HistoryTest(unittest.TestCase):
+    def test_every_step_runs_on_one_map_under_kills_and_freezes(self):
+        choices = random.Random(6)
+        with (
+            tempfile.TemporaryDirectory() as folder,
+            Group(folder, propose_interval_s=0.5) as group,
+        ):
+            group.wait_until(group.advanced(10), FORMATION_TIMEOUT_S, "formation")
+            for _ in range(FAULTS):
+                self._fail_and_recover(group, choices)
+            self.assertEqual(group.find_mixed_steps(), [])
+
+    def _fail_and_recover(self, group: Group, choices: random.Random) -> None:
+        rank = choices.randrange(RANKS)
+        before = choices.randrange(5, 60)
+        group.wait_until(group.advanced(before), RECOVERY_TIMEOUT_S, "steps before a fault")
+        if choices.random() < 0.5:
+            group.kill_member(rank)
+            group.start_member(rank)
+        else:
+            group.freeze_member(rank)
+            frozen = self._any_lines(group)
+            group.wait_until(frozen, RECOVERY_TIMEOUT_S, "an attempt without a frozen agent")
+            group.thaw_member(rank)
+        group.wait_until(self._newer_map(group), RECOVERY_TIMEOUT_S, "a change after a fault")
+
+    def _newer_map(self, group: Group):
+        version = group.steps(0)[-1]["version"]
+        return lambda: all(group.steps(rank)[-1]["version"] > version for rank in range(RANKS))
+
+    def _any_lines(self, group: Group):
+        count = sum(len(group.reports(rank, "attempt")) for rank in range(RANKS))
+        return lambda: sum(len(group.reports(rank, "attempt")) for rank in range(RANKS)) > count
+
+    def test_the_group_forms_again_after_an_engine_restarts(self):
+        with tempfile.TemporaryDirectory() as folder, Group(folder) as group:
+            group.wait_until(group.advanced(10), FORMATION_TIMEOUT_S, "formation")
+            first = {line["version"] for line in group.steps(1)}
+            group.kill_engine(1)
+            group.start_engine(1)
+            group.wait_until(group.advanced(10), RECOVERY_TIMEOUT_S, "second formation")
+            second = {line["version"] for line in group.steps(1)} - first
+            self.assertEqual((len(first), len(second)), (1, 1))
+            self.assertEqual(group.find_mixed_steps(), [])
+
+    def test_every_agent_reports_a_stalled_rank(self):
+        with tempfile.TemporaryDirectory() as folder, Group(folder) as group:
+            group.wait_until(group.advanced(10), FORMATION_TIMEOUT_S, "formation")
+            group.freeze_engine(2)
+            group.wait_until(lambda: self._stalled(group, True), 5, "report of a stall")
+            group.thaw_engine(2)
+            group.wait_until(lambda: self._stalled(group, False), 5, "end of the stall")
+
+    def _stalled(self, group: Group, expected: bool) -> bool:
+        states = [group.reports(rank, "state")[-1] for rank in range(RANKS)]
+        return all(state["group_stalled"] is expected for state in states)
--- /dev/null
+++ b/tests/standin/rank/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of standin.rank."""
