Keep a foreign cancellation from ending a process

A call whose channel another task closes raises the same exception. Ruled out: the HTTP server (its trace was a consequence), a failed child task (the group held no exception). Mended where it is caught: checkpoint again, so that the scope gets its own; the same in calls to peers; and root tasks are supervised, logged and run again.

--- a/bench/harness/deployment.py
+++ b/bench/harness/deployment.py
@@ -21,6 +21,7 @@
 FAILURE_DOMAINS = ("domain-a", "domain-b", "domain-c")
 READY_TIMEOUT_S = 20.0
 POLL_INTERVAL_S = 0.05
+ERROR_CHARACTERS = 1_500
 CHAT_POOL = "replies"
 BOOKING_POOL = "bookings"
 
@@ -93,6 +94,8 @@
         error: BaseException | None,
         traceback: TracebackType | None,
     ) -> None:
+        if error is not None:
+            self.print_errors()
         self.close()
 
     def close(self) -> None:
@@ -215,6 +218,16 @@
         with urllib.request.urlopen(f"http://{process.admin_address}/status", timeout=5) as answer:
             return json.load(answer)
 
+    def print_errors(self) -> None:
+        """Print the first error in each log."""
+        for process in self._processes:
+            for line in process.read_log():
+                if line["level"] not in ("error", "critical"):
+                    continue
+                text = f"{line['message']} {line.get('exception', '')}"
+                print(f"{process.name}: {text[:ERROR_CHARACTERS]}", flush=True)
+                break
+
     def _is_ready(self, entry: ManagedProcess, agents: int) -> bool:
         connected = self.read_status(entry)["agents"]
         return len(connected) == agents and all(connected.values())
--- a/bench/harness/load.py
+++ b/bench/harness/load.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 from typing import Any, NamedTuple
 
 import anyio
@@ -54,6 +55,14 @@
     return "".join(f"{token_text(prompt, index)} " for index in range(tokens))
 
 
+def find_longest_gap_s(result: StreamResult) -> float:
+    """Return the longest time between two tokens, in seconds; 0 where there are none."""
+    gaps = [0.0]
+    for earlier, later in itertools.pairwise(result.token_times):
+        gaps.append(later - earlier)
+    return max(gaps)
+
+
 async def stream_completion(
     client: httpx.AsyncClient, address: str, prompt: str, tokens: int, workspace: str = "w"
 ) -> StreamResult:
--- a/src/bronzerudder/agent/pool.py
+++ b/src/bronzerudder/agent/pool.py
@@ -5,15 +5,14 @@
 from collections.abc import Iterable
 
 import anyio
-from absl import logging
 from anyio.abc import TaskGroup
 
 from bronzerudder.agent.connection import AgentConnection
+from bronzerudder.concurrency import supervise
 from bronzerudder.configuration import ConfigurationSource
 from bronzerudder.quarantine import QuarantineFeed
 
 RETIRE_INTERVAL_S = 1.0
-RESTART_DELAY_S = 0.5
 
 
 class AgentPool:
@@ -92,10 +91,4 @@
 
 async def _run_in_scope(connection: AgentConnection, scope: anyio.CancelScope) -> None:
     with scope:
-        while True:
-            try:
-                await connection.run()
-            except Exception:
-                # One agent's connection must not take the others down with it.
-                logging.exception("connection to %s failed unexpectedly", connection.address)
-            await anyio.sleep(RESTART_DELAY_S)
+        await supervise(f"connection to {connection.address}", connection.run)
--- a/src/bronzerudder/agent/stream.py
+++ b/src/bronzerudder/agent/stream.py
@@ -6,6 +6,7 @@
 
 import grpc.aio
 
+from bronzerudder.concurrency import raise_if_cancelled
 from bronzerudder.frames import exchange_pb2 as pb
 
 
@@ -28,7 +29,7 @@
         except grpc.aio.AioRpcError:
             return None
         except asyncio.CancelledError:
-            _raise_if_own_cancellation()
+            await raise_if_cancelled()
             return None
         return None if batch is grpc.aio.EOF else batch
 
@@ -40,17 +41,10 @@
         except (grpc.aio.AioRpcError, asyncio.InvalidStateError, grpc.aio.UsageError):
             return False
         except asyncio.CancelledError:
-            _raise_if_own_cancellation()
+            await raise_if_cancelled()
             return False
         return True
 
     def cancel(self) -> None:
         """End the stream."""
         self._call.cancel()
-
-
-def _raise_if_own_cancellation() -> None:
-    """Pass a cancellation of this task on, but not one that stands for the peer's."""
-    task = asyncio.current_task()
-    if task is not None and task.cancelling():
-        raise asyncio.CancelledError
--- a/src/bronzerudder/configuration/peers.py
+++ b/src/bronzerudder/configuration/peers.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import grpc
 import grpc.aio
 
+from bronzerudder.concurrency import raise_if_cancelled
 from bronzerudder.configuration.errors import ConfigurationError, ConfigurationErrorKind
 from bronzerudder.configuration.peer_pb2 import DescribeRequest, FetchRequest, RevisionReply
 from bronzerudder.configuration.peer_pb2_grpc import ConfigurationPeerStub
@@ -46,6 +49,8 @@
             await receive_update(self._shared, parts)
         except grpc.aio.AioRpcError as error:
             return await self._give_up(address, error)
+        except asyncio.CancelledError:
+            return await _explain_cancellation(address)
         return self._shared.revision
 
     async def push(self, address: str, revision: int) -> int | ConfigurationError:
@@ -59,6 +64,8 @@
                 reply = await self._stub(address).Push(split_update(update), timeout=timeout_s)
             except grpc.aio.AioRpcError as error:
                 return await self._give_up(address, error)
+            except asyncio.CancelledError:
+                return await _explain_cancellation(address)
             revision = reply.revision
         return revision
 
@@ -68,6 +75,8 @@
             return await self._stub(address).Describe(DescribeRequest(), timeout=CALL_TIMEOUT_S)
         except grpc.aio.AioRpcError as error:
             return await self._give_up(address, error)
+        except asyncio.CancelledError:
+            return await _explain_cancellation(address)
 
     async def close(self, address: str) -> None:
         """Close the connection to one peer, if there is one."""
@@ -91,3 +100,9 @@
         await self.close(address)
         reason = f"{address}: {error.code().name}: {error.details()}"
         return ConfigurationError(ConfigurationErrorKind.UNAVAILABLE, reason)
+
+
+async def _explain_cancellation(address: str) -> ConfigurationError:
+    """Tell a call that ended with its closed channel from a cancellation of this task."""
+    await raise_if_cancelled()
+    return ConfigurationError(ConfigurationErrorKind.UNAVAILABLE, f"{address}: connection closed")
--- a/src/bronzerudder/execution/executor.py
+++ b/src/bronzerudder/execution/executor.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 import anyio
+from absl import logging
 from anyio.abc import TaskGroup
 
 from bronzerudder.backend_server import BackendError, BackendErrorKind, BackendServer
@@ -209,6 +210,10 @@
         attempt.submit.traceparent = self._tracing.format_traceparent(span)
         try:
             await self._run_within_deadline(attempt)
+        except Exception:
+            # Not caught here it would end every other attempt with this one.
+            logging.exception("attempt of %s failed unexpectedly", attempt.key.request_id)
+            attempt.emit_finished(_cut_state(attempt), "internal error")
         finally:
             span.end()
 
--- a/src/bronzerudder/processes/agent.py
+++ b/src/bronzerudder/processes/agent.py
@@ -13,6 +13,7 @@
 from bronzerudder.claims import StoredClaimRegister
 from bronzerudder.claims.metrics import ClaimCollector
 from bronzerudder.cli.api import EXIT_OK
+from bronzerudder.concurrency import supervise
 from bronzerudder.configuration import SharedConfiguration
 from bronzerudder.configuration.peer_service import ConfigurationPeerService
 from bronzerudder.configuration.peer_source import PeerConfigurationSource
@@ -105,7 +106,7 @@
         settings = self._settings
         exchange_pb2_grpc.add_AgentExchangeServicer_to_server(self._service, self._server)
         self._peer_service.add_to(self._server)
-        self._tasks.start_soon(self._source.run)
+        self._tasks.start_soon(supervise, "configuration", self._source.run)
         host, port = settings["listener"]["host"], settings["listener"]["port"]
         bound_port = self._server.add_insecure_port(f"{host}:{port}")
         await self._server.start()
@@ -114,8 +115,8 @@
         )
         app = AdminApp(self._registry, self._find_unready_reason, self._describe)
         self._tasks.start_soon(serve_http, app, admin, stopped, GRPC_STOP_TIMEOUT_S)
-        self._tasks.start_soon(self._executor.sweep)
-        self._tasks.start_soon(self._register.run)
+        self._tasks.start_soon(supervise, "sweep", self._executor.sweep)
+        self._tasks.start_soon(supervise, "claims", self._register.run)
         announce_listening(f"{host}:{bound_port}", admin_address=format_address(admin))
         log_event("listening", address=f"{host}:{bound_port}", incarnation=self._incarnation)
 
--- a/src/bronzerudder/processes/entry.py
+++ b/src/bronzerudder/processes/entry.py
@@ -12,6 +12,7 @@
 from bronzerudder.agent import AgentPool
 from bronzerudder.caller import CallerApp, CallerHeaders
 from bronzerudder.cli.api import EXIT_OK
+from bronzerudder.concurrency import supervise
 from bronzerudder.configuration import SharedConfiguration
 from bronzerudder.configuration.peer_service import ConfigurationPeerService
 from bronzerudder.configuration.platform_source import PlatformConfigurationSource
@@ -93,11 +94,11 @@
         listener = self._settings["peer_listener"]
         self._peer_port = self._server.add_insecure_port(f"{listener['host']}:{listener['port']}")
         await self._server.start()
-        self._tasks.start_soon(self._source.run)
-        self._tasks.start_soon(self._follow_configuration)
-        self._tasks.start_soon(self._agents.retire_unwanted)
+        self._tasks.start_soon(supervise, "configuration", self._source.run)
+        self._tasks.start_soon(supervise, "configuration follower", self._follow_configuration)
+        self._tasks.start_soon(supervise, "connection retirement", self._agents.retire_unwanted)
         follower = LeavingFollower(self._store.instances, self._agents.mark_leaving)
-        self._tasks.start_soon(follower.run)
+        self._tasks.start_soon(supervise, "instance list", follower.run)
 
     async def serve_until(self, stopping: anyio.Event) -> None:
         """Serve callers; once told to stop, let requests in flight finish."""
--- a/tests/agent/test_stream.py
+++ b/tests/agent/test_stream.py
@@ -44,6 +44,18 @@
             await ExchangeStream(HangingCall()).read()
         self.assertTrue(scope.cancelled_caught)
 
+    async def test_a_cancellation_of_the_task_that_lost_its_mark_is_passed_on(self):
+        class UnmarkingCall:
+            async def read(self):
+                try:
+                    await anyio.sleep_forever()
+                except asyncio.CancelledError:
+                    raise asyncio.CancelledError from None
+
+        with anyio.move_on_after(0.01) as scope:
+            await ExchangeStream(UnmarkingCall()).read()
+        self.assertTrue(scope.cancelled_caught)
+
     async def test_the_end_of_the_stream_is_none(self):
         class EndedCall:
             async def read(self):
