Move answers at once when an agent's process is gone

Cause: with an agent killed in mid-stream its callers waited 3.27 s for the next token, since a dead agent was told from an unreachable one only by the resume window. A refused connection proves that the process and the answers it held are gone. Ruled out: a shorter window, which would give up answers that a replaced connection resumes.

--- a/src/bronzerudder/agent/connection.py
+++ b/src/bronzerudder/agent/connection.py
@@ -9,6 +9,7 @@
 import grpc.aio
 
 from bronzerudder.agent.attempt import RemoteAttempt
+from bronzerudder.agent.probe import is_refused
 from bronzerudder.agent.stream import ExchangeStream
 from bronzerudder.configuration import ConfigurationSource
 from bronzerudder.frames import exchange_pb2 as pb
@@ -139,6 +140,8 @@
             began = anyio.current_time()
             await self._run_once()
             self._note_disconnected()
+            if await is_refused(self._address):
+                self._lose_sent_attempts("the agent's process is gone")
             delay_s = RECONNECT_DELAY_S if self._last_heard > began else delay_s * 2
             delay_s = min(delay_s, MAX_RECONNECT_DELAY_S)
             await anyio.sleep(delay_s)
