--- a/bench/harness/deployment.py
+++ b/bench/harness/deployment.py
@@ -52,6 +52,8 @@
     entry: dict[str, Any] = {}
     platform: dict[str, Any] = {}
     deadline_s: float = 30.0
+    # Whether rows are written for what was started; without them nothing waits to be ready.
+    tables: bool = True
     # Puts a link that can fail before every agent, and before every backend server.
     agent_links: bool = False
     backend_links: bool = False
@@ -131,6 +133,23 @@
         with urllib.request.urlopen(request, timeout=5):
             return
 
+    def list_leaving(self, agent: ManagedProcess) -> None:
+        """Have the platform list an agent as leaving, without telling the agent."""
+        instance = {
+            "name": agent.name,
+            "role": "agent",
+            "address": agent.address,
+            "failure_domain": FAILURE_DOMAINS[0],
+            "state": "leaving",
+        }
+        request = urllib.request.Request(
+            f"http://{self.platform.address}/control/instances",
+            json.dumps(instance).encode(),
+            method="PUT",
+        )
+        with urllib.request.urlopen(request, timeout=5):
+            return
+
     def start_entry(self) -> ManagedProcess:
         """Start one more entry."""
         index = len(self.entries)
@@ -227,8 +246,11 @@
         self.services = self._start_agents(services, "service", BOOKING_POOL)
         for _ in range(shape.entries):
             self.start_entry()
-        self._write_tables()
-        self.wait_ready()
+        for process in (*self.entries, *(backend.agent for backend in self.engines)):
+            process.wait_listening()
+        if shape.tables:
+            self._write_tables()
+            self.wait_ready()
 
     def _start_agents(self, servers: list[ManagedProcess], kind: str, pool: str) -> list[Backend]:
         return [self._start_backend(server, kind, pool) for server in servers]
--- a/src/bronzerudder/processes/entry.py
+++ b/src/bronzerudder/processes/entry.py
@@ -18,11 +18,13 @@
 from bronzerudder.dispatch import Dispatcher, TargetTable
 from bronzerudder.observability import AdminApp, Tracing, configure_logs, log_event
 from bronzerudder.observability.traces import DEFAULT_SAMPLE_RATIO
+from bronzerudder.platform.follower import LeavingFollower
 from bronzerudder.policy.limits import EvenSplitLimiter
 from bronzerudder.policy.retry import ShareBudget
-from bronzerudder.policy.routing import LeastOutstandingRouting
+from bronzerudder.policy.routing import TokenLoadRouting
 from bronzerudder.processes.platform import open_store
 from bronzerudder.processes.signals import set_on_termination
+from bronzerudder.quarantine import QuarantineFeed
 from bronzerudder.settings.entry import EntrySettings
 from bronzerudder.web import announce_listening, bind_listener, format_address, serve_http
 
@@ -76,10 +78,12 @@
         )
         self._peer_service = ConfigurationPeerService(shared, self._source)
         self._agents = AgentPool(
-            settings["entry_id"], settings["failure_domain"], self._source, tasks
+            settings["entry_id"], settings["failure_domain"], self._source, QuarantineFeed(), tasks
         )
         generator = random.Random()
-        self._targets = TargetTable(self._agents, lambda row: LeastOutstandingRouting(generator))
+        self._targets = TargetTable(
+            self._agents, lambda row: TokenLoadRouting(generator, settings["failure_domain"])
+        )
         self._app = self._build_app()
         self._server = grpc.aio.server(options=GRPC_OPTIONS)
 
@@ -92,6 +96,8 @@
         self._tasks.start_soon(self._source.run)
         self._tasks.start_soon(self._follow_configuration)
         self._tasks.start_soon(self._agents.retire_unwanted)
+        follower = LeavingFollower(self._store.instances, self._agents.mark_leaving)
+        self._tasks.start_soon(follower.run)
 
     async def serve_until(self, stopping: anyio.Event) -> None:
         """Serve callers; once told to stop, let requests in flight finish."""
