Part the shard log and the committer into smaller modules

The bounded store, the segments, the change of a head and the endings stand alone now, and the store in memory is shared by tests and the benchmark, which had written it twice.

--- a/bench/claims.py
+++ b/bench/claims.py
@@ -18,6 +18,7 @@
 
 from bench.harness import Deployment, Shape
 from bench.harness.load import call_service, open_client
+from bench.harness.memory_store import LOST, MemoryStore, Objects
 from bronzerudder.claims import (
     AlreadyFinished,
     ClaimKey,
@@ -27,15 +28,6 @@
     Unknown,
 )
 from bronzerudder.claims.settings import ClaimSettings
-from bronzerudder.platform import (
-    ABSENT_VERSION,
-    ChangeBatch,
-    Listing,
-    ObjectStore,
-    StoredObject,
-    StoreError,
-    StoreErrorKind,
-)
 
 ROUND_TRIP_S = 0.01
 BASE_RATE = 125.0
@@ -64,69 +56,12 @@
     cpu_us_per_claim: float
 
 
-class DelayedStore(ObjectStore):
-    """Objects in memory behind a round trip; loses a share of the answers of writes."""
-
-    def __init__(self, round_trip_s: float, lost_share: float = 0.0) -> None:
-        self._round_trip_s = round_trip_s
-        self._lost_share = lost_share
-        self._random = random.Random(SEED)
-        self._objects: dict[tuple[str, str], StoredObject] = {}
-        self._version = 0
-        self.writes = 0
-        self.bytes_written = 0
-        self.seconds_in_writes = 0.0
-
-    @property
-    def mean_trip_s(self) -> float:
-        """Time that a write has really taken, in seconds."""
-        return self.seconds_in_writes / self.writes
-
-    async def get(self, kind: str, name: str) -> StoredObject | StoreError:
-        """Read one object."""
-        await anyio.sleep(self._round_trip_s)
-        missing = StoreError(StoreErrorKind.NOT_FOUND, name)
-        return self._objects.get((kind, name), missing)
-
-    async def put(self, kind: str, name: str, value: bytes, if_version: int) -> int | StoreError:
-        """Write an object if its version is still the one given."""
-        self.writes += 1
-        self.bytes_written += len(value)
-        began = time.monotonic()
-        try:
-            return await self._put(kind, name, value, if_version)
-        finally:
-            self.seconds_in_writes += time.monotonic() - began
-
-    async def _put(self, kind: str, name: str, value: bytes, if_version: int) -> int | StoreError:
-        await anyio.sleep(self._round_trip_s / 2)
-        current = self._objects.get((kind, name))
-        if (current.version if current else ABSENT_VERSION) != if_version:
-            return StoreError(StoreErrorKind.CONFLICT, name)
-        self._version += 1
-        version = self._version
-        self._objects[kind, name] = StoredObject(kind, name, version, value)
-        await anyio.sleep(self._round_trip_s / 2)
-        if self._random.random() < self._lost_share:
-            return StoreError(StoreErrorKind.OUTCOME_UNKNOWN, "lost")
-        return version
-
-    async def delete(self, kind: str, name: str, if_version: int) -> int | StoreError:
-        """Delete an object."""
-        await anyio.sleep(self._round_trip_s)
-        del self._objects[kind, name]
-        self._version += 1
-        return self._version
-
-    async def list(self, kind: str) -> Listing | StoreError:
-        """Read all objects of a kind; not used here."""
-        raise NotImplementedError
-
-    async def watch(
-        self, kind: str, after_version: int, timeout_s: float
-    ) -> ChangeBatch | StoreError:
-        """Wait for changes; not used here."""
-        raise NotImplementedError
+def open_store(round_trip_s: float, lost_share: float = 0.0) -> MemoryStore:
+    """Open a store that loses a share of the answers of its writes."""
+    store = MemoryStore(Objects(), round_trip_s)
+    generator = random.Random(SEED)
+    store.fault = lambda: LOST if generator.random() < lost_share else None
+    return store
 
 
 class Load:
@@ -173,7 +108,7 @@
     rate: float, settings: ClaimSettings, shards: int = 1, round_trip_s: float = ROUND_TRIP_S
 ) -> Sample:
     """Measure one rate."""
-    store = DelayedStore(round_trip_s)
+    store = open_store(round_trip_s)
     register = StoredClaimRegister(store, "p", 1, settings)
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(register.run)
@@ -183,15 +118,15 @@
         cpu_s = time.process_time() - cpu_s
         await register.flush()
         tasks.cancel_scope.cancel()
-    trip_us = store.mean_trip_s * MICROSECONDS
+    trip_us = store.objects.mean_put_s * MICROSECONDS
     return Sample(
         rate,
         load.granted,
-        store.writes / DURATION_S,
-        load.granted / store.writes,
+        store.objects.puts / DURATION_S,
+        load.granted / store.objects.puts,
         load.histogram.get_value_at_percentile(50) / trip_us,
         load.histogram.get_value_at_percentile(99) / trip_us,
-        store.bytes_written / load.granted,
+        store.objects.bytes_put / load.granted,
         cpu_s / load.granted * MICROSECONDS,
     )
 
@@ -204,7 +139,7 @@
     tuple of int
         Repeats, those told the stored answer, and those told that it is unknown.
     """
-    store = DelayedStore(ROUND_TRIP_S, lost_share)
+    store = open_store(ROUND_TRIP_S, lost_share)
     finished = unknown = asked = 0
     for life in range(1, kills + 1):
         register = StoredClaimRegister(store, "p", life, {})
@@ -229,7 +164,7 @@
 
 async def measure_memory(keys: int) -> tuple[float, float]:
     """Return bytes of resident memory per finished key kept, and seconds to take a shard over."""
-    store = DelayedStore(0.0)
+    store = open_store(0.0)
     register = StoredClaimRegister(store, "p", 1, {})
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(register.run)
@@ -252,7 +187,7 @@
         return int(statm.read().split()[1]) * resource.getpagesize()
 
 
-async def measure_whole_path(deployment: Deployment, keyed: bool) -> tuple[float, float]:
+async def measure_whole_path(deployment: Deployment, part: int, keyed: bool) -> tuple[float, float]:
     """Return the median and the 99th percentile of a booking's time, in seconds."""
     histogram = hdrh.histogram.HdrHistogram(1, 60 * MICROSECONDS, 3)
     limiter = anyio.CapacityLimiter(PATH_CONCURRENCY)
@@ -260,7 +195,7 @@
     async def book(client: httpx.AsyncClient, number: int) -> None:
         async with limiter:
             entry = deployment.entries[number % len(deployment.entries)].address
-            label = f"booking {number}"
+            label = f"booking {part} {number}"
             began = time.monotonic()
             result = await call_service(client, entry, label, label if keyed else "")
             if result.outcome != "done":
@@ -279,8 +214,8 @@
     with Deployment(Shape(services=3, entries=2)) as deployment:
         address = f"http://{deployment.platform.address}/control/faults/*"
         httpx.put(address, json={"delay_s": ROUND_TRIP_S}).raise_for_status()
-        for keyed in (False, True, False, True):
-            median_s, p99_s = anyio.run(measure_whole_path, deployment, keyed)
+        for part, keyed in enumerate((False, True, False, True)):
+            median_s, p99_s = anyio.run(measure_whole_path, deployment, part, keyed)
             name = "with a key" if keyed else "without a key"
             print(f"{name}: median {median_s * 1000:.1f} ms, p99 {p99_s * 1000:.1f} ms")
 
--- a/tests/claims/stores.py
+++ b/bench/harness/memory_store.py
@@ -1,7 +1,8 @@
-"""Object stores in memory whose calls a test can hold, refuse and lose."""
+"""Object stores in memory whose calls can be delayed, held, refused and lost."""
 
 from __future__ import annotations
 
+import time
 from collections.abc import Callable
 from typing import Any
 
@@ -31,13 +32,21 @@
         self.gets = 0
         self.bytes_put = 0
         self.largest_put = 0
+        self.seconds_in_puts = 0.0
+
+    @property
+    def mean_put_s(self) -> float:
+        """Time that a write has taken, in seconds."""
+        return self.seconds_in_puts / self.puts
 
     def get(self, kind: str, name: str) -> StoredObject | StoreError:
+        """Read one object."""
         self.gets += 1
         missing = StoreError(StoreErrorKind.NOT_FOUND, name)
         return self.held.get((kind, name), missing)
 
     def put(self, kind: str, name: str, value: bytes, if_version: int) -> int | StoreError:
+        """Write an object if its version is still the one given."""
         self.puts += 1
         self.bytes_put += len(value)
         self.largest_put = max(self.largest_put, len(value))
@@ -49,6 +58,7 @@
         return self.version
 
     def delete(self, kind: str, name: str, if_version: int) -> int | StoreError:
+        """Delete an object if its version is still the one given."""
         current = self.held.get((kind, name))
         if current is None or current.version != if_version:
             return StoreError(StoreErrorKind.CONFLICT, name)
@@ -68,6 +78,7 @@
         self.answer: Any = None
 
     def give(self, answer: Any) -> None:
+        """Answer the call."""
         self.answer = answer
         self.answered.set()
 
@@ -95,20 +106,29 @@
         self._owner = owner
 
     async def get(self, kind: str, name: str) -> StoredObject | StoreError:
+        """Read one object."""
         return await self._call(lambda: self.objects.get(kind, name), False)
 
     async def put(self, kind: str, name: str, value: bytes, if_version: int) -> int | StoreError:
-        return await self._call(lambda: self.objects.put(kind, name, value, if_version), True)
+        """Write an object if its version is still the one given."""
+        began = time.monotonic()
+        try:
+            return await self._call(lambda: self.objects.put(kind, name, value, if_version), True)
+        finally:
+            self.objects.seconds_in_puts += time.monotonic() - began
 
     async def delete(self, kind: str, name: str, if_version: int) -> int | StoreError:
+        """Delete an object if its version is still the one given."""
         return await self._call(lambda: self.objects.delete(kind, name, if_version), True)
 
     async def list(self, kind: str) -> Listing | StoreError:
+        """Not needed by what uses this store."""
         raise NotImplementedError
 
     async def watch(
         self, kind: str, after_version: int, timeout_s: float
     ) -> ChangeBatch | StoreError:
+        """Not needed by what uses this store."""
         raise NotImplementedError
 
     async def _call(self, perform: Callable[[], Any], writes: bool) -> Any:
--- a/src/bronzerudder/claims/committer.py
+++ b/src/bronzerudder/claims/committer.py
@@ -10,6 +10,7 @@
 from absl import logging
 
 from bronzerudder.claims.compaction import Compactor
+from bronzerudder.claims.endings import Endings
 from bronzerudder.claims.own_keys import OwnKeys
 from bronzerudder.claims.records import ClaimState, Record
 from bronzerudder.claims.settings import (
@@ -23,7 +24,6 @@
 from bronzerudder.platform import StoreError, StoreErrorKind
 
 _MAX_BATCH_RECORDS = 1000
-_MAX_BATCH_ANSWER_BYTES = 200_000
 _MAX_HEAD_BYTES = 400_000
 _COMMIT_TRIES = 20
 _RETRIED = (StoreErrorKind.CONFLICT, StoreErrorKind.OUTCOME_UNKNOWN)
@@ -52,8 +52,7 @@
         self._write_interval_s = settings.get("write_interval_s", DEFAULT_WRITE_INTERVAL_S)
         self._retry_after_s = settings.get("retry_after_s", DEFAULT_RETRY_AFTER_S)
         self._tickets: dict[bytes, Ticket] = {}
-        self._closing: dict[bytes, Record] = {}
-        self._withdrawn: dict[bytes, bytes] = {}
+        self._endings = Endings(log, own, incarnation)
         self._wake = anyio.Event()
         self._settled = anyio.Event()
         self._flushing = False
@@ -94,14 +93,14 @@
 
     def close(self, record: Record) -> None:
         """Queue the record that ends a granted key."""
-        if not self._closing:
+        if not self._endings:
             self._closing_due_s = time.monotonic() + self._finish_delay_s
-        self._closing[record.digest] = record
+        self._endings.add(record)
         self._wake.set()
 
     async def flush(self) -> None:
         """Wait until the queued records are on record or an attempt has failed."""
-        while self._closing:
+        while self._endings.has_ends:
             self._flushing = True
             self._wake.set()
             await self._settled.wait()
@@ -136,7 +135,7 @@
     def _idle_limit_s(self) -> float | None:
         if self._flushing:
             return 0.0
-        if not self._closing and not self._withdrawn:
+        if not self._endings:
             return None
         return max(self._closing_due_s - time.monotonic(), self.closed_for_s, 0.0)
 
@@ -166,14 +165,15 @@
     async def _write(self, claimed: list[Ticket]) -> StoreError | None:
         records = self._make_records(claimed)
         if not records:
-            self._withdrawn.clear()
+            self._endings.forget_withdrawals()
             return None
         error = await self._log.append(records)
         self._writes += 1
         if error is None:
             self._accept(claimed, records)
             return None
-        self._withdrawn.update({ticket.digest: ticket.fingerprint for ticket in claimed})
+        for ticket in claimed:
+            self._endings.withdraw(ticket.digest, ticket.fingerprint)
         if error.kind is StoreErrorKind.CONFLICT:
             self._conflicts += 1
         if error.kind is StoreErrorKind.OUTCOME_UNKNOWN:
@@ -211,63 +211,31 @@
         """
         if entry.state is not ClaimState.CLAIMED or entry.incarnation != self._incarnation:
             return False
-        released = ticket.digest in self._closing
+        released = self._endings.has_end(ticket.digest)
         other_request = entry.fingerprint != ticket.fingerprint
         return released or other_request or self._log.in_doubt
 
     def _make_records(self, claimed: list[Ticket]) -> tuple[Record, ...]:
         now_s = self._log.now_s()
-        starting = {ticket.digest for ticket in claimed}
-        for digest in starting:
-            self._closing.pop(digest, None)
-        records = list(self._closing_records())
-        records.extend(self._withdrawal_records(now_s, starting))
+        records = self._endings.make_records({ticket.digest for ticket in claimed})
         for ticket in claimed:
             state = ClaimState.CLAIMED
             record = Record(ticket.digest, ticket.fingerprint, state, self._incarnation, now_s)
             records.append(record)
         return tuple(records)
 
-    def _closing_records(self) -> tuple[Record, ...]:
-        records = []
-        size = 0
-        for record in self._closing.values():
-            size += len(record.answer.body) if record.answer is not None else 0
-            if size > _MAX_BATCH_ANSWER_BYTES or len(records) >= _MAX_BATCH_RECORDS:
-                break
-            records.append(record)
-        return tuple(records)
-
-    def _withdrawal_records(self, now_s: int, starting: set[bytes]) -> list[Record]:
-        records = []
-        for digest, fingerprint in self._withdrawn.items():
-            if digest in starting or digest in self._closing or digest in self._own:
-                continue
-            if self._needs_release(self._log.lookup(digest)):
-                state = ClaimState.RELEASED
-                records.append(Record(digest, fingerprint, state, self._incarnation, now_s))
-        return records
-
-    def _needs_release(self, entry: Entry | None) -> bool:
-        """Whether a withdrawn claim is on record, or may still get there."""
-        if entry is None or entry.state is ClaimState.RELEASED:
-            return self._log.in_doubt
-        return entry.state is ClaimState.CLAIMED and entry.incarnation == self._incarnation
-
     def _accept(self, claimed: list[Ticket], records: tuple[Record, ...]) -> None:
-        self._withdrawn.clear()
-        for record in records:
-            if self._closing.get(record.digest) is record:
-                del self._closing[record.digest]
-                self._own.forget_recorded(record.digest)
+        self._endings.forget_withdrawals()
+        for digest in self._endings.remove_recorded(records):
+            self._own.forget_recorded(digest)
         for ticket in claimed:
             self._grant(ticket)
 
     def _grant(self, ticket: Ticket) -> None:
         del self._tickets[ticket.digest]
-        self._withdrawn.pop(ticket.digest, None)
+        self._endings.forget_withdrawal(ticket.digest)
         if not ticket.waiters:
-            self._withdrawn[ticket.digest] = ticket.fingerprint
+            self._endings.withdraw(ticket.digest, ticket.fingerprint)
             return
         self._claims += 1
         self._own.start(ticket.digest, ticket.fingerprint)
--- a/src/bronzerudder/claims/compaction.py
+++ b/src/bronzerudder/claims/compaction.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from bronzerudder.claims.head_change import SegmentChange
 from bronzerudder.claims.records import (
     Record,
     Segment,
@@ -10,7 +11,7 @@
     encode,
 )
 from bronzerudder.claims.settings import DEFAULT_SEAL_BYTES, ClaimSettings
-from bronzerudder.claims.shard_log import SegmentChange, ShardLog
+from bronzerudder.claims.shard_log import ShardLog
 from bronzerudder.platform import StoreError
 
 MERGE_COUNT = 16
@@ -49,7 +50,7 @@
             return
         name = f"{self._log.name}.{head.base}"
         segment = Segment(len(head.records), compact(head.records))
-        stored = await self._log.store_segment(name, segment)
+        stored = await self._log.segments.write(name, segment)
         if isinstance(stored, StoreError):
             return
         reference = _refer(name, stored)
@@ -60,7 +61,7 @@
         records: list[Record] = []
         count = 0
         for part in parts:
-            segment = await self._log.read_segment(part.name)
+            segment = await self._log.segments.read(part.name)
             if isinstance(segment, StoreError):
                 return
             records.extend(segment.records)
@@ -68,7 +69,7 @@
         base = parts[0].name.removeprefix(f"{self._log.name}.").partition(".")[0]
         name = f"{self._log.name}.{base}.m{count}"
         merged = Segment(count, compact(tuple(records)))
-        stored = await self._log.store_segment(name, merged)
+        stored = await self._log.segments.write(name, merged)
         if isinstance(stored, StoreError):
             return
         replaced = tuple(part.name for part in parts)
@@ -77,7 +78,7 @@
     async def _delete_garbage(self) -> None:
         deleted = set()
         for name in self._log.head.garbage:
-            if await self._log.delete_segment(name):
+            if await self._log.segments.delete(name):
                 deleted.add(name)
         self._log.forget_garbage(frozenset(deleted))
 
--- a/src/bronzerudder/claims/shard_log.py
+++ b/src/bronzerudder/claims/shard_log.py
@@ -3,25 +3,25 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from typing import NamedTuple, TypeVar
 
 import anyio
 
 from bronzerudder.claims.api import StoredAnswer
+from bronzerudder.claims.bounded_store import BoundedStore
+from bronzerudder.claims.head_change import SegmentChange, apply_change, expire_segments
 from bronzerudder.claims.records import (
     EMPTY_HEAD,
     HEAD_KIND,
-    SEGMENT_KIND,
     ClaimState,
     Head,
     Record,
     Segment,
-    SegmentReference,
     decode_head,
-    decode_segment,
     encode,
 )
+from bronzerudder.claims.segment_store import SegmentStore
 from bronzerudder.claims.settings import (
     DEFAULT_RETENTION_S,
     DEFAULT_STORE_TIMEOUT_S,
@@ -44,30 +44,6 @@
     segment: str | None
 
 
-class SegmentChange(NamedTuple):
-    """A stored segment that the next append puts in place of what it stands for.
-
-    Parameters
-    ----------
-    base : int
-        Base of the head whose records the segment replaces.
-    count : int
-        How many leading records of that head it replaces; 0 for a merge of segments.
-    replaced : tuple of str
-        Older, adjacent segments that it replaces.
-    added : SegmentReference
-        The segment.
-    records : tuple of Record
-        Its content.
-    """
-
-    base: int
-    count: int
-    replaced: tuple[str, ...]
-    added: SegmentReference
-    records: tuple[Record, ...]
-
-
 class ShardLog:
     """The shard as last read or written by this process."""
 
@@ -78,11 +54,11 @@
         settings: ClaimSettings,
         clock: Callable[[], float] = time.time,
     ) -> None:
-        self._store = store
+        self._store = BoundedStore(store, settings.get("store_timeout_s", DEFAULT_STORE_TIMEOUT_S))
         self._name = name
-        self._timeout_s = settings.get("store_timeout_s", DEFAULT_STORE_TIMEOUT_S)
         self._retention_s = settings.get("retention_s", DEFAULT_RETENTION_S)
         self._clock = clock
+        self._segments = SegmentStore(self._store)
         self._version = ABSENT_VERSION
         self._doubtful_version: int | None = None
         self._head = EMPTY_HEAD
@@ -92,6 +68,11 @@
         self._change: SegmentChange | None = None
         self._loaded = False
 
+    @property
+    def segments(self) -> SegmentStore:
+        """The stored segments."""
+        return self._segments
+
     @property
     def name(self) -> str:
         """Name of the shard's head object."""
@@ -136,7 +117,7 @@
         """Fetch the stored answer of a finished key; None when it was too large to keep."""
         if entry.segment is None:
             return entry.answer
-        segment = await self.read_segment(entry.segment)
+        segment = await self.segments.read(entry.segment)
         if isinstance(segment, StoreError):
             return segment
         for record in segment.records:
@@ -166,9 +147,7 @@
         head = self._next_head(records)
         data = encode(head)
         seen = self._version
-        version = await self._bounded(
-            self._store.put(HEAD_KIND, self._name, data, seen), StoreErrorKind.OUTCOME_UNKNOWN
-        )
+        version = await self._store.put(HEAD_KIND, self._name, data, seen)
         if isinstance(version, StoreError):
             self._note_failure(version, seen)
             return version
@@ -181,52 +160,13 @@
         """Put a stored segment in place with the next append."""
         self._change = change
 
-    async def store_segment(self, name: str, segment: Segment) -> Segment | StoreError:
-        """Write a segment, or read the one that another writer has stored by that name."""
-        data = encode(segment)
-        result = await self._bounded(
-            self._store.put(SEGMENT_KIND, name, data, ABSENT_VERSION),
-            StoreErrorKind.OUTCOME_UNKNOWN,
-        )
-        if not isinstance(result, StoreError):
-            return segment
-        if result.kind in (StoreErrorKind.CONFLICT, StoreErrorKind.OUTCOME_UNKNOWN):
-            return await self.read_segment(name)
-        return result
-
-    async def read_segment(self, name: str) -> Segment | StoreError:
-        """Read a segment."""
-        stored = await self._bounded(
-            self._store.get(SEGMENT_KIND, name), StoreErrorKind.UNAVAILABLE
-        )
-        if isinstance(stored, StoreError):
-            return stored
-        segment = decode_segment(stored.value)
-        if segment is None:
-            return StoreError(StoreErrorKind.INVALID, f"segment {name} cannot be decoded")
-        return segment
-
-    async def delete_segment(self, name: str) -> bool:
-        """Delete a segment; return whether it is known to be gone."""
-        stored = await self._bounded(
-            self._store.get(SEGMENT_KIND, name), StoreErrorKind.UNAVAILABLE
-        )
-        if isinstance(stored, StoreError):
-            return stored.kind is StoreErrorKind.NOT_FOUND
-        result = await self._bounded(
-            self._store.delete(SEGMENT_KIND, name, stored.version), StoreErrorKind.OUTCOME_UNKNOWN
-        )
-        return not isinstance(result, StoreError)
-
     def forget_garbage(self, names: frozenset[str]) -> None:
         """Leave deleted segments out of the head from the next append on."""
         garbage = tuple(name for name in self._head.garbage if name not in names)
         self._head = self._head._replace(garbage=garbage)
 
     async def _load_once(self) -> StoreError | None:
-        stored = await self._bounded(
-            self._store.get(HEAD_KIND, self._name), StoreErrorKind.UNAVAILABLE
-        )
+        stored = await self._store.get(HEAD_KIND, self._name)
         if isinstance(stored, StoreError):
             if stored.kind is not StoreErrorKind.NOT_FOUND:
                 return stored
@@ -247,7 +187,7 @@
         results: dict[str, Segment | StoreError] = {}
 
         async def fetch(name: str) -> None:
-            results[name] = await self.read_segment(name)
+            results[name] = await self.segments.read(name)
 
         async with anyio.create_task_group() as tasks:
             for name in missing:
@@ -260,26 +200,10 @@
         return fetched
 
     def _next_head(self, records: tuple[Record, ...]) -> Head:
-        head = self._apply_change()
-        oldest_s = self.now_s() - self._retention_s
-        kept = tuple(part for part in head.segments if part.newest_s >= oldest_s)
-        expired = tuple(part.name for part in head.segments if part.newest_s < oldest_s)
-        return Head(head.base, kept, head.garbage + expired, head.records + records)
-
-    def _apply_change(self) -> Head:
-        head, change = self._head, self._change
+        head = apply_change(self._head, self._change)
         self._change = None
-        if change is None or (change.count and change.base != head.base):
-            return head
-        names = [part.name for part in head.segments]
-        if any(name not in names for name in change.replaced):
-            return head
-        place = names.index(change.replaced[0]) if change.replaced else len(names)
-        segments = list(head.segments)
-        segments.insert(place, change.added)
-        kept = tuple(part for part in segments if part.name not in change.replaced)
-        garbage = head.garbage + change.replaced
-        return Head(head.base + change.count, kept, garbage, head.records[change.count :])
+        head = expire_segments(head, self.now_s() - self._retention_s)
+        return head._replace(records=head.records + records)
 
     def _adopt(self, version: int, head: Head, fetched: dict[str, tuple[Record, ...]]) -> None:
         sealed = {}
@@ -299,13 +223,6 @@
         if error.kind is StoreErrorKind.CONFLICT:
             self._loaded = False
 
-    async def _bounded(
-        self, call: Awaitable[_Result], late: StoreErrorKind
-    ) -> _Result | StoreError:
-        with anyio.move_on_after(self._timeout_s):
-            return await call
-        return StoreError(late, f"no answer within {self._timeout_s} s")
-
 
 def _as_entry(record: Record, segment: str | None) -> Entry:
     return Entry(record.fingerprint, record.state, record.incarnation, record.answer, segment)
--- a/tests/claims/test_late_writes.py
+++ b/tests/claims/test_late_writes.py
@@ -7,8 +7,8 @@
 
 import anyio.lowlevel
 
+from bench.harness.memory_store import DOWN, LOST, HeldCall, MemoryStore, Objects
 from bronzerudder.claims import ClaimKey, Granted, StoredClaimRegister
-from tests.claims.stores import DOWN, LOST, HeldCall, MemoryStore, Objects
 
 LOOP_TURNS = 30
 FOREVER_S = 1e6
--- a/tests/claims/test_register.py
+++ b/tests/claims/test_register.py
@@ -11,6 +11,7 @@
 import anyio
 from prometheus_client import CollectorRegistry, generate_latest
 
+from bench.harness.memory_store import DOWN, LOST, MemoryStore, Objects
 from bronzerudder.claims import (
     AlreadyFinished,
     ClaimError,
@@ -26,7 +27,6 @@
 from bronzerudder.claims.metrics import ClaimCollector
 from bronzerudder.claims.records import HEAD_KIND, SEGMENT_KIND
 from bronzerudder.platform import MAX_VALUE_BYTES
-from tests.claims.stores import DOWN, LOST, MemoryStore, Objects
 
 TIMEOUT_S = 5.0
 RETRY_INTERVAL_S = 0.01
--- a/tests/claims/test_register_machine.py
+++ b/tests/claims/test_register_machine.py
@@ -10,6 +10,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
+from bench.harness.memory_store import DOWN, LOST, HeldCall, MemoryStore, Objects
 from bronzerudder.claims import (
     AlreadyFinished,
     ClaimKey,
@@ -19,7 +20,6 @@
     committer,
     compaction,
 )
-from tests.claims.stores import DOWN, LOST, HeldCall, MemoryStore, Objects
 
 FINGERPRINT = b"12345678"
 KEYS = tuple(ClaimKey(bytes(15) + bytes([number]), FINGERPRINT) for number in range(3))
--- a/tests/execution/test_keyed.py
+++ b/tests/execution/test_keyed.py
@@ -7,12 +7,12 @@
 
 import anyio
 
+from bench.harness.memory_store import MemoryStore, Objects
 from bronzerudder.backend_server import BackendError, BackendErrorKind
 from bronzerudder.claims import StoredClaimRegister
 from bronzerudder.execution import Executor, ExecutorLimits
 from bronzerudder.frames import exchange_pb2 as pb
 from bronzerudder.observability import Tracing
-from tests.claims.stores import MemoryStore, Objects
 from tests.execution.test_executor import INCARNATION, Recorder, build_submit
 from tests.fakes import ScriptedBackendServer
 
