Ask another agent about a keyed request whose agent is lost

Cause: a keyed request whose agent died was reported unknown at once, though the claim on record lets another agent say whether it ran, or run it where it never was claimed. Ruled out: the same for requests without a key, which no record protects. The attempt moves only when the agent is lost and no part of an answer has come. The history with a kill now also stops an agent gracefully: every key it finished is answered by the agent that is left.

--- a/src/bronzerudder/dispatch/dispatcher.py
+++ b/src/bronzerudder/dispatch/dispatcher.py
@@ -110,7 +110,7 @@
                 return outcome or _describe_no_candidate(target)
             attempted = await self._attempt(request, match, target, progress, number, deadline)
             outcome = _judge(attempted, progress)
-            if not _may_retry(attempted, progress, match.route["repeatable"]):
+            if not _may_retry(attempted, progress, request, match):
                 return outcome
             if not _is_stray(attempted.event):
                 tried.add(target.candidate.name)
@@ -196,7 +196,9 @@
     return describe_loss(event)
 
 
-def _may_retry(attempted: _Attempted, progress: Progress, repeatable: bool) -> bool:
+def _may_retry(
+    attempted: _Attempted, progress: Progress, request: CallerRequest, match: Match
+) -> bool:
     event = attempted.event
     if attempted.timed_out or progress.terminated or isinstance(event, Completed):
         return False
@@ -204,7 +206,10 @@
         return False
     if isinstance(event, Refused):
         return event.reason in RETRYABLE_REFUSALS
-    return repeatable
+    if isinstance(event, Lost) and request.idempotency_key:
+        # The claim on record keeps the next agent from running it again.
+        return True
+    return match.route["repeatable"]
 
 
 def _is_stray(event: FinalEvent) -> bool:
--- a/tests/claims/test_register.py
+++ b/tests/claims/test_register.py
@@ -210,6 +210,14 @@
                 tasks.cancel_scope.cancel()
             self.assertEqual(await register.claim(key("a"), TIMEOUT_S), Granted(key("a")))
 
+    async def test_a_platform_that_does_not_answer_is_given_up_on(self):
+        register, store = self.make(1, store_timeout_s=0.05, retry_after_s=1.0)
+        store.round_trip_s = 100.0
+        async with running(register):
+            with anyio.fail_after(1.0):
+                outcome = await register.claim(key("a"), TIMEOUT_S)
+            self.assertEqual(outcome.kind, ClaimErrorKind.UNAVAILABLE)
+
     async def test_shows_its_totals(self):
         register, _ = self.make(1)
         registry = CollectorRegistry()
--- a/tests/processes/test_at_most_once.py
+++ b/tests/processes/test_at_most_once.py
@@ -153,6 +153,21 @@
                 deployment.services[0].agent.kill()
             await self.repeat_all(deployment)
             self.judge(deployment)
+            await self.repeat_after_graceful_leave(deployment)
+
+    async def repeat_after_graceful_leave(self, deployment: Deployment) -> None:
+        """Stop another agent gracefully; what it finished is answered by the one that is left."""
+        before, self.results = self.results, collections.defaultdict(list)
+        for key in before:
+            self.results[key].append(before[key][-1])
+        leaving = deployment.services[1].agent
+        leaving.terminate()
+        await anyio.to_thread.run_sync(leaving.wait)
+        await self.repeat_all(deployment)
+        self.judge(deployment)
+        for key, (last, *repeats) in self.results.items():
+            if last.outcome == "done":
+                self.assertEqual({repeat.outcome for repeat in repeats}, {"done"}, key)
 
     async def test_entries_that_prefer_different_agents_for_the_same_shards(self):
         with Deployment(SHAPE._replace(entries=1)) as deployment:
