--- a/tests/policy/weight_budget/test_lending.py
+++ b/tests/policy/weight_budget/test_lending.py
@@ -7,9 +7,9 @@
 
 import anyio
 
+from bench.harness.memory_store import DOWN, LOST, MemoryStore, Objects
 from bronzerudder.policy.weight_budget import DividedBudget, LendingBudget, WeightStoreLimits
 from bronzerudder.policy.weight_budget.lending import CLOCK_TOLERANCE_S
-from tests.claims.stores import DOWN, LOST, MemoryStore, Objects
 
 RATE = 1e9
 GROUPS = 8
