--- a/src/bronzerudder/policy/admission/__init__.py
+++ b/src/bronzerudder/policy/admission/__init__.py
@@ -10,6 +10,7 @@
     AdmissionRequest,
     Queued,
 )
+from bronzerudder.policy.admission.fair import FairQueue, FairQueueTerms
 from bronzerudder.policy.admission.first_come import FirstComeQueue
 
 __all__ = [
@@ -18,6 +19,8 @@
     "AdmissionRefusal",
     "AdmissionRefusalKind",
     "AdmissionRequest",
+    "FairQueue",
+    "FairQueueTerms",
     "FirstComeQueue",
     "Queued",
 ]
--- a/src/bronzerudder/policy/admission/api.py
+++ b/src/bronzerudder/policy/admission/api.py
@@ -106,7 +106,7 @@
         """Tokens per second that the backend server has lately processed."""
 
     @abc.abstractmethod
-    def estimated_wait_s(self, workspace: str = "") -> float:
+    def estimated_wait_s(self, now_s: float) -> float:
         """Estimate the wait in seconds of a request offered now."""
 
     @abc.abstractmethod
--- /dev/null
+++ b/src/bronzerudder/policy/admission/fair.py
@@ -0,0 +1,273 @@
+"""Our queue: fair among workspaces, bounded, and refusing what can't meet its deadline."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from bronzerudder.policy.admission.api import (
+    AdmissionQueue,
+    AdmissionRefusal,
+    AdmissionRefusalKind,
+    AdmissionRequest,
+    Queued,
+)
+from bronzerudder.policy.admission.backlog import Backlog
+from bronzerudder.policy.admission.running import RunningSet
+
+DEFAULT_QUEUE_LENGTH = 256
+DEFAULT_MAX_WAIT_S = 0.3
+MIN_RETRY_AFTER_S = 0.1
+
+
+class FairQueueTerms(NamedTuple):
+    """What the queue enforces; each can be switched off to measure what it brings.
+
+    Parameters
+    ----------
+    max_queued : int
+        Requests held at most.
+    max_wait_s : float
+        Estimated wait in seconds above which a request is refused. A longer queue serves no more
+        requests; it only makes each wait longer, and the recovery after an overload too.
+    checks_deadlines : bool
+        Whether requests that can't meet their deadlines are refused.
+    shares_fairly : bool
+        Whether workspaces take turns; all count as one otherwise.
+    """
+
+    max_queued: int = DEFAULT_QUEUE_LENGTH
+    max_wait_s: float = DEFAULT_MAX_WAIT_S
+    checks_deadlines: bool = True
+    shares_fairly: bool = True
+
+
+DEFAULT_TERMS = FairQueueTerms()
+
+
+class FairQueue(AdmissionQueue):
+    """Starts requests by start-time fair queueing over workspaces, counted in tokens by weight.
+
+    Each workspace's next request carries a start tag in virtual time; the lowest goes first. A
+    workspace that comes back from idleness starts at the present virtual time, so it neither
+    owes nor is owed for the past. Tokens estimated but not used are given back at the end.
+
+    Parameters
+    ----------
+    concurrency : int
+        Requests that the backend server runs at a time.
+    terms : FairQueueTerms
+        What is enforced.
+    """
+
+    def __init__(self, concurrency: int, terms: FairQueueTerms = DEFAULT_TERMS) -> None:
+        self._terms = terms
+        self._running = RunningSet(concurrency)
+        self._backlogs: dict[str, Backlog] = {}
+        self._waiting: dict[str, AdmissionRequest] = {}
+        self._started: dict[str, AdmissionRequest] = {}
+        self._waiting_tokens = 0
+        self._virtual_time = 0.0
+        self._finish_tags: dict[str, float] = {}
+        self._hopeless: list[AdmissionRefusal] = []
+
+    @property
+    def queued_requests(self) -> int:
+        """Requests held and not started."""
+        return len(self._waiting)
+
+    @property
+    def running_requests(self) -> int:
+        """Requests started and not finished."""
+        return self._running.count
+
+    @property
+    def outstanding_tokens(self) -> int:
+        """Work of all requests held or running."""
+        return self._waiting_tokens + self._running.tokens
+
+    @property
+    def token_rate(self) -> float:
+        """Tokens per second that the backend server has lately processed."""
+        return self._running.token_rate
+
+    def estimated_wait_s(self, now_s: float) -> float:
+        """Estimate the wait in seconds of a request of a workspace that has nothing waiting."""
+        return self._estimate_wait_s(AdmissionRequest("", "", 0, 0.0), now_s)
+
+    def offer(self, request: AdmissionRequest, now_s: float) -> Queued | AdmissionRefusal:
+        """Take a request in, or refuse it at once."""
+        wait_s = self._estimate_wait_s(request, now_s)
+        late_s = now_s + wait_s + self._running.service_s(request.tokens) - request.deadline_s
+        if self._terms.checks_deadlines and late_s > 0:
+            return _refuse_late(request, late_s)
+        if wait_s > self._terms.max_wait_s:
+            return _refuse_long_wait(request, wait_s, self._terms.max_wait_s)
+        evicted: tuple[AdmissionRefusal, ...] = ()
+        if len(self._waiting) >= self._terms.max_queued and not self._can_start_at_once():
+            victim = self._find_victim(request)
+            refusal = self._refuse_full(victim, now_s)
+            if victim is request:
+                return refusal
+            self._drop(victim)
+            evicted = (refusal,)
+        self._hold(request)
+        return Queued(wait_s, evicted)
+
+    def next(self, now_s: float) -> AdmissionRequest | None:
+        """Start the next request, if there is room and one waits."""
+        while self._waiting and self._running.has_room:
+            name = min(self._backlogs, key=self._start_tag)
+            backlog = self._backlogs[name]
+            request = backlog.pop_first()
+            self._forget(request)
+            late_s = now_s + self._running.service_s(request.tokens) - request.deadline_s
+            if self._terms.checks_deadlines and late_s > 0:
+                self._hopeless.append(_refuse_late(request, late_s))
+                self._retire(name)
+                continue
+            self._virtual_time = max(self._virtual_time, backlog.start_tag)
+            backlog.start_tag += request.tokens / backlog.weight
+            self._retire(name)
+            self._running.start(request, now_s)
+            self._started[request.request_id] = request
+            return request
+        return None
+
+    def expire(self, now_s: float) -> tuple[AdmissionRefusal, ...]:
+        """Refuse the requests that can't meet their deadlines any more."""
+        refused, self._hopeless = self._hopeless, []
+        if not self._terms.checks_deadlines:
+            return tuple(refused)
+        for request in list(self._waiting.values()):
+            late_s = now_s + self._running.service_s(request.tokens) - request.deadline_s
+            if late_s <= 0:
+                continue
+            self._drop(request)
+            refused.append(_refuse_late(request, late_s))
+        return tuple(refused)
+
+    def progressed(self, request_id: str, tokens: int, now_s: float) -> None:
+        """Count `tokens` of a running request as processed."""
+        self._running.progress(request_id, tokens, now_s)
+
+    def finished(self, request_id: str, now_s: float) -> None:
+        """Count a running request as ended, and give back what it did not use."""
+        unused = self._running.finish(request_id, now_s)
+        request = self._started.pop(request_id, None)
+        if request is None or unused == 0:
+            return
+        name = self._share_name(request)
+        refund = unused / max(1, request.weight)
+        backlog = self._backlogs.get(name)
+        if backlog is not None:
+            backlog.start_tag -= refund
+        elif name in self._finish_tags:
+            self._finish_tags[name] -= refund
+
+    def cancel(self, request_id: str, now_s: float) -> bool:
+        """Remove a request that has not started; return whether it was held."""
+        request = self._waiting.get(request_id)
+        if request is None:
+            return False
+        self._drop(request)
+        return True
+
+    def _share_name(self, request: AdmissionRequest) -> str:
+        return request.workspace if self._terms.shares_fairly else ""
+
+    def _start_tag(self, name: str) -> float:
+        return self._backlogs[name].start_tag
+
+    def _can_start_at_once(self) -> bool:
+        return not self._waiting and self._running.has_room
+
+    def _estimate_wait_s(self, request: AdmissionRequest, now_s: float) -> float:
+        name = self._share_name(request)
+        own = self._backlogs.get(name)
+        own_ahead = own.tokens_ahead(request.priority) if own is not None else 0
+        start_tag = own.start_tag if own is not None else self._find_start_tag(name)
+        start_tag += own_ahead / max(1, request.weight)
+        ahead = float(own_ahead)
+        for other_name, other in self._backlogs.items():
+            if other_name == name:
+                continue
+            due = max(0.0, start_tag - other.start_tag) * other.weight
+            ahead += due
+        return self._running.wait_s(ahead, bool(self._waiting), now_s)
+
+    def _find_start_tag(self, name: str) -> float:
+        return max(self._virtual_time, self._finish_tags.get(name, 0.0))
+
+    def _hold(self, request: AdmissionRequest) -> None:
+        name = self._share_name(request)
+        backlog = self._backlogs.get(name)
+        if backlog is None:
+            backlog = self._backlogs[name] = Backlog(self._find_start_tag(name))
+        backlog.push(request)
+        self._waiting[request.request_id] = request
+        self._waiting_tokens += request.tokens
+
+    def _drop(self, request: AdmissionRequest) -> None:
+        name = self._share_name(request)
+        self._backlogs[name].remove(request)
+        self._forget(request)
+        self._retire(name)
+
+    def _forget(self, request: AdmissionRequest) -> None:
+        del self._waiting[request.request_id]
+        self._waiting_tokens -= request.tokens
+
+    def _retire(self, name: str) -> None:
+        if not self._backlogs[name].is_empty:
+            return
+        self._finish_tags[name] = self._backlogs.pop(name).start_tag
+        if len(self._finish_tags) <= 2 * self._terms.max_queued:
+            return
+        self._finish_tags = {
+            known: tag for known, tag in self._finish_tags.items() if tag > self._virtual_time
+        }
+
+    def _find_victim(self, request: AdmissionRequest) -> AdmissionRequest:
+        name = self._share_name(request)
+        own = self._backlogs.get(name)
+        own_tokens = own.tokens if own is not None else 0
+        most = (own_tokens + request.tokens) / max(1, request.weight)
+        heaviest = own
+        for other_name, other in self._backlogs.items():
+            if other_name != name and other.excess > most:
+                heaviest, most = other, other.excess
+        if heaviest is None:
+            return request
+        last = heaviest.last()
+        if heaviest is own and last.priority >= request.priority:
+            return request
+        return last
+
+    def _refuse_full(self, victim: AdmissionRequest, now_s: float) -> AdmissionRefusal:
+        wait_s = self._estimate_wait_s(victim, now_s)
+        return AdmissionRefusal(
+            victim.request_id,
+            AdmissionRefusalKind.QUEUE_FULL,
+            "the queue is full, and its workspace holds the largest part of it for its weight",
+            max(MIN_RETRY_AFTER_S, wait_s),
+        )
+
+
+def _refuse_long_wait(
+    request: AdmissionRequest, wait_s: float, max_wait_s: float
+) -> AdmissionRefusal:
+    return AdmissionRefusal(
+        request.request_id,
+        AdmissionRefusalKind.QUEUE_FULL,
+        f"expected to wait {wait_s:.1f} s",
+        max(MIN_RETRY_AFTER_S, wait_s - max_wait_s),
+    )
+
+
+def _refuse_late(request: AdmissionRequest, late_s: float) -> AdmissionRefusal:
+    return AdmissionRefusal(
+        request.request_id,
+        AdmissionRefusalKind.DEADLINE,
+        f"expected to end {late_s:.1f} s after its deadline",
+        max(MIN_RETRY_AFTER_S, late_s),
+    )
--- a/src/bronzerudder/policy/admission/first_come.py
+++ b/src/bronzerudder/policy/admission/first_come.py
@@ -52,9 +52,9 @@
         """Tokens per second that the backend server has lately processed."""
         return self._running.token_rate
 
-    def estimated_wait_s(self, workspace: str = "") -> float:
+    def estimated_wait_s(self, now_s: float) -> float:
         """Estimate the wait in seconds of a request offered now."""
-        return self._running.wait_s(self._waiting_tokens)
+        return self._running.wait_s(self._waiting_tokens, bool(self._waiting), now_s)
 
     def offer(self, request: AdmissionRequest, now_s: float) -> Queued | AdmissionRefusal:
         """Take a request in unless the queue is full."""
@@ -63,9 +63,9 @@
                 request.request_id,
                 AdmissionRefusalKind.QUEUE_FULL,
                 "the queue is full",
-                max(FULL_RETRY_AFTER_S, self.estimated_wait_s()),
+                max(FULL_RETRY_AFTER_S, self.estimated_wait_s(now_s)),
             )
-        wait_s = self.estimated_wait_s()
+        wait_s = self.estimated_wait_s(now_s)
         self._waiting[request.request_id] = request
         self._waiting_tokens += request.tokens
         return Queued(wait_s)
--- a/src/bronzerudder/policy/admission/running.py
+++ b/src/bronzerudder/policy/admission/running.py
@@ -3,18 +3,28 @@
 from __future__ import annotations
 
 import math
+from typing import NamedTuple
 
 from bronzerudder.policy.admission.api import AdmissionRequest
 
 RATE_TIME_CONSTANT_S = 2.0
-INITIAL_TOKEN_RATE = 1000.0
+INITIAL_TOKEN_RATE = 10_000.0
 """Tokens per second assumed until work has been seen."""
 MIN_TOKEN_RATE = 1.0
 RATE_INTERVAL_S = 0.1
+SERVICE_KEEP = 0.9
+"""Part of the old estimate of service time kept with each request that ends."""
+STALL_THRESHOLD_S = 0.5
+"""Silence of a busy backend server that is no longer ordinary."""
+
+
+class _Started(NamedTuple):
+    tokens: int
+    at_s: float
 
 
 class RunningSet:
-    """Counts running work and estimates the backend server's token rate.
+    """Counts running work and estimates the backend server's token rate and service time.
 
     Parameters
     ----------
@@ -27,10 +37,13 @@
     def __init__(self, concurrency: int, initial_token_rate: float = INITIAL_TOKEN_RATE) -> None:
         self._concurrency = concurrency
         self._rate = initial_token_rate
+        self._seconds_per_token = 0.0
         self._left: dict[str, int] = {}
+        self._started: dict[str, _Started] = {}
         self._tokens = 0
         self._window_tokens = 0
-        self._window_start_s: float | None = None
+        self._window_start_s = 0.0
+        self._progress_s = 0.0
 
     @property
     def count(self) -> int:
@@ -49,20 +62,33 @@
 
     @property
     def token_rate(self) -> float:
-        """Tokens per second, smoothed; only time with all places taken lowers it."""
+        """Estimated tokens cleared per second; only time with all places taken lowers it."""
         return self._rate
 
-    def wait_s(self, queued_tokens: float) -> float:
-        """Seconds until work behind `queued_tokens` starts."""
-        if self.has_room and queued_tokens <= 0:
-            return 0.0
-        return queued_tokens / max(MIN_TOKEN_RATE, self._rate)
+    def service_s(self, tokens: int) -> float:
+        """Estimate the seconds that a request runs once started."""
+        return tokens * self._seconds_per_token
+
+    def wait_s(self, tokens_ahead: float, others_wait: bool, now_s: float) -> float:
+        """Estimate the seconds until work behind `tokens_ahead` starts.
+
+        A backend server that has been silent is expected to stay so for as long again.
+        """
+        silence_s = now_s - self._progress_s if self._left else 0.0
+        if silence_s < STALL_THRESHOLD_S:
+            silence_s = 0.0
+        if self.has_room and not others_wait:
+            return silence_s
+        return silence_s + tokens_ahead / max(MIN_TOKEN_RATE, self._rate)
 
     def start(self, request: AdmissionRequest, now_s: float) -> None:
         """Count a request as running."""
-        if self._window_start_s is None:
+        if not self._left:
             self._window_start_s = now_s
+            self._window_tokens = 0
+            self._progress_s = now_s
         self._left[request.request_id] = request.tokens
+        self._started[request.request_id] = _Started(request.tokens, now_s)
         self._tokens += request.tokens
 
     def progress(self, request_id: str, tokens: int, now_s: float) -> None:
@@ -73,19 +99,30 @@
         done = min(left, tokens)
         self._left[request_id] = left - done
         self._tokens -= done
-        self._record(tokens, now_s)
+        self._record(done, now_s)
 
-    def finish(self, request_id: str, now_s: float) -> None:
-        """Count a request as ended, its remaining estimate as processed."""
+    def finish(self, request_id: str, now_s: float) -> int:
+        """Count a request as ended; return the part of its estimate that was not used."""
         left = self._left.pop(request_id, None)
         if left is None:
-            return
+            return 0
         self._tokens -= left
+        started = self._started.pop(request_id)
+        if left < started.tokens:
+            self._learn_service(started, now_s)
         self._record(left, now_s)
+        return left
+
+    def _learn_service(self, started: _Started, now_s: float) -> None:
+        measured = (now_s - started.at_s) / started.tokens
+        if self._seconds_per_token == 0.0:
+            self._seconds_per_token = measured
+            return
+        kept = SERVICE_KEEP * self._seconds_per_token
+        self._seconds_per_token = kept + (1 - SERVICE_KEEP) * measured
 
     def _record(self, tokens: int, now_s: float) -> None:
-        if self._window_start_s is None:
-            self._window_start_s = now_s
+        self._progress_s = now_s
         self._window_tokens += tokens
         elapsed_s = now_s - self._window_start_s
         if elapsed_s < RATE_INTERVAL_S:
