Admit at the agent by the fair queue

Cause: the agent took in up to its queue's length in order of arrival, whatever the wait, and its load frames named neither a wait nor a stall. The gate hands each attempt its turn or a refusal with the time to come back; the load frame gains the expected wait, the token rate and the stall. Ruled out: taking the turn before the claim, which would hold a place of the backend server for a slow platform; a repeat that attaches to a running key gives its place up first, so that it can't keep the first one from starting. A silence counts as a stall only once answers have begun: a plain service answers nothing for as long as a call takes. The bound on waiting is 0.3 s for engines and 2 s for plain services, and a setting.

--- a/bench/overload.py
+++ b/bench/overload.py
@@ -214,7 +214,7 @@
         pool.retries / pool.fresh,
         float(np.percentile(refusal_s, 95)) if refusal_s else 0.0,
         sum(e.retry_after_s > 0 for e in refused) / max(1, len(refused)),
-        float(np.percentile(first_s, 99)),
+        float(np.percentile(first_s, 99)) if first_s else float("nan"),
         _find_recovery_s(pool.ended),
     )
 
--- a/src/bronzerudder/execution/__init__.py
+++ b/src/bronzerudder/execution/__init__.py
@@ -4,7 +4,7 @@
 
 from bronzerudder.execution.attempt import Attempt, AttemptKey, AttemptState
 from bronzerudder.execution.crash_guard import CrashGuard
-from bronzerudder.execution.executor import Executor, ExecutorLimits
+from bronzerudder.execution.executor import Executor
 from bronzerudder.execution.relay import Relay
 from bronzerudder.execution.table import AttemptTable
 
@@ -15,6 +15,5 @@
     "AttemptTable",
     "CrashGuard",
     "Executor",
-    "ExecutorLimits",
     "Relay",
 ]
--- a/src/bronzerudder/execution/attempt.py
+++ b/src/bronzerudder/execution/attempt.py
@@ -15,6 +15,8 @@
 # One part more than this is kept, so that a cut copy is never taken for a whole answer.
 KEPT_ANSWER_LIMIT_BYTES = 65_536
 
+EVENT_END = b"\n\n"
+
 Outlet = Callable[[pb.AgentFrame], None]
 
 
@@ -65,6 +67,7 @@
         self._next_sequence = 0
         self._room = anyio.Event()
         self._withdrawn = anyio.Event()
+        self.on_part: Callable[[int], None] | None = None
         self._finish_state = pb.FINISH_STATE_UNSPECIFIED
         self._refused = False
         self._kept: KeptAnswer | None = None
@@ -148,6 +151,8 @@
 
     def emit_chunk(self, payload: bytes) -> None:
         """Emit a part of the body."""
+        if self.on_part is not None:
+            self.on_part(max(1, payload.count(EVENT_END)))
         if self._kept is not None and len(self._kept.body) <= KEPT_ANSWER_LIMIT_BYTES:
             self._kept = self._kept._replace(body=self._kept.body + payload)
         chunk = pb.Chunk(sequence=self._next_sequence, payload=payload, **self._key._asdict())
--- a/src/bronzerudder/execution/executor.py
+++ b/src/bronzerudder/execution/executor.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple
+import functools
 
 import anyio
 from anyio.abc import TaskGroup
@@ -11,28 +11,23 @@
 from bronzerudder.claims import ClaimRegister
 from bronzerudder.execution.attempt import Attempt, AttemptKey, AttemptState, Outlet
 from bronzerudder.execution.crash_guard import CrashGuard
+from bronzerudder.execution.gate import AdmissionGate
 from bronzerudder.execution.keyed import KeyedRunner, needs_claim
+from bronzerudder.execution.refusals import build_refusal, describe_admission_refusal, to_ms
 from bronzerudder.execution.relay import Relay
 from bronzerudder.execution.table import AttemptTable
 from bronzerudder.frames import exchange_pb2 as pb
 from bronzerudder.observability import Tracing
+from bronzerudder.policy.admission import AdmissionQueue
 from bronzerudder.policy.quarantine import Standing, Verdict
 
 ORPHAN_TIMEOUT_S = 10.0
 SWEEP_INTERVAL_S = 1.0
 LEAVING_RETRY_AFTER_MS = 100
-QUEUE_FULL_RETRY_AFTER_MS = 1_000
 BACKEND_DOWN_RETRY_AFTER_MS = 1_000
 QUARANTINED_DETAIL = "backend servers crashed while this request ran"
 
 
-class ExecutorLimits(NamedTuple):
-    """How many attempts run and wait at once."""
-
-    max_running: int
-    max_queued: int
-
-
 class Executor:
     """The only sender of work to one backend server.
 
@@ -42,8 +37,8 @@
         Where the work runs.
     resumable : bool
         Whether the backend server resumes streams.
-    limits : ExecutorLimits
-        How much runs and waits at once.
+    admission : AdmissionQueue
+        Decides what runs, waits and is refused.
     tasks : TaskGroup
         Runs the attempts.
     incarnation : int
@@ -60,7 +55,7 @@
         self,
         backend_server: BackendServer,
         resumable: bool,
-        limits: ExecutorLimits,
+        admission: AdmissionQueue,
         tasks: TaskGroup,
         incarnation: int,
         tracing: Tracing,
@@ -71,12 +66,10 @@
         self._relay = Relay(backend_server, resumable, tracing)
         self._tracing = tracing
         self._guard = guard
-        self._limits = limits
+        self._gate = AdmissionGate(admission)
         self._tasks = tasks
         self._incarnation = incarnation
         self._table = AttemptTable()
-        self._slots = anyio.CapacityLimiter(limits.max_running)
-        self._queued = 0
         self._leaving = False
         self._backend_up = True
         self._keyed = KeyedRunner(register, self._run_in_slot, self._leave_queue, self._refuse)
@@ -101,12 +94,16 @@
 
     def build_load(self) -> pb.Load:
         """Describe how busy the backend server is."""
-        tokens = sum(attempt.submit.estimated_tokens for attempt in self._table)
+        queue = self._gate.queue
+        now = anyio.current_time()
         return pb.Load(
             outstanding_requests=len(self._table),
-            outstanding_tokens=tokens,
-            queued_requests=self._queued,
+            outstanding_tokens=queue.outstanding_tokens,
+            queued_requests=queue.queued_requests,
+            estimated_wait_ms=int(queue.estimated_wait_s(now) * 1000),
+            token_rate=round(queue.token_rate),
             backend_up=self._backend_up,
+            group_stalled=queue.is_stalled(now),
         )
 
     def submit(self, submit: pb.Submit, outlet: Outlet) -> None:
@@ -114,14 +111,14 @@
         key = AttemptKey(submit.request_id, submit.attempt)
         if self._table.get(key) is not None or self._table.has_run(key):
             return
-        refused = self._table.get_refusal(key) or self._find_refusal(submit)
+        refused = self._table.get_refusal(key) or self._find_refusal(submit) or self._admit(submit)
         if refused is not None:
             self._table.refuse(refused, anyio.current_time())
             outlet(pb.AgentFrame(refused=refused))
             return
         attempt = Attempt(key, submit, outlet, anyio.current_time())
         self._table.add(attempt)
-        self._queued += 1
+        attempt.on_part = functools.partial(self._gate.count_part, submit)
         outlet(pb.AgentFrame(accepted=pb.Accepted(**key._asdict())))
         self._tasks.start_soon(self._run, attempt)
 
@@ -162,6 +159,10 @@
         for attempt in self._table:
             attempt.detach(outlet, anyio.current_time())
 
+    async def expire_queue(self) -> None:
+        """Refuse attempts that wait in vain, for ever."""
+        await self._gate.expire()
+
     async def sweep(self) -> None:
         """Withdraw attempts whose entry is gone, and forget old tombstones."""
         while True:
@@ -182,18 +183,20 @@
 
     def _find_refusal(self, submit: pb.Submit) -> pb.Refused | None:
         if submit.incarnation != self._incarnation:
-            return _build_refusal(submit, pb.REFUSAL_REASON_WRONG_INCARNATION, 0)
+            return build_refusal(submit, pb.REFUSAL_REASON_WRONG_INCARNATION, 0)
         if self._leaving:
-            return _build_refusal(submit, pb.REFUSAL_REASON_LEAVING, LEAVING_RETRY_AFTER_MS)
+            return build_refusal(submit, pb.REFUSAL_REASON_LEAVING, LEAVING_RETRY_AFTER_MS)
         verdict = self._guard.judge(submit.fingerprint)
         if verdict.standing is Standing.QUARANTINED:
-            retry_after_ms = _to_ms(verdict.retry_after_s)
+            retry_after_ms = to_ms(verdict.retry_after_s)
             reason = pb.REFUSAL_REASON_QUARANTINED
-            return _build_refusal(submit, reason, retry_after_ms, QUARANTINED_DETAIL)
-        if self._queued >= self._limits.max_queued and not self._slots.available_tokens:
-            return _build_refusal(submit, pb.REFUSAL_REASON_QUEUE_FULL, QUEUE_FULL_RETRY_AFTER_MS)
+            return build_refusal(submit, reason, retry_after_ms, QUARANTINED_DETAIL)
         return None
 
+    def _admit(self, submit: pb.Submit) -> pb.Refused | None:
+        refusal = self._gate.offer(submit)
+        return None if refusal is None else describe_admission_refusal(submit, refusal)
+
     def _refuse_unstarted(self, key: AttemptKey, outlet: Outlet) -> None:
         if self._table.has_run(key):
             outlet(pb.AgentFrame(resume_failed=pb.ResumeFailed(**key._asdict())))
@@ -201,8 +204,11 @@
         refused = self._table.get_refusal(key) or pb.Refused(
             reason=pb.REFUSAL_REASON_CANCELLED, detail="withdrawn before it ran", **key._asdict()
         )
+        waiting = self._table.get(key)
         self._table.refuse(refused, anyio.current_time())
         outlet(pb.AgentFrame(refused=refused))
+        if waiting is not None:
+            self._gate.leave(waiting.submit)
 
     async def _run(self, attempt: Attempt) -> None:
         span = self._tracing.start("agent attempt", attempt.submit.traceparent)
@@ -217,8 +223,7 @@
             with anyio.move_on_after(attempt.submit.time_left_ms / 1000) as deadline:
                 await self._run_claimed(attempt)
         finally:
-            if attempt.state is AttemptState.QUEUED:
-                self._queued -= 1
+            self._gate.leave(attempt.submit)
         if not deadline.cancelled_caught:
             return
         if attempt.state is AttemptState.QUEUED:
@@ -236,7 +241,7 @@
     def _leave_queue(self, attempt: Attempt) -> None:
         if attempt.state is AttemptState.QUEUED:
             attempt.start()
-            self._queued -= 1
+        self._gate.leave(attempt.submit)
 
     async def _run_in_slot(self, attempt: Attempt) -> None:
         async with self._guard.take_turn(attempt.key, attempt.submit.fingerprint) as verdict:
@@ -246,11 +251,15 @@
             await self._run_in_turn(attempt)
 
     async def _run_in_turn(self, attempt: Attempt) -> None:
-        async with self._slots:
-            if self._table.get(attempt.key) is not attempt:
-                return
-            self._leave_queue(attempt)
-            await self._run_until_withdrawn(attempt)
+        refusal = await self._gate.wait_turn(attempt)
+        if self._table.get(attempt.key) is not attempt:
+            return
+        if refusal is not None:
+            self._conclude_refused(attempt, describe_admission_refusal(attempt.submit, refusal))
+            return
+        if attempt.state is AttemptState.QUEUED:
+            attempt.start()
+        await self._run_until_withdrawn(attempt)
 
     async def _run_until_withdrawn(self, attempt: Attempt) -> None:
         async with anyio.create_task_group() as tasks:
@@ -284,33 +293,20 @@
         if self._table.get(attempt.key) is not attempt:
             return
         self._leave_queue(attempt)
-        retry_after_ms = _to_ms(verdict.retry_after_s)
+        retry_after_ms = to_ms(verdict.retry_after_s)
         reason = pb.REFUSAL_REASON_QUARANTINED
         self._refuse(attempt, reason, QUARANTINED_DETAIL, retry_after_ms)
 
     def _refuse(
         self, attempt: Attempt, reason: pb.RefusalReason, detail: str, retry_after_ms: int
     ) -> None:
-        refused = _build_refusal(attempt.submit, reason, retry_after_ms, detail)
+        refused = build_refusal(attempt.submit, reason, retry_after_ms, detail)
+        self._conclude_refused(attempt, refused)
+
+    def _conclude_refused(self, attempt: Attempt, refused: pb.Refused) -> None:
         self._table.refuse(refused, anyio.current_time())
         attempt.emit_refused(refused)
 
 
 def _cut_state(attempt: Attempt) -> pb.FinishState:
     return pb.FINISH_STATE_BROKEN if attempt.has_head else pb.FINISH_STATE_UNKNOWN
-
-
-def _to_ms(seconds: float) -> int:
-    return max(1, int(seconds * 1000))
-
-
-def _build_refusal(
-    submit: pb.Submit, reason: pb.RefusalReason, retry_after_ms: int, detail: str = ""
-) -> pb.Refused:
-    return pb.Refused(
-        request_id=submit.request_id,
-        attempt=submit.attempt,
-        reason=reason,
-        detail=detail,
-        retry_after_ms=retry_after_ms,
-    )
--- a/src/bronzerudder/policy/admission/api.py
+++ b/src/bronzerudder/policy/admission/api.py
@@ -109,6 +109,10 @@
     def estimated_wait_s(self, now_s: float) -> float:
         """Estimate the wait in seconds of a request offered now."""
 
+    @abc.abstractmethod
+    def is_stalled(self, now_s: float) -> bool:
+        """Whether answers have begun and none has advanced for a while."""
+
     @abc.abstractmethod
     def offer(self, request: AdmissionRequest, now_s: float) -> Queued | AdmissionRefusal:
         """Take a request in, or refuse it at once."""
--- a/src/bronzerudder/policy/admission/fair.py
+++ b/src/bronzerudder/policy/admission/fair.py
@@ -7,16 +7,15 @@
 from bronzerudder.policy.admission.api import (
     AdmissionQueue,
     AdmissionRefusal,
-    AdmissionRefusalKind,
     AdmissionRequest,
     Queued,
 )
 from bronzerudder.policy.admission.backlog import Backlog
+from bronzerudder.policy.admission.refusals import refuse_full, refuse_late, refuse_long_wait
 from bronzerudder.policy.admission.running import RunningSet
 
 DEFAULT_QUEUE_LENGTH = 256
 DEFAULT_MAX_WAIT_S = 0.3
-MIN_RETRY_AFTER_S = 0.1
 
 
 class FairQueueTerms(NamedTuple):
@@ -64,6 +63,7 @@
         self._running = RunningSet(concurrency)
         self._backlogs: dict[str, Backlog] = {}
         self._waiting: dict[str, AdmissionRequest] = {}
+        self._offered_s: dict[str, float] = {}
         self._started: dict[str, AdmissionRequest] = {}
         self._waiting_tokens = 0
         self._virtual_time = 0.0
@@ -94,23 +94,27 @@
         """Estimate the wait in seconds of a request of a workspace that has nothing waiting."""
         return self._estimate_wait_s(AdmissionRequest("", "", 0, 0.0), now_s)
 
+    def is_stalled(self, now_s: float) -> bool:
+        """Whether answers have begun and none has advanced for a while."""
+        return self._running.silence_s(now_s) > 0
+
     def offer(self, request: AdmissionRequest, now_s: float) -> Queued | AdmissionRefusal:
         """Take a request in, or refuse it at once."""
         wait_s = self._estimate_wait_s(request, now_s)
-        late_s = now_s + wait_s + self._running.service_s(request.tokens) - request.deadline_s
+        late_s = self._estimate_lateness_s(request, wait_s, wait_s > 0, now_s)
         if self._terms.checks_deadlines and late_s > 0:
-            return _refuse_late(request, late_s)
+            return refuse_late(request, late_s)
         if wait_s > self._terms.max_wait_s:
-            return _refuse_long_wait(request, wait_s, self._terms.max_wait_s)
+            return refuse_long_wait(request, wait_s, self._terms.max_wait_s)
         evicted: tuple[AdmissionRefusal, ...] = ()
         if len(self._waiting) >= self._terms.max_queued and not self._can_start_at_once():
             victim = self._find_victim(request)
-            refusal = self._refuse_full(victim, now_s)
+            refusal = refuse_full(victim, self._estimate_wait_s(victim, now_s))
             if victim is request:
                 return refusal
             self._drop(victim)
             evicted = (refusal,)
-        self._hold(request)
+        self._hold(request, now_s)
         return Queued(wait_s, evicted)
 
     def next(self, now_s: float) -> AdmissionRequest | None:
@@ -119,10 +123,10 @@
             name = min(self._backlogs, key=self._start_tag)
             backlog = self._backlogs[name]
             request = backlog.pop_first()
-            self._forget(request)
-            late_s = now_s + self._running.service_s(request.tokens) - request.deadline_s
+            offered_s = self._forget(request)
+            late_s = self._estimate_lateness_s(request, 0.0, now_s > offered_s, now_s)
             if self._terms.checks_deadlines and late_s > 0:
-                self._hopeless.append(_refuse_late(request, late_s))
+                self._hopeless.append(refuse_late(request, late_s))
                 self._retire(name)
                 continue
             self._virtual_time = max(self._virtual_time, backlog.start_tag)
@@ -139,11 +143,12 @@
         if not self._terms.checks_deadlines:
             return tuple(refused)
         for request in list(self._waiting.values()):
-            late_s = now_s + self._running.service_s(request.tokens) - request.deadline_s
+            has_waited = now_s > self._offered_s[request.request_id]
+            late_s = self._estimate_lateness_s(request, 0.0, has_waited, now_s)
             if late_s <= 0:
                 continue
             self._drop(request)
-            refused.append(_refuse_late(request, late_s))
+            refused.append(refuse_late(request, late_s))
         return tuple(refused)
 
     def progressed(self, request_id: str, tokens: int, now_s: float) -> None:
@@ -181,6 +186,13 @@
     def _can_start_at_once(self) -> bool:
         return not self._waiting and self._running.has_room
 
+    def _estimate_lateness_s(
+        self, request: AdmissionRequest, wait_s: float, is_queued: bool, now_s: float
+    ) -> float:
+        # The time to run is a rough guess, which must not keep an idle backend server idle.
+        service_s = self._running.service_s(request.tokens) if is_queued else 0.0
+        return now_s + wait_s + service_s - request.deadline_s
+
     def _estimate_wait_s(self, request: AdmissionRequest, now_s: float) -> float:
         name = self._share_name(request)
         own = self._backlogs.get(name)
@@ -198,13 +210,14 @@
     def _find_start_tag(self, name: str) -> float:
         return max(self._virtual_time, self._finish_tags.get(name, 0.0))
 
-    def _hold(self, request: AdmissionRequest) -> None:
+    def _hold(self, request: AdmissionRequest, now_s: float) -> None:
         name = self._share_name(request)
         backlog = self._backlogs.get(name)
         if backlog is None:
             backlog = self._backlogs[name] = Backlog(self._find_start_tag(name))
         backlog.push(request)
         self._waiting[request.request_id] = request
+        self._offered_s[request.request_id] = now_s
         self._waiting_tokens += request.tokens
 
     def _drop(self, request: AdmissionRequest) -> None:
@@ -213,9 +226,10 @@
         self._forget(request)
         self._retire(name)
 
-    def _forget(self, request: AdmissionRequest) -> None:
+    def _forget(self, request: AdmissionRequest) -> float:
         del self._waiting[request.request_id]
         self._waiting_tokens -= request.tokens
+        return self._offered_s.pop(request.request_id)
 
     def _retire(self, name: str) -> None:
         if not self._backlogs[name].is_empty:
@@ -242,32 +256,3 @@
         if heaviest is own and last.priority >= request.priority:
             return request
         return last
-
-    def _refuse_full(self, victim: AdmissionRequest, now_s: float) -> AdmissionRefusal:
-        wait_s = self._estimate_wait_s(victim, now_s)
-        return AdmissionRefusal(
-            victim.request_id,
-            AdmissionRefusalKind.QUEUE_FULL,
-            "the queue is full, and its workspace holds the largest part of it for its weight",
-            max(MIN_RETRY_AFTER_S, wait_s),
-        )
-
-
-def _refuse_long_wait(
-    request: AdmissionRequest, wait_s: float, max_wait_s: float
-) -> AdmissionRefusal:
-    return AdmissionRefusal(
-        request.request_id,
-        AdmissionRefusalKind.QUEUE_FULL,
-        f"expected to wait {wait_s:.1f} s",
-        max(MIN_RETRY_AFTER_S, wait_s - max_wait_s),
-    )
-
-
-def _refuse_late(request: AdmissionRequest, late_s: float) -> AdmissionRefusal:
-    return AdmissionRefusal(
-        request.request_id,
-        AdmissionRefusalKind.DEADLINE,
-        f"expected to end {late_s:.1f} s after its deadline",
-        max(MIN_RETRY_AFTER_S, late_s),
-    )
--- a/src/bronzerudder/policy/admission/first_come.py
+++ b/src/bronzerudder/policy/admission/first_come.py
@@ -56,6 +56,10 @@
         """Estimate the wait in seconds of a request offered now."""
         return self._running.wait_s(self._waiting_tokens, bool(self._waiting), now_s)
 
+    def is_stalled(self, now_s: float) -> bool:
+        """Whether answers have begun and none has advanced for a while."""
+        return self._running.silence_s(now_s) > 0
+
     def offer(self, request: AdmissionRequest, now_s: float) -> Queued | AdmissionRefusal:
         """Take a request in unless the queue is full."""
         if len(self._waiting) >= self._max_queued:
--- a/src/bronzerudder/policy/admission/running.py
+++ b/src/bronzerudder/policy/admission/running.py
@@ -15,7 +15,7 @@
 SERVICE_KEEP = 0.9
 """Part of the old estimate of service time kept with each request that ends."""
 STALL_THRESHOLD_S = 0.5
-"""Silence of a busy backend server that is no longer ordinary."""
+"""Silence amid answers that is no longer ordinary."""
 
 
 class _Started(NamedTuple):
@@ -41,6 +41,7 @@
         self._left: dict[str, int] = {}
         self._started: dict[str, _Started] = {}
         self._tokens = 0
+        self._begun: set[str] = set()
         self._window_tokens = 0
         self._window_start_s = 0.0
         self._progress_s = 0.0
@@ -74,13 +75,18 @@
 
         A backend server that has been silent is expected to stay so for as long again.
         """
-        silence_s = now_s - self._progress_s if self._left else 0.0
-        if silence_s < STALL_THRESHOLD_S:
-            silence_s = 0.0
+        silence_s = self.silence_s(now_s)
         if self.has_room and not others_wait:
             return silence_s
         return silence_s + tokens_ahead / max(MIN_TOKEN_RATE, self._rate)
 
+    def silence_s(self, now_s: float) -> float:
+        """Tell how long answers that have begun have not advanced; 0 for an ordinary time."""
+        if not self._begun:
+            return 0.0
+        silence_s = now_s - self._progress_s
+        return silence_s if silence_s >= STALL_THRESHOLD_S else 0.0
+
     def start(self, request: AdmissionRequest, now_s: float) -> None:
         """Count a request as running."""
         if not self._left:
@@ -99,6 +105,7 @@
         done = min(left, tokens)
         self._left[request_id] = left - done
         self._tokens -= done
+        self._begun.add(request_id)
         self._record(done, now_s)
 
     def finish(self, request_id: str, now_s: float) -> int:
@@ -108,6 +115,7 @@
             return 0
         self._tokens -= left
         started = self._started.pop(request_id)
+        self._begun.discard(request_id)
         if left < started.tokens:
             self._learn_service(started, now_s)
         self._record(left, now_s)
--- a/src/bronzerudder/processes/agent.py
+++ b/src/bronzerudder/processes/agent.py
@@ -17,20 +17,22 @@
 from bronzerudder.configuration.peer_service import ConfigurationPeerService
 from bronzerudder.configuration.peer_source import PeerConfigurationSource
 from bronzerudder.entry import ExchangeService
-from bronzerudder.execution import CrashGuard, Executor, ExecutorLimits
+from bronzerudder.execution import CrashGuard, Executor
 from bronzerudder.frames import exchange_pb2 as pb
 from bronzerudder.frames import exchange_pb2_grpc
 from bronzerudder.observability import AdminApp, Tracing, configure_logs, log_event
 from bronzerudder.observability.traces import DEFAULT_SAMPLE_RATIO
+from bronzerudder.policy.admission import FairQueue, FairQueueTerms
 from bronzerudder.processes.platform import open_store
 from bronzerudder.processes.signals import set_on_termination
 from bronzerudder.quarantine import QuarantineFeed
-from bronzerudder.settings.agent import AgentSettings
+from bronzerudder.settings.agent import AgentSettings, BackendServerSettings
 from bronzerudder.web import announce_listening, bind_listener, format_address, serve_http
 
 SETTINGS = AgentSettings
 DEFAULT_DRAIN_TIMEOUT_S = 30.0
 DEFAULT_SILENCE_TIMEOUT_S = 1.5
+DEFAULT_MAX_WAIT_S = {"engine": 0.3, "service": 2.0}
 GRPC_STOP_TIMEOUT_S = 0.5
 INCARNATION_BITS = 63
 GRPC_OPTIONS = (
@@ -115,6 +117,7 @@
         app = AdminApp(self._registry, self._find_unready_reason, self._describe)
         self._tasks.start_soon(serve_http, app, admin, stopped, GRPC_STOP_TIMEOUT_S)
         self._tasks.start_soon(self._executor.sweep)
+        self._tasks.start_soon(self._executor.expire_queue)
         self._tasks.start_soon(self._register.run)
         announce_listening(f"{host}:{bound_port}", admin_address=format_address(admin))
         log_event("listening", address=f"{host}:{bound_port}", incarnation=self._incarnation)
@@ -150,7 +153,7 @@
         executor = Executor(
             self._backend_server,
             settings["kind"] == "engine",
-            ExecutorLimits(settings["max_running"], settings["max_queued"]),
+            FairQueue(settings["max_running"], _build_terms(settings)),
             self._tasks,
             self._incarnation,
             self._tracing,
@@ -178,3 +181,8 @@
             "unfinished": self._executor.unfinished,
             "entries": [session.entry_id for session in self._service.sessions],
         }
+
+
+def _build_terms(settings: BackendServerSettings) -> FairQueueTerms:
+    max_wait_s = settings.get("max_wait_s", DEFAULT_MAX_WAIT_S[settings["kind"]])
+    return FairQueueTerms(settings["max_queued"], max_wait_s)
--- a/src/bronzerudder/settings/agent.py
+++ b/src/bronzerudder/settings/agent.py
@@ -10,13 +10,17 @@
 
 
 class BackendServerSettings(TypedDict):
-    """The backend server beside the agent, and how much it is given at once."""
+    """The backend server beside the agent, and how much it is given at once.
+
+    ``max_wait_s`` bounds the expected wait of a request that is taken in.
+    """
 
     name: Name
     kind: Literal["engine", "service"]
     url: Url
     max_running: Count
     max_queued: Count
+    max_wait_s: NotRequired[Seconds]
     silence_timeout_s: NotRequired[Seconds]
 
 
--- a/tests/policy/admission/test_fair.py
+++ b/tests/policy/admission/test_fair.py
@@ -97,6 +97,7 @@
             queue.finished(str(number), now_s)
         queue.offer(ask(1000), now_s)
         queue.next(now_s)
+        queue.progressed("1000", 1, now_s)
         self.now_s = now_s
         return queue
 
