Divide route limits by recent use

Agents see every request of a route, so each tells an entry the route's totals and the entry's own part; parts of a sum add up to the limit whatever the traffic. Ruled out: use written to the platform (430 entries writing each second are beyond its several hundred writes a second), entry-to-entry exchange (a second mesh for the same sums), and an owner for each route that grants parts (its death has to be handled; this has none).

--- a/src/bronzerudder/policy/limits/__init__.py
+++ b/src/bronzerudder/policy/limits/__init__.py
@@ -11,13 +11,17 @@
     RouteUse,
 )
 from bronzerudder.policy.limits.even_split import EvenSplitLimiter
+from bronzerudder.policy.limits.recent_use import RecentUseLimiter
+from bronzerudder.policy.limits.use_counter import RouteUseCounter
 
 __all__ = [
     "EvenSplitLimiter",
+    "RecentUseLimiter",
     "RouteLimitKind",
     "RouteLimited",
     "RouteLimiter",
     "RouteLimits",
     "RoutePermit",
     "RouteUse",
+    "RouteUseCounter",
 ]
--- /dev/null
+++ b/src/bronzerudder/policy/limits/use_counter.py
@@ -0,0 +1,95 @@
+"""Counts the use of routes by entry, at an agent."""
+
+from __future__ import annotations
+
+import math
+
+from bronzerudder.policy.limits.api import RouteUse
+
+RATE_TIME_CONSTANT_S = 1.0
+FORGET_RATE = 0.01
+"""Requests per second below which an entry's use of a route is forgotten."""
+
+
+class DecayingRate:
+    """A rate of events over the last second or so.
+
+    The weight of an event falls with its age at `RATE_TIME_CONSTANT_S`.
+    """
+
+    def __init__(self) -> None:
+        self._value = 0.0
+        self._at_s = 0.0
+
+    def add(self, now_s: float) -> None:
+        """Count an event."""
+        self._value = self.get(now_s) + 1.0 / RATE_TIME_CONSTANT_S
+        self._at_s = now_s
+
+    def get(self, now_s: float) -> float:
+        """Return the rate in events per second."""
+        return self._value * math.exp(-max(0.0, now_s - self._at_s) / RATE_TIME_CONSTANT_S)
+
+
+class _Use:
+    def __init__(self) -> None:
+        self.rate = DecayingRate()
+        self.running = 0
+
+
+class RouteUseCounter:
+    """Counts accepted and running requests by route and entry.
+
+    Each entry is told the totals of the routes that it uses itself, so that what is sent grows
+    with an entry's own traffic and not with the number of routes.
+    """
+
+    def __init__(self) -> None:
+        self._uses: dict[str, dict[str, _Use]] = {}
+
+    def begin(self, route: str, entry: str, now_s: float) -> None:
+        """Count a request as accepted."""
+        use = self._uses.setdefault(route, {}).setdefault(entry, _Use())
+        use.rate.add(now_s)
+        use.running += 1
+
+    def end(self, route: str, entry: str) -> None:
+        """Count an accepted request as ended."""
+        self._uses[route][entry].running -= 1
+
+    def describe(self, entry: str, entries: int, now_s: float) -> list[tuple[str, RouteUse]]:
+        """Describe the routes that an entry uses.
+
+        Parameters
+        ----------
+        entry : str
+            Whom it is for.
+        entries : int
+            Entries connected.
+        """
+        described = []
+        for route, by_entry in list(self._uses.items()):
+            self._forget_idle(route, now_s)
+            own = by_entry.get(entry)
+            if own is None:
+                continue
+            described.append((route, _sum_up(own, by_entry, entries, now_s)))
+        return described
+
+    def _forget_idle(self, route: str, now_s: float) -> None:
+        by_entry = self._uses[route]
+        for entry, use in list(by_entry.items()):
+            if use.running == 0 and use.rate.get(now_s) < FORGET_RATE:
+                del by_entry[entry]
+        if not by_entry:
+            del self._uses[route]
+
+
+def _sum_up(own: _Use, by_entry: dict[str, _Use], entries: int, now_s: float) -> RouteUse:
+    return RouteUse(
+        sum(use.rate.get(now_s) for use in by_entry.values()),
+        own.rate.get(now_s),
+        sum(use.running for use in by_entry.values()),
+        own.running,
+        entries,
+    )
