--- a/src/bronzerudder/policy/placement/layout.py
+++ b/src/bronzerudder/policy/placement/layout.py
@@ -108,6 +108,14 @@
     return found
 
 
+def least_slot(values: np.ndarray) -> np.ndarray:
+    """Least of the last axis; see `sum_slots`."""
+    least = values[..., 0].copy()
+    for slot in range(1, values.shape[-1]):
+        np.minimum(least, values[..., slot], out=least)
+    return least
+
+
 def step_skew(loads: np.ndarray) -> float:
     """Step time of a lock-step group over that of a perfectly even one.
 
