--- a/src/bronzerudder/rank_group/member.py
+++ b/src/bronzerudder/rank_group/member.py
@@ -85,6 +85,11 @@
         """Version of the map that the engine was last seen to use."""
         return self._progress.status.active
 
+    @property
+    def last_map(self) -> bytes:
+        """Encoded map that was committed last, as far as this rank knows."""
+        return self._last_map.expert_map
+
     async def run(self) -> None:
         """Recover, then watch the engine for ever."""
         await self._recover()
