--- a/src/bronzerudder/execution/crash_guard.py
+++ b/src/bronzerudder/execution/crash_guard.py
@@ -10,6 +10,7 @@
 
 from bronzerudder.backend_server import BackendError, BackendErrorKind, BackendServer
 from bronzerudder.execution.attempt import AttemptKey
+from bronzerudder.observability import log_event
 from bronzerudder.policy.quarantine import Standing, Verdict
 from bronzerudder.quarantine import QuarantineFeed
 
@@ -120,6 +121,7 @@
                 return
             self._crash_count += 1
             crash_id = f"{self._incarnation:x}.{self._crash_count}"
+            log_event("backend server crashed", crash_id=crash_id, in_flight=len(fingerprints))
             self._feed.publish_crash(crash_id, fingerprints)
         finally:
             done.set()
--- a/src/bronzerudder/processes/agent.py
+++ b/src/bronzerudder/processes/agent.py
@@ -163,6 +163,12 @@
             registry=self._registry,
         )
         unfinished.set_function(lambda: executor.unfinished)
+        quarantined = Gauge(
+            "bronzerudder_agent_requests_quarantined",
+            "Requests refused because backend servers crashed while they ran.",
+            registry=self._registry,
+        )
+        quarantined.set_function(lambda: len(self._feed.ledger.culprits))
         return executor
 
     def _find_unready_reason(self) -> str:
