--- a/src/bronzerudder/policy/placement/incremental.py
+++ b/src/bronzerudder/policy/placement/incremental.py
@@ -16,7 +16,12 @@
 )
 from bronzerudder.policy.placement.errors import PlacementError
 from bronzerudder.policy.placement.expert_map import ExpertMap
-from bronzerudder.policy.placement.layout import find_loads, layout_of_map, map_with_layout
+from bronzerudder.policy.placement.layout import (
+    RankLayout,
+    find_loads,
+    layout_of_map,
+    map_with_layout,
+)
 from bronzerudder.policy.placement.search import Candidates, search_moves
 
 
@@ -68,7 +73,7 @@
         chosen = self._choose(found, gains, affordable, allowance.bytes_per_s)
         if not chosen.any():
             return Hold(HoldKind.NOT_WORTH_ITS_COST, f"best gain {gains.max():.3f} of a layer")
-        return self._propose(active, found, gains, chosen)
+        return self._propose(active, layout, found, gains, chosen)
 
     def _choose(
         self, found: Candidates, gains: np.ndarray, affordable: int, bytes_per_s: float
@@ -98,11 +103,15 @@
         return self._terms.skew_weight * saved_s - self._terms.rebalancing_weight * cost_s
 
     def _propose(
-        self, active: ExpertMap, found: Candidates, gains: np.ndarray, chosen: np.ndarray
+        self,
+        active: ExpertMap,
+        layout: RankLayout,
+        found: Candidates,
+        gains: np.ndarray,
+        chosen: np.ndarray,
     ) -> Proposal | Hold:
         rows = np.arange(chosen.size)
         experts = _take(found, chosen)
-        layout = layout_of_map(active)
         count = int(find_loads(layout.experts, experts).sum())
         proposed = map_with_layout(active, layout, experts)
         if isinstance(proposed, PlacementError):
