Check the group where its proposer dies at each point

Cause: the history test killed at seeded times and seldom hit the few milliseconds between arming and commit. Now the proposer kills itself in place of a chosen request: two deaths in ARM and COMMIT, one in PROMISE and STAGE. The explorer gained a depth-first order and a second check: a rank that will use a version which another neither holds nor uses.

--- a/tests/rank_group/explorer.py
+++ b/tests/rank_group/explorer.py
@@ -13,7 +13,7 @@
 from collections.abc import Iterator
 from typing import Any, NamedTuple
 
-from bronzerudder.backend_server.rank_api import RankStatus
+from bronzerudder.backend_server.rank_api import NO_MAP, RankStatus
 from bronzerudder.rank_group.messages import GroupReply, GroupRequest, Phase
 from bronzerudder.rank_group.participant import Participant
 from bronzerudder.rank_group.proposer import Proposer, next_term
@@ -36,6 +36,7 @@
     honours_terms: bool = False
     formed: bool = True
     late_orders: bool = True
+    breadth_first: bool = True
 
 
 class Attempt(NamedTuple):
@@ -101,14 +102,14 @@
         self._may_reset = not limits.formed or limits.engine_restarts > 0
 
     def run(self) -> None:
-        """Visit states, breadth first, until all are visited or one violates the invariant."""
+        """Visit states until all are visited or one violates the invariant."""
         status = RankStatus(next_step=1, active=1) if self._limits.formed else RankStatus()
         rank = self._ranks.number(RankState(status=status))
         start = Node((rank,) * RANKS, (0,) * len(self._limits.proposers))
         seen: dict[Node, tuple[Node, str] | None] = {start: None}
         queue = collections.deque([start])
         while queue:
-            node = queue.popleft()
+            node = queue.popleft() if self._limits.breadth_first else queue.pop()
             self.visited += 1
             for event, following in self._events(node):
                 if following in seen:
@@ -137,6 +138,18 @@
         return f"{name} {rank}"
 
     def _violates(self, node: Node) -> bool:
+        return self._has_mixed_step(node) or not self._may_reset and self._has_lone_decision(node)
+
+    def _has_lone_decision(self, node: Node) -> bool:
+        """Whether a rank will use a version that another neither holds nor uses."""
+        statuses = [self._ranks[rank].status for rank in node.ranks]
+        for version in {status.pending for status in statuses} - {NO_MAP}:
+            others = [each for each in statuses if each.active != NO_MAP]
+            if any(version not in (each.held, each.pending, each.active) for each in others):
+                return True
+        return False
+
+    def _has_mixed_step(self, node: Node) -> bool:
         ready = [self._ranks[rank].ready for rank in node.ranks]
         lowest = min(step for step, _ in ready)
         if lowest == 0:
--- a/tests/rank_group/member_process.py
+++ b/tests/rank_group/member_process.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import json
+import os
 import random
 import secrets
+import signal
 import sys
 
 import anyio
@@ -13,13 +15,44 @@
 from bronzerudder.backend_server.rank_http import HttpRankEngine
 from bronzerudder.platform.http_client import PlatformClient
 from bronzerudder.platform.http_store import HttpObjectStore
+from bronzerudder.rank_group.errors import PeerError
 from bronzerudder.rank_group.member import RankGroupMember
+from bronzerudder.rank_group.messages import GroupReply, GroupRequest
 from bronzerudder.rank_group.peers import GrpcRankPeers
 from bronzerudder.rank_group.record import MapRecord
 from bronzerudder.rank_group.service import RankGroupService
 from bronzerudder.web import announce_listening
 
 
+class DyingPeers(GrpcRankPeers):
+    """Kills this process in place of sending one certain request.
+
+    Parameters
+    ----------
+    addresses : tuple of str
+        Addresses of the peers.
+    phase : str
+        Name of the request's phase; empty to live.
+    sent : int
+        How many requests of that phase are sent before.
+    """
+
+    def __init__(self, addresses: tuple[str, ...], phase: str, sent: int) -> None:
+        super().__init__(addresses)
+        self._phase = phase
+        self._left = sent
+
+    async def call(
+        self, rank: int, request: GroupRequest, timeout_s: float
+    ) -> GroupReply | PeerError:
+        """Send a request, or die."""
+        if request.phase.name == self._phase:
+            if self._left == 0:
+                os.kill(os.getpid(), signal.SIGKILL)
+            self._left -= 1
+        return await super().call(rank, request, timeout_s)
+
+
 async def propose_at_times(member: RankGroupMember, seed: int, interval_s: float) -> None:
     """Propose maps at seeded random times, and print how each attempt ended."""
     times = random.Random(seed)
@@ -47,7 +80,8 @@
 async def main(settings: dict) -> None:
     """Run until killed."""
     engine = HttpRankEngine(settings["engine_url"])
-    peers = GrpcRankPeers(tuple(settings["peers"]))
+    dies_in, dies_after = settings.get("dies_in", ""), settings.get("dies_after", 0)
+    peers = DyingPeers(tuple(settings["peers"]), dies_in, dies_after)
     client = PlatformClient(settings["platform"], "member")
     member = RankGroupMember(
         settings["rank"],
@@ -66,7 +100,7 @@
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(member.run)
         tasks.start_soon(report, member)
-        if settings.get("propose_interval_s"):
+        if settings["rank"] in settings.get("proposers", ()):
             seed, interval_s = settings["seed"], settings["propose_interval_s"]
             tasks.start_soon(propose_at_times, member, seed, interval_s)
 
--- a/tests/rank_group/processes.py
+++ b/tests/rank_group/processes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import json
 import pathlib
 import signal
@@ -68,7 +69,7 @@
         command = [sys.executable, "-m", "bronzerudder", "standin", "rank", str(path)]
         self._engines[rank] = self._start(command, f"engine-{rank}.out")
 
-    def start_member(self, rank: int) -> None:
+    def start_member(self, rank: int, **more: Any) -> None:
         settings = {
             "engine_url": f"http://{self._control[rank]}",
             "peers": self._peers,
@@ -76,6 +77,7 @@
             "rank": rank,
             "seed": rank,
             **self._member_settings,
+            **more,
         }
         module = "tests.rank_group.member_process"
         command = [sys.executable, "-m", module, json.dumps(settings)]
@@ -96,6 +98,9 @@
         process.kill()
         process.wait()
 
+    def wait_member_death(self, rank: int, timeout_s: float) -> None:
+        self._members[rank].wait(timeout_s)
+
     def freeze_member(self, rank: int) -> None:
         self._members[rank].send_signal(signal.SIGSTOP)
 
@@ -139,6 +144,14 @@
         goals = [len(self.steps(rank)) + count for rank in range(RANKS)]
         return lambda: all(len(self.steps(rank)) >= goals[rank] for rank in range(RANKS))
 
+    def longest_wait_s(self) -> float:
+        """Return the longest time between two steps that followed each other at one rank."""
+        longest_s = 0.0
+        for rank in range(RANKS):
+            times = [line["time_s"] for line in self.steps(rank)]
+            longest_s = max([longest_s, *(b - a for a, b in itertools.pairwise(times))])
+        return longest_s
+
     def find_mixed_steps(self) -> list[tuple[int, set[int]]]:
         """Return the steps that ranks ran on more than one map."""
         versions: dict[int, set[int]] = {}
--- a/tests/rank_group/test_history.py
+++ b/tests/rank_group/test_history.py
@@ -14,6 +14,9 @@
 FORMATION_TIMEOUT_S = 15
 RECOVERY_TIMEOUT_S = 15
 FAULTS = 6
+STEPS_BEYOND_ARMED = 40
+LONGEST_WAIT_S = 2.0
+DEATHS = (("PROMISE", 1), ("STAGE", 0), ("ARM", 0), ("ARM", 1), ("COMMIT", 0), ("COMMIT", 1))
 
 
 class HistoryTest(unittest.TestCase):
@@ -21,7 +24,7 @@
         choices = random.Random(6)
         with (
             tempfile.TemporaryDirectory() as folder,
-            Group(folder, propose_interval_s=0.5) as group,
+            Group(folder, proposers=[0, 1, 2], propose_interval_s=0.5) as group,
         ):
             group.wait_until(group.advanced(10), FORMATION_TIMEOUT_S, "formation")
             for _ in range(FAULTS):
@@ -50,6 +53,21 @@
         count = sum(len(group.reports(rank, "attempt")) for rank in range(RANKS))
         return lambda: sum(len(group.reports(rank, "attempt")) for rank in range(RANKS)) > count
 
+    def test_the_group_goes_on_wherever_its_proposer_dies(self):
+        with tempfile.TemporaryDirectory() as folder, Group(folder) as group:
+            group.wait_until(group.advanced(10), FORMATION_TIMEOUT_S, "formation")
+            for phase, sent in DEATHS:
+                group.kill_member(0)
+                with self.subTest(phase=phase, sent=sent):
+                    proposing = {"proposers": [0], "propose_interval_s": 0.1}
+                    group.start_member(0, dies_in=phase, dies_after=sent, **proposing)
+                    group.wait_member_death(0, RECOVERY_TIMEOUT_S)
+                    group.start_member(0)
+                    beyond = group.advanced(STEPS_BEYOND_ARMED)
+                    group.wait_until(beyond, RECOVERY_TIMEOUT_S, "steps after a death")
+            self.assertEqual(group.find_mixed_steps(), [])
+            self.assertLess(group.longest_wait_s(), LONGEST_WAIT_S)
+
     def test_the_group_forms_again_after_an_engine_restarts(self):
         with tempfile.TemporaryDirectory() as folder, Group(folder) as group:
             group.wait_until(group.advanced(10), FORMATION_TIMEOUT_S, "formation")
