--- /dev/null
+++ b/bench/rank_group.py
@@ -0,0 +1,182 @@
+"""Changes of a lock-step group's expert map: steps delayed, waits after deaths, cost by ranks.
+
+The first part runs three real stand-in ranks and members, with the platform down; the second runs
+the members' own code for up to 256 ranks in one process, encoding every message but sending none.
+"""
+
+from __future__ import annotations
+
+import itertools
+import statistics
+import tempfile
+import time
+from collections.abc import Callable
+from typing import NamedTuple
+
+import anyio
+
+from bronzerudder.rank_group import rank_group_pb2 as pb
+from bronzerudder.rank_group.attempt import Attempt
+from bronzerudder.rank_group.codec import (
+    decode_reply,
+    decode_request,
+    encode_reply,
+    encode_request,
+)
+from bronzerudder.rank_group.errors import PeerError
+from bronzerudder.rank_group.messages import GroupReply, GroupRequest
+from bronzerudder.rank_group.participant import Participant
+from bronzerudder.rank_group.peers import RankPeers
+from bronzerudder.rank_group.proposer import Proposer, next_term
+from bronzerudder.standin.rank.local import LocalRankEngine
+from bronzerudder.standin.rank.maps import RankMaps
+from tests.rank_group.processes import RANKS, STEP_TIME_S, Group
+
+TIMEOUT_S = 30
+CHANGES = 10
+RANK_COUNTS = (4, 16, 64, 256)
+EXPERT_MAP = bytes(64 * 58)
+DEATHS = (("PROMISE", 1), ("STAGE", 1), ("ARM", 0), ("ARM", 1), ("COMMIT", 0), ("COMMIT", 1))
+
+
+class Cost(NamedTuple):
+    """What one change cost the proposer; messages count requests and replies."""
+
+    messages: int
+    bytes_sent: int
+    bytes_received: int
+    wall_s: float
+    processor_s: float
+
+
+class CountingPeers(RankPeers):
+    """Encodes and counts every message, and hands it over within the process."""
+
+    def __init__(self, participants: list[Participant]) -> None:
+        self._participants = participants
+        self.messages = 0
+        self.bytes_sent = 0
+        self.bytes_received = 0
+
+    async def call(
+        self, rank: int, request: GroupRequest, timeout_s: float
+    ) -> GroupReply | PeerError:
+        """Carry out a request as though it had been received."""
+        sent = encode_request(request).SerializeToString()
+        decoded = decode_request(pb.GroupRequest.FromString(sent))
+        if decoded is None:
+            return PeerError(rank, "unknown phase")
+        reply = await self._participants[rank].answer(decoded)
+        received = encode_reply(reply).SerializeToString()
+        self.messages += 2
+        self.bytes_sent += len(sent)
+        self.bytes_received += len(received)
+        return decode_reply(pb.GroupReply.FromString(received))
+
+
+async def _measure_change(rank_count: int) -> Cost:
+    maps = [RankMaps(honours_terms=True) for _ in range(rank_count)]
+    participants = [Participant(LocalRankEngine(each), 1) for each in maps]
+    for participant in participants:
+        await participant.recover([])
+    await _propose(participants, None)
+    for each in maps:
+        each.declare_ready()
+    return await _propose(participants, EXPERT_MAP)
+
+
+async def _propose(participants: list[Participant], new_map: bytes | None) -> Cost:
+    peers = CountingPeers(participants)
+    count = len(participants)
+    term = next_term(participants[0].promised, 0, count)
+    proposer = Proposer(count, term, new_map, EXPERT_MAP, 2)
+    started, started_processor = time.perf_counter(), time.process_time()
+    result = await Attempt(proposer, 0, count, peers, participants[0].answer).run()
+    if result.committed == 0:
+        raise RuntimeError(result.reason)
+    wall_s = time.perf_counter() - started
+    processor_s = time.process_time() - started_processor
+    return Cost(peers.messages, peers.bytes_sent, peers.bytes_received, wall_s, processor_s)
+
+
+def _print_costs() -> None:
+    print(f"one change, map of {len(EXPERT_MAP)} bytes, at the proposer")
+    print("ranks  messages  bytes sent  bytes received  wall ms  processor ms")
+    costs = []
+    for count in RANK_COUNTS:
+        cost = anyio.run(_measure_change, count)
+        costs.append(cost)
+        print(
+            f"{count:5}  {cost.messages:8}  {cost.bytes_sent:10}  {cost.bytes_received:14}"
+            f"  {cost.wall_s * 1000:7.1f}  {cost.processor_s * 1000:12.1f}"
+        )
+    span = RANK_COUNTS[-1] - RANK_COUNTS[0]
+    messages = (costs[-1].messages - costs[0].messages) / span
+    sent = (costs[-1].bytes_sent - costs[0].bytes_sent) / span
+    received = (costs[-1].bytes_received - costs[0].bytes_received) / span
+    processor_us = (costs[-1].processor_s - costs[0].processor_s) / span * 1e6
+    print(
+        f"slope per rank: {messages:.1f} messages, {sent:.0f} bytes sent, "
+        f"{received:.0f} bytes received, {processor_us:.0f} us of processor time"
+    )
+
+
+def _measure_good_day() -> None:
+    with (
+        tempfile.TemporaryDirectory() as folder,
+        Group(folder, proposers=[0], propose_interval_s=0.3) as group,
+    ):
+        group.wait_until(_versions_reached(group, CHANGES + 1), TIMEOUT_S, "changes")
+        switches, others = _gaps(group)
+        mixed = len(group.find_mixed_steps())
+    median_s = statistics.median(others)
+    delayed = sum(gap > median_s + STEP_TIME_S / 2 for gap in switches)
+    print(f"good day: {len(switches)} first steps on a new map at {RANKS} ranks, {delayed} delayed")
+    print(
+        f"  gap before them: median {statistics.median(switches) * 1000:.1f} ms, largest "
+        f"{max(switches) * 1000:.1f} ms; before other steps: median {median_s * 1000:.1f} ms, "
+        f"largest {max(others) * 1000:.1f} ms; mixed steps {mixed}"
+    )
+
+
+def _versions_reached(group: Group, count: int) -> Callable[[], bool]:
+    def reached() -> bool:
+        seen = [{line["version"] for line in group.steps(rank)} for rank in range(RANKS)]
+        return all(len(versions) >= count for versions in seen)
+
+    return reached
+
+
+def _gaps(group: Group) -> tuple[list[float], list[float]]:
+    switches, others = [], []
+    for rank in range(RANKS):
+        for before, after in itertools.pairwise(group.steps(rank)):
+            gap_s = after["time_s"] - before["time_s"]
+            (others if before["version"] == after["version"] else switches).append(gap_s)
+    return switches, others
+
+
+def _measure_deaths() -> None:
+    print("proposer killed in place of a request, and restarted at once: longest wait of a step")
+    for phase, sent in DEATHS:
+        with tempfile.TemporaryDirectory() as folder, Group(folder) as group:
+            group.wait_until(group.advanced(10), TIMEOUT_S, "formation")
+            group.kill_member(0)
+            proposing = {"proposers": [0], "propose_interval_s": 0.1}
+            group.start_member(0, dies_in=phase, dies_after=sent, **proposing)
+            group.wait_member_death(0, TIMEOUT_S)
+            group.start_member(0)
+            group.wait_until(group.advanced(40), TIMEOUT_S, "steps after a death")
+            wait_s, mixed = group.longest_wait_s(), len(group.find_mixed_steps())
+        print(f"  {phase.lower():8} after {sent} sent: {wait_s:.2f} s, mixed steps {mixed}")
+
+
+def main() -> None:
+    """Print the tables."""
+    _print_costs()
+    _measure_good_day()
+    _measure_deaths()
+
+
+if __name__ == "__main__":
+    main()
