Give the agent its membership of a lock-step group

Cause: the protocol ran only in a test's process. Now an agent whose settings have rank_group serves the group on its gRPC port, settles what others left, forms the group again after restarts, sets Load.group_stalled and shows its map version under /status. Ruled out: loading the group's code in agents without one (it is imported only where set). Conclusion: what is left is who calls change_map, which belongs to the placement policy.

--- a/src/bronzerudder/execution/executor.py
+++ b/src/bronzerudder/execution/executor.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import NamedTuple
 
 import anyio
@@ -79,6 +80,7 @@
         self._queued = 0
         self._leaving = False
         self._backend_up = True
+        self._is_group_stalled: Callable[[], bool] = _is_never_stalled
         self._keyed = KeyedRunner(register, self._run_in_slot, self._leave_queue, self._refuse)
 
     @property
@@ -91,6 +93,10 @@
         """Attempts that run, wait, or whose answer has not been acknowledged."""
         return len(self._table)
 
+    def watch_group(self, is_stalled: Callable[[], bool]) -> None:
+        """Report a stall of the lock-step group that the backend server belongs to."""
+        self._is_group_stalled = is_stalled
+
     def leave(self) -> None:
         """Refuse new work from now on."""
         self._leaving = True
@@ -107,6 +113,7 @@
             outstanding_tokens=tokens,
             queued_requests=self._queued,
             backend_up=self._backend_up,
+            group_stalled=self._is_group_stalled(),
         )
 
     def submit(self, submit: pb.Submit, outlet: Outlet) -> None:
@@ -314,3 +321,8 @@
         detail=detail,
         retry_after_ms=retry_after_ms,
     )
+
+
+def _is_never_stalled() -> bool:
+    """Answer for a backend server that belongs to no lock-step group."""
+    return False
--- a/src/bronzerudder/processes/agent.py
+++ b/src/bronzerudder/processes/agent.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import secrets
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import anyio
 import grpc.aio
@@ -28,6 +28,9 @@
 from bronzerudder.settings.agent import AgentSettings
 from bronzerudder.web import announce_listening, bind_listener, format_address, serve_http
 
+if TYPE_CHECKING:
+    from bronzerudder.processes.rank_group import RankGroupPart
+
 SETTINGS = AgentSettings
 DEFAULT_DRAIN_TIMEOUT_S = 30.0
 DEFAULT_SILENCE_TIMEOUT_S = 1.5
@@ -99,12 +102,15 @@
             self._feed,
         )
         self._server = grpc.aio.server(options=GRPC_OPTIONS)
+        self._rank_group = self._build_rank_group()
 
     async def start(self, stopped: anyio.Event) -> None:
         """Listen, and tell where."""
         settings = self._settings
         exchange_pb2_grpc.add_AgentExchangeServicer_to_server(self._service, self._server)
         self._peer_service.add_to(self._server)
+        if self._rank_group is not None:
+            self._rank_group.start(self._server, self._tasks)
         self._tasks.start_soon(self._source.run)
         host, port = settings["listener"]["host"], settings["listener"]["port"]
         bound_port = self._server.add_insecure_port(f"{host}:{port}")
@@ -135,6 +141,8 @@
         """Stop serving."""
         await self._server.stop(GRPC_STOP_TIMEOUT_S)
         await self._backend_server.close()
+        if self._rank_group is not None:
+            await self._rank_group.close()
         await self._store.client.close()
         self._tracing.close()
 
@@ -145,6 +153,17 @@
             silence_timeout_s = settings.get("silence_timeout_s", DEFAULT_SILENCE_TIMEOUT_S)
         return HttpBackendServer(settings["url"], silence_timeout_s)
 
+    def _build_rank_group(self) -> RankGroupPart | None:
+        settings = self._settings.get("rank_group")
+        if settings is None:
+            return None
+        # Only agents of lock-step groups load what they need for it.
+        from bronzerudder.processes.rank_group import RankGroupPart
+
+        part = RankGroupPart(settings, self._store.objects, self._incarnation)
+        self._executor.watch_group(lambda: part.member.group_stalled)
+        return part
+
     def _build_executor(self) -> Executor:
         settings = self._settings["backend_server"]
         executor = Executor(
@@ -171,7 +190,15 @@
         return "" if self._source.is_ready else "no configuration yet"
 
     def _describe(self) -> dict[str, Any]:
+        group = {}
+        if self._rank_group is not None:
+            member = self._rank_group.member
+            group = {
+                "expert_map_version": member.active_version,
+                "group_stalled": member.group_stalled,
+            }
         return {
+            **group,
             "agent_id": self._settings["agent_id"],
             "incarnation": self._incarnation,
             "revision": self._source.revision,
--- /dev/null
+++ b/src/bronzerudder/processes/rank_group.py
@@ -0,0 +1,56 @@
+"""Puts together an agent's membership of a lock-step group."""
+
+from __future__ import annotations
+
+import anyio.abc
+import grpc.aio
+
+from bronzerudder.backend_server.rank_http import HttpRankEngine
+from bronzerudder.platform.api import ObjectStore
+from bronzerudder.rank_group.member import RankGroupMember
+from bronzerudder.rank_group.peers import GrpcRankPeers
+from bronzerudder.rank_group.record import MapRecord
+from bronzerudder.rank_group.service import RankGroupService
+from bronzerudder.rank_group.settings import RankGroupSettings
+
+
+class RankGroupPart:
+    """The member of a group with its engine, its peers and its service.
+
+    Parameters
+    ----------
+    settings : RankGroupSettings
+        Where this agent stands in its group.
+    objects : ObjectStore
+        The platform's object store.
+    incarnation : int
+        Of this process.
+    """
+
+    def __init__(self, settings: RankGroupSettings, objects: ObjectStore, incarnation: int) -> None:
+        self._engine = HttpRankEngine(settings["engine_url"])
+        self._peers = GrpcRankPeers(tuple(settings["peers"]))
+        self._member = RankGroupMember(
+            settings["rank"],
+            len(settings["peers"]),
+            self._engine,
+            self._peers,
+            MapRecord(objects, settings["group"]),
+            incarnation,
+            settings.get("initial_map", "").encode(),
+        )
+
+    @property
+    def member(self) -> RankGroupMember:
+        """The membership itself."""
+        return self._member
+
+    def start(self, server: grpc.aio.Server, tasks: anyio.abc.TaskGroup) -> None:
+        """Serve the other ranks' agents and watch the engine."""
+        RankGroupService(self._member).add_to(server)
+        tasks.start_soon(self._member.run)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._peers.close()
+        await self._engine.close()
--- a/src/bronzerudder/settings/agent.py
+++ b/src/bronzerudder/settings/agent.py
@@ -5,6 +5,7 @@
 from typing import Literal, NotRequired, TypedDict
 
 from bronzerudder.claims.settings import ClaimSettings
+from bronzerudder.rank_group.settings import RankGroupSettings
 from bronzerudder.settings.fields import Address, Count, Listener, Name, Seconds, Share, Url
 from bronzerudder.settings.platform import PlatformSettings
 
@@ -24,7 +25,7 @@
     """Settings of one agent process.
 
     ``peers`` names the peer listeners of entries, asked for the configuration while the platform
-    is down.
+    is down. ``rank_group`` is given where the backend server is a rank of a lock-step group.
     """
 
     agent_id: Name
@@ -36,5 +37,6 @@
     platform: PlatformSettings
     peers: NotRequired[list[Address]]
     claims: NotRequired[ClaimSettings]
+    rank_group: NotRequired[RankGroupSettings]
     drain_timeout_s: NotRequired[Seconds]
     trace_sample_ratio: NotRequired[Share]
--- a/tests/rank_group/processes.py
+++ b/tests/rank_group/processes.py
@@ -13,6 +13,8 @@
 from collections.abc import Callable
 from typing import Any
 
+import httpx
+
 RANKS = 3
 STEP_TIME_S = 0.02
 POLL_INTERVAL_S = 0.02
@@ -161,6 +163,55 @@
         return [(step, found) for step, found in versions.items() if len(found) > 1]
 
 
+class AgentGroup(Group):
+    """A group whose members are whole agents."""
+
+    def __init__(self, folder: str) -> None:
+        super().__init__(folder)
+        self._admin = free_addresses(RANKS)
+
+    def start_member(self, rank: int, **more: Any) -> None:
+        settings = {
+            "agent_id": f"agent-{rank}",
+            "failure_domain": "one",
+            "pool": "chat",
+            "listener": _as_listener(self._peers[rank]),
+            "admin_listener": _as_listener(self._admin[rank]),
+            "backend_server": {
+                "name": f"rank-{rank}",
+                "kind": "engine",
+                "url": f"http://{self._control[rank]}",
+                "max_running": 4,
+                "max_queued": 4,
+            },
+            "platform": {"address": self._dead_platform},
+            "rank_group": {
+                "group": "chat",
+                "rank": rank,
+                "peers": self._peers,
+                "engine_url": f"http://{self._control[rank]}",
+            },
+        }
+        path = self._folder / f"agent-{rank}.json"
+        path.write_text(json.dumps(settings), encoding="utf-8")
+        command = [sys.executable, "-m", "bronzerudder", "agent", str(path)]
+        self._members[rank] = self._start(command, f"member-{rank}.out")
+
+    def status(self, rank: int) -> dict:
+        """Return what the agent's admin port shows; nothing while it doesn't answer."""
+        try:
+            return httpx.get(
+                f"http://{self._admin[rank]}/status", timeout=1, trust_env=False
+            ).json()
+        except httpx.HTTPError:
+            return {}
+
+
+def _as_listener(address: str) -> dict[str, Any]:
+    host, _, port = address.rpartition(":")
+    return {"host": host, "port": int(port)}
+
+
 def _read_lines(path: pathlib.Path) -> list[dict]:
     if not path.exists():
         return []
