Compare a hold before a step with step windows

Cause: an armed rank must stay held when its agent dies; two ways were open. Conclusion: the hold; windows stay in the stand-in for this comparison only.

--- a/bench/rank_group.py
+++ b/bench/rank_group.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import itertools
+import math
 import statistics
 import tempfile
 import time
@@ -14,6 +15,7 @@
 from typing import NamedTuple
 
 import anyio
+import httpx
 
 from bronzerudder.rank_group import rank_group_pb2 as pb
 from bronzerudder.rank_group.attempt import Attempt
@@ -34,6 +36,9 @@
 
 TIMEOUT_S = 30
 CHANGES = 10
+OUTAGE_S = 1.0
+GRANTING_S = 1.0
+WINDOWS = (4, 16)
 RANK_COUNTS = (4, 16, 64, 256)
 EXPERT_MAP = bytes(64 * 58)
 DEATHS = (("PROMISE", 1), ("STAGE", 1), ("ARM", 0), ("ARM", 1), ("COMMIT", 0), ("COMMIT", 1))
@@ -171,11 +176,60 @@
         print(f"  {phase.lower():8} after {sent} sent: {wait_s:.2f} s, mixed steps {mixed}")
 
 
+def _measure_agent_death() -> None:
+    print(f"rank 0's agent gone for {OUTAGE_S} s outside of a change: longest wait of a step")
+    with tempfile.TemporaryDirectory() as folder, Group(folder) as group:
+        group.wait_until(group.advanced(10), TIMEOUT_S, "formation")
+        group.kill_member(0)
+        group.wait_until(group.advanced(int(OUTAGE_S / STEP_TIME_S)), TIMEOUT_S, "steps")
+        print(f"  hold before a step, agent not restarted: {group.longest_wait_s():.2f} s")
+    for window in WINDOWS:
+        with tempfile.TemporaryDirectory() as folder, Group(folder) as group:
+            group.wait_until(group.advanced(10), TIMEOUT_S, "formation")
+            calls = anyio.run(_grant_windows, group, window)
+            wait_s = group.longest_wait_s()
+        lost = wait_s / STEP_TIME_S - 1
+        print(
+            f"  windows of {window} steps: {wait_s:.2f} s, {lost:.0f} steps lost, "
+            f"{calls / GRANTING_S:.0f} grants a second and rank"
+        )
+
+
+async def _grant_windows(group: Group, window: int) -> float:
+    """Grant each rank windows for a time, rank 0 with an outage; return grants to rank 1."""
+    granted = [0] * RANKS
+    async with anyio.create_task_group() as tasks:
+        for rank in range(RANKS):
+            tasks.start_soon(_grant_to_rank, group, rank, window, granted)
+        await anyio.sleep(GRANTING_S + OUTAGE_S + GRANTING_S)
+        tasks.cancel_scope.cancel()
+    return granted[1] / 2
+
+
+async def _grant_to_rank(group: Group, rank: int, window: int, granted: list[int]) -> None:
+    url = f"http://{group.control[rank]}/rank"
+    order = {"term": 1 << 60, "version": 0, "step": 0, "expert_map": ""}
+    outage_at = time.monotonic() + GRANTING_S if rank == 0 else math.inf
+    limit = 0
+    async with httpx.AsyncClient(trust_env=False) as client:
+        while True:
+            if time.monotonic() > outage_at:
+                await anyio.sleep(OUTAGE_S)
+                outage_at = math.inf
+            status = (await client.post(f"{url}/read", json=order)).json()
+            if limit - status["next_step"] <= window // 2:
+                limit = status["next_step"] + window
+                await client.post(f"{url}/grant", json={**order, "step": limit})
+                granted[rank] += 1
+            await anyio.sleep(STEP_TIME_S / 2)
+
+
 def main() -> None:
     """Print the tables."""
     _print_costs()
     _measure_good_day()
     _measure_deaths()
+    _measure_agent_death()
 
 
 if __name__ == "__main__":
--- a/src/bronzerudder/standin/rank/app.py
+++ b/src/bronzerudder/standin/rank/app.py
@@ -22,6 +22,9 @@
 class RankApp:
     """Takes orders about maps, and faults.
 
+    Beside the orders of `RankEngine` it takes ``/rank/grant``, for comparison with engines that run
+    only as many steps as their agent has granted.
+
     Parameters
     ----------
     maps : RankMaps
@@ -53,6 +56,7 @@
             "/rank/reset": self._reset,
             "/rank/activate": self._activate,
             "/rank/release": self._release,
+            "/rank/grant": self._grant,
         }
 
     async def __call__(self, scope: dict[str, Any], receive: Any, send: Any) -> None:
@@ -98,6 +102,10 @@
     def _release(self, order: OrderDocument) -> RankStatus | RankEngineError:
         return self._maps.release(order["term"], order["version"])
 
+    def _grant(self, order: OrderDocument) -> RankStatus | RankEngineError:
+        self._maps.grant(order["step"])
+        return self._maps.status
+
     async def _load(self, version: int) -> None:
         await anyio.sleep(self._stage_time_s)
         self._maps.finish_staging(version)
--- a/src/bronzerudder/standin/rank/maps.py
+++ b/src/bronzerudder/standin/rank/maps.py
@@ -25,6 +25,7 @@
         self._honours_terms = honours_terms
         self._term = 0
         self._status = RankStatus()
+        self._granted: int | None = None
 
     @property
     def status(self) -> RankStatus:
@@ -89,6 +90,10 @@
             self._status = self._status._replace(held=NO_MAP, held_step=0)
         return self._status
 
+    def grant(self, step: int) -> None:
+        """Enter no step from ``step`` on until granted more; without a grant, none is needed."""
+        self._granted = step
+
     def declare_ready(self) -> int | None:
         """Declare readiness for the next step, switching maps if it is due; None while held."""
         status = self._status
@@ -98,6 +103,8 @@
             return None
         if status.held and status.next_step >= status.held_step:
             return None
+        if self._granted is not None and status.next_step >= self._granted:
+            return None
         self._status = status._replace(next_step=status.next_step + 1)
         return status.next_step
 
--- a/tests/rank_group/processes.py
+++ b/tests/rank_group/processes.py
@@ -100,6 +100,11 @@
         process.kill()
         process.wait()
 
+    @property
+    def control(self) -> list[str]:
+        """Addresses at which the engines take orders."""
+        return self._control
+
     def wait_member_death(self, rank: int, timeout_s: float) -> None:
         self._members[rank].wait(timeout_s)
 
