--- a/tests/rank_group/test_agents.py
+++ b/tests/rank_group/test_agents.py
@@ -22,6 +22,8 @@
             group.freeze_engine(1)
             stalled = {"group_stalled": True}
             group.wait_until(self._all_show(group, stalled), TIMEOUT_S, "report of a stall")
+            group.thaw_engine(1)
+            group.wait_until(self._all_show(group, fine), TIMEOUT_S, "end of the stall")
             self.assertEqual(group.find_mixed_steps(), [])
 
     def _all_show(self, group: AgentGroup, expected: dict):
