Hold route limits across entries from the agents' counts

Cause: each entry enforced the whole limit by itself. Agents now count requests by route and entry and tell each entry, in the load frames that exist anyway, the totals of the routes it uses (new: Load.route_uses). The limiter learns a route's limits with its requests, so that a change of 36,000 routes costs an entry nothing until they are used. Ruled out: configuring all routes at each change of configuration, and telling every entry of every route, which grows with routes times entries.

--- a/bench/limits.py
+++ b/bench/limits.py
@@ -72,7 +72,9 @@
         self.most_running: list[tuple[float, int]] = []
         for limiter in self.limiters:
             limiter.configure(ROUTE, limits)
-        for index in range(AGENTS):
+        for index, agent in enumerate(self.agents):
+            for entry in range(ENTRIES):
+                agent.connect(str(entry))
             clock.after(self._random.random() * REPORT_INTERVAL_S, self._report, index)
 
     def arrive(self, rate_rps: float) -> None:
@@ -102,7 +104,7 @@
     def _report(self, index: int) -> None:
         now_s = self._clock.now_s
         for entry, limiter in enumerate(self.limiters):
-            uses = self.agents[index].describe(str(entry), ENTRIES, now_s)
+            uses = self.agents[index].describe(str(entry), now_s)
             self._clock.after(REPORT_LAG_S, self._tell, limiter, f"a-{index}", uses)
         self._clock.after(REPORT_INTERVAL_S, self._report, index)
 
--- a/src/bronzerudder/dispatch/dispatcher.py
+++ b/src/bronzerudder/dispatch/dispatcher.py
@@ -37,12 +37,13 @@
 from bronzerudder.dispatch.request import CallerRequest
 from bronzerudder.dispatch.submit import build_submit
 from bronzerudder.dispatch.targets import Target, TargetTable
-from bronzerudder.policy.limits import RouteLimited, RouteLimiter
+from bronzerudder.policy.limits import RouteLimited, RouteLimiter, RouteLimits, RoutePermit
 from bronzerudder.policy.retry import RetryBudget, RetryDenial
 from bronzerudder.policy.routing import NoCandidate, Placement, RoutedRequest
 
 PROOF_TIMEOUT_S = 0.25
 MAX_ATTEMPTS = 8
+UNLIMITED = RouteLimits()
 # A failover follows a death, not load, so it spends no retry budget; one that the second backend
 # server does not survive either may be the request's own doing.
 MAX_FAILOVERS = 1
@@ -88,7 +89,7 @@
         match = self._current().match(request.workspace, request.path, request.model)
         if match is None:
             return Outcome(OutcomeKind.NOT_RUN, STATUS_NOT_FOUND, "no route for this request")
-        permit = self._limiter.acquire(match.route_name, anyio.current_time())
+        permit = self._acquire(match)
         if isinstance(permit, RouteLimited):
             status = STATUS_TOO_MANY_REQUESTS
             return Outcome(OutcomeKind.NOT_RUN, status, permit.reason, permit.retry_after_s)
@@ -97,6 +98,15 @@
         finally:
             self._limiter.release(permit, anyio.current_time())
 
+    def _acquire(self, match: Match) -> RoutePermit | RouteLimited:
+        now = anyio.current_time()
+        route = match.route
+        limits = RouteLimits(route.get("rate_limit_rps"), route.get("concurrency_limit"))
+        self._limiter.configure(match.route_name, limits)
+        if limits != UNLIMITED:
+            self._targets.get(match.pool_name).refresh(now)
+        return self._limiter.acquire(match.route_name, now)
+
     async def _serve_route(
         self, request: CallerRequest, match: Match, progress: Progress
     ) -> Outcome:
--- a/src/bronzerudder/dispatch/targets.py
+++ b/src/bronzerudder/dispatch/targets.py
@@ -10,6 +10,7 @@
 from bronzerudder.configuration import Snapshot
 from bronzerudder.configuration.matching import decode_pool
 from bronzerudder.frames import exchange_pb2 as pb
+from bronzerudder.policy.limits import RouteLimiter, RouteUse
 from bronzerudder.policy.routing import (
     Breaker,
     Candidate,
@@ -30,9 +31,18 @@
 
 
 class PoolTargets:
-    """The backend servers of one pool."""
+    """The backend servers of one pool.
 
-    def __init__(self, name: str, policy: RoutingPolicy) -> None:
+    Parameters
+    ----------
+    policy : RoutingPolicy
+        Picks among them.
+    limiter : RouteLimiter
+        Learns the routes' use from their agents.
+    """
+
+    def __init__(self, name: str, policy: RoutingPolicy, limiter: RouteLimiter) -> None:
+        self._limiter = limiter
         self._name = name
         self._policy = policy
         self._targets: dict[str, Target] = {}
@@ -62,8 +72,7 @@
 
     def pick(self, request: RoutedRequest, now_s: float) -> Target | NoCandidate:
         """Pick a backend server that may take the request."""
-        for name, target in self._targets.items():
-            self._refresh(name, target, now_s)
+        self.refresh(now_s)
         candidates = [target.candidate for target in self._targets.values()]
         picked = self._policy.pick(candidates, request, now_s)
         if isinstance(picked, NoCandidate):
@@ -83,14 +92,22 @@
         names = preferred_agents(self._name, [candidate.name for candidate in available])
         return self._targets[names[shard_of(digest)]]
 
+    def refresh(self, now_s: float) -> None:
+        """Take in what the agents have sent since the last time."""
+        for name, target in self._targets.items():
+            self._refresh(name, target, now_s)
+
     def _refresh(self, name: str, target: Target, now_s: float) -> None:
         state = target.connection.state
+        if target.candidate.connected and not state.connected:
+            self._limiter.forget(target.connection.address, now_s)
         target.candidate.connected = state.connected
         target.candidate.leaving = state.leaving
         if state.load_received_at == self._observed.get(name, 0.0):
             return
         self._observed[name] = state.load_received_at
         target.candidate.observe(_build_report(state.load), now_s)
+        self._limiter.observe(target.connection.address, _build_uses(state.load), now_s)
 
 
 class TargetTable:
@@ -102,10 +119,18 @@
         Connections to the agents.
     build_policy : callable
         Makes the routing policy of a pool.
+    limiter : RouteLimiter
+        Learns the routes' limits, and their use from the agents.
     """
 
-    def __init__(self, agents: AgentPool, build_policy: Callable[[PoolRow], RoutingPolicy]) -> None:
+    def __init__(
+        self,
+        agents: AgentPool,
+        build_policy: Callable[[PoolRow], RoutingPolicy],
+        limiter: RouteLimiter,
+    ) -> None:
         self._agents = agents
+        self._limiter = limiter
         self._build_policy = build_policy
         self._pools: dict[str, PoolTargets] = {}
 
@@ -124,7 +149,7 @@
             del self._pools[name]
         for name, row in rows.items():
             if name not in self._pools:
-                self._pools[name] = PoolTargets(name, self._build_policy(row))
+                self._pools[name] = PoolTargets(name, self._build_policy(row), self._limiter)
             self._pools[name].update(row, self._agents)
 
 
@@ -146,3 +171,13 @@
         group_stalled=load.group_stalled,
         cached_prefixes=frozenset(load.cached_prefixes),
     )
+
+
+def _build_uses(load: pb.Load) -> list[tuple[str, RouteUse]]:
+    return [
+        (
+            use.route,
+            RouteUse(use.total_rate, use.own_rate, use.total_running, use.own_running, use.entries),
+        )
+        for use in load.route_uses
+    ]
--- a/src/bronzerudder/entry/session.py
+++ b/src/bronzerudder/entry/session.py
@@ -82,6 +82,8 @@
 
     def close(self) -> None:
         """Stop; answers wait for the entry's next connection."""
+        if self._entry_id and not self._closed:
+            self._executor.route_uses.disconnect(self._entry_id)
         self._closed = True
         self._due.set()
         self._feed.detach(self._send_news)
@@ -104,7 +106,7 @@
         """Send the load whenever it has changed; close when the entry has gone silent."""
         sent = None
         while not self._closed:
-            load = self._executor.build_load()
+            load = self._executor.build_load(self._entry_id)
             if load != sent:
                 self.send(pb.AgentFrame(load=load))
                 sent = load
@@ -127,7 +129,7 @@
     def _take_frame(self, frame: pb.EntryFrame) -> None:
         kind = frame.WhichOneof("body")
         if kind == "submit":
-            self._executor.submit(frame.submit, self.send)
+            self._executor.submit(frame.submit, self.send, self._entry_id)
         elif kind == "ack":
             self._executor.acknowledge(frame.ack)
         elif kind == "cancel":
@@ -138,6 +140,7 @@
             self.send(pb.AgentFrame(ping=pb.Ping(nonce=frame.ping.nonce)))
         elif kind == "quarantine":
             self._feed.take(frame.quarantine, self._send_news)
-        elif kind == "hello":
+        elif kind == "hello" and not self._entry_id:
+            self._executor.route_uses.connect(frame.hello.entry_id)
             self._entry_id = frame.hello.entry_id
             self._connection = frame.hello.connection
--- a/src/bronzerudder/execution/executor.py
+++ b/src/bronzerudder/execution/executor.py
@@ -15,10 +15,12 @@
 from bronzerudder.execution.keyed import KeyedRunner, needs_claim
 from bronzerudder.execution.refusals import build_refusal, describe_admission_refusal, to_ms
 from bronzerudder.execution.relay import Relay
+from bronzerudder.execution.route_uses import describe_uses
 from bronzerudder.execution.table import AttemptTable
 from bronzerudder.frames import exchange_pb2 as pb
 from bronzerudder.observability import Tracing
 from bronzerudder.policy.admission import AdmissionQueue
+from bronzerudder.policy.limits import RouteUseCounter
 from bronzerudder.policy.quarantine import Standing, Verdict
 
 ORPHAN_TIMEOUT_S = 10.0
@@ -70,6 +72,7 @@
         self._tasks = tasks
         self._incarnation = incarnation
         self._table = AttemptTable()
+        self._route_uses = RouteUseCounter()
         self._leaving = False
         self._backend_up = True
         self._keyed = KeyedRunner(register, self._run_in_slot, self._leave_queue, self._refuse)
@@ -84,6 +87,11 @@
         """Attempts that run, wait, or whose answer has not been acknowledged."""
         return len(self._table)
 
+    @property
+    def route_uses(self) -> RouteUseCounter:
+        """Use of routes by entry."""
+        return self._route_uses
+
     def leave(self) -> None:
         """Refuse new work from now on."""
         self._leaving = True
@@ -92,8 +100,8 @@
         """Wait until nothing is unfinished."""
         await self._table.wait_empty()
 
-    def build_load(self) -> pb.Load:
-        """Describe how busy the backend server is."""
+    def build_load(self, entry_id: str = "") -> pb.Load:
+        """Describe to an entry how busy the backend server is."""
         queue = self._gate.queue
         now = anyio.current_time()
         return pb.Load(
@@ -104,10 +112,11 @@
             token_rate=round(queue.token_rate),
             backend_up=self._backend_up,
             group_stalled=queue.is_stalled(now),
+            route_uses=describe_uses(self._route_uses, entry_id, now),
         )
 
-    def submit(self, submit: pb.Submit, outlet: Outlet) -> None:
-        """Start or queue an attempt, or refuse it."""
+    def submit(self, submit: pb.Submit, outlet: Outlet, entry_id: str = "") -> None:
+        """Start or queue an attempt of an entry, or refuse it."""
         key = AttemptKey(submit.request_id, submit.attempt)
         if self._table.get(key) is not None or self._table.has_run(key):
             return
@@ -120,7 +129,7 @@
         self._table.add(attempt)
         attempt.on_part = functools.partial(self._gate.count_part, submit)
         outlet(pb.AgentFrame(accepted=pb.Accepted(**key._asdict())))
-        self._tasks.start_soon(self._run, attempt)
+        self._tasks.start_soon(self._run, attempt, entry_id)
 
     def cancel(self, cancel: pb.Cancel, outlet: Outlet) -> None:
         """Withdraw an attempt; one that has not started is refused for good."""
@@ -210,12 +219,14 @@
         if waiting is not None:
             self._gate.leave(waiting.submit)
 
-    async def _run(self, attempt: Attempt) -> None:
+    async def _run(self, attempt: Attempt, entry_id: str) -> None:
+        self._route_uses.begin(attempt.submit.route, entry_id, anyio.current_time())
         span = self._tracing.start("agent attempt", attempt.submit.traceparent)
         attempt.submit.traceparent = self._tracing.format_traceparent(span)
         try:
             await self._run_within_deadline(attempt)
         finally:
+            self._route_uses.end(attempt.submit.route, entry_id)
             span.end()
 
     async def _run_within_deadline(self, attempt: Attempt) -> None:
--- /dev/null
+++ b/src/bronzerudder/execution/route_uses.py
@@ -0,0 +1,25 @@
+"""Turns the counts of routes into frames."""
+
+from __future__ import annotations
+
+from bronzerudder.frames import exchange_pb2 as pb
+from bronzerudder.policy.limits import RouteUseCounter
+
+RATE_DIGITS = 2
+
+
+def describe_uses(counter: RouteUseCounter, entry_id: str, now: float) -> list[pb.RouteUse]:
+    """Describe to an entry the routes that it uses."""
+    described = []
+    for route, use in counter.describe(entry_id, now):
+        described.append(
+            pb.RouteUse(
+                route=route,
+                total_rate=round(use.total_rate, RATE_DIGITS),
+                own_rate=round(use.own_rate, RATE_DIGITS),
+                total_running=use.total_running,
+                own_running=use.own_running,
+                entries=use.entries,
+            )
+        )
+    return described
--- a/src/bronzerudder/policy/limits/api.py
+++ b/src/bronzerudder/policy/limits/api.py
@@ -84,3 +84,7 @@
     @abc.abstractmethod
     def observe(self, agent: str, uses: Sequence[tuple[str, RouteUse]], now_s: float) -> None:
         """Take in what an agent has counted, for each route."""
+
+    @abc.abstractmethod
+    def forget(self, agent: str, now_s: float) -> None:
+        """Drop the counts of an agent that is gone."""
--- a/src/bronzerudder/policy/limits/even_split.py
+++ b/src/bronzerudder/policy/limits/even_split.py
@@ -65,3 +65,6 @@
 
     def observe(self, agent: str, uses: Sequence[tuple[str, RouteUse]], now_s: float) -> None:
         """Take nothing in: the split is fixed."""
+
+    def forget(self, agent: str, now_s: float) -> None:
+        """Drop nothing: the split is fixed."""
--- a/src/bronzerudder/policy/limits/recent_use.py
+++ b/src/bronzerudder/policy/limits/recent_use.py
@@ -51,6 +51,7 @@
         self._generator = generator
         self._entries = entries
         self._routes: dict[str, _Route] = {}
+        self._told: dict[str, frozenset[str]] = {}
 
     def configure(self, route: str, limits: RouteLimits) -> None:
         """Set a route's limits; unchanged limits keep their state."""
@@ -63,16 +64,6 @@
         fresh.running = known.running if known is not None else 0
         self._routes[route] = fresh
 
-    def retain(self, routes: set[str]) -> None:
-        """Forget all routes but these."""
-        for name in set(self._routes) - routes:
-            del self._routes[name]
-
-    def is_limited(self, route: str) -> bool:
-        """Tell whether a route has any limit."""
-        known = self._routes.get(route)
-        return known is not None and known.limits != RouteLimits()
-
     def acquire(self, route: str, now_s: float) -> RoutePermit | RouteLimited:
         """Allow one request within the entry's part of the limits."""
         known = self._routes.get(route)
@@ -102,16 +93,19 @@
     def observe(self, agent: str, uses: Sequence[tuple[str, RouteUse]], now_s: float) -> None:
         """Take in what an agent has counted, for each route that the entry uses there."""
         told = dict(uses)
-        for name, known in self._routes.items():
-            if name not in told and known.uses.pop(agent, None) is None:
-                continue
-            if name in told:
-                known.uses[agent] = (told[name], now_s)
-            self._divide(known, now_s)
+        for name in self._told.get(agent, frozenset()).difference(told):
+            self._routes[name].uses.pop(agent, None)
+            self._divide(self._routes[name], now_s)
+        known = frozenset(name for name in told if name in self._routes)
+        for name in known:
+            self._routes[name].uses[agent] = (told[name], now_s)
+            self._divide(self._routes[name], now_s)
+        self._told[agent] = known
 
     def forget(self, agent: str, now_s: float) -> None:
         """Drop the counts of an agent that is gone."""
         self.observe(agent, (), now_s)
+        self._told.pop(agent, None)
 
     def _divide(self, known: _Route, now_s: float) -> None:
         total_rate = own_rate = 0.0
--- a/src/bronzerudder/policy/limits/use_counter.py
+++ b/src/bronzerudder/policy/limits/use_counter.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections import Counter
 
 from bronzerudder.policy.limits.api import RouteUse
 
@@ -46,6 +47,17 @@
 
     def __init__(self) -> None:
         self._uses: dict[str, dict[str, _Use]] = {}
+        self._connections: Counter[str] = Counter()
+
+    def connect(self, entry: str) -> None:
+        """Count a connection of an entry."""
+        self._connections[entry] += 1
+
+    def disconnect(self, entry: str) -> None:
+        """Count a connection of an entry as ended."""
+        self._connections[entry] -= 1
+        if self._connections[entry] <= 0:
+            del self._connections[entry]
 
     def begin(self, route: str, entry: str, now_s: float) -> None:
         """Count a request as accepted."""
@@ -57,17 +69,10 @@
         """Count an accepted request as ended."""
         self._uses[route][entry].running -= 1
 
-    def describe(self, entry: str, entries: int, now_s: float) -> list[tuple[str, RouteUse]]:
-        """Describe the routes that an entry uses.
-
-        Parameters
-        ----------
-        entry : str
-            Whom it is for.
-        entries : int
-            Entries connected.
-        """
+    def describe(self, entry: str, now_s: float) -> list[tuple[str, RouteUse]]:
+        """Describe the routes that an entry uses, to this entry."""
         described = []
+        entries = max(1, len(self._connections))
         for route, by_entry in list(self._uses.items()):
             self._forget_idle(route, now_s)
             own = by_entry.get(entry)
--- a/src/bronzerudder/processes/entry.py
+++ b/src/bronzerudder/processes/entry.py
@@ -19,7 +19,7 @@
 from bronzerudder.observability import AdminApp, Tracing, configure_logs, log_event
 from bronzerudder.observability.traces import DEFAULT_SAMPLE_RATIO
 from bronzerudder.platform.follower import LeavingFollower
-from bronzerudder.policy.limits import EvenSplitLimiter
+from bronzerudder.policy.limits import RecentUseLimiter
 from bronzerudder.policy.retry import ShareBudget
 from bronzerudder.policy.routing import TokenLoadRouting
 from bronzerudder.processes.platform import open_store
@@ -81,8 +81,11 @@
             settings["entry_id"], settings["failure_domain"], self._source, QuarantineFeed(), tasks
         )
         generator = random.Random()
+        self._limiter = RecentUseLimiter(generator)
         self._targets = TargetTable(
-            self._agents, lambda row: TokenLoadRouting(generator, settings["failure_domain"])
+            self._agents,
+            lambda row: TokenLoadRouting(generator, settings["failure_domain"]),
+            self._limiter,
         )
         self._app = self._build_app()
         self._server = grpc.aio.server(options=GRPC_OPTIONS)
@@ -130,9 +133,8 @@
     def _build_app(self) -> CallerApp:
         names = self._settings.get("headers", {})
         headers = CallerHeaders(**{field: name.lower() for field, name in names.items()})
-        # One entry's limiter learns of the others from the agents' counts.
         dispatcher = Dispatcher(
-            lambda: self._source.current, self._targets, EvenSplitLimiter(1), ShareBudget
+            lambda: self._source.current, self._targets, self._limiter, ShareBudget
         )
         max_body_bytes = self._settings.get("max_body_bytes", DEFAULT_MAX_BODY_BYTES)
         return CallerApp(dispatcher, headers, max_body_bytes, self._tracing, self._registry)
--- a/tests/policy/limits/test_recent_use.py
+++ b/tests/policy/limits/test_recent_use.py
@@ -87,17 +87,20 @@
 class TestCounter(unittest.TestCase):
     def test_tells_each_entry_its_own_part_and_forgets_the_idle(self):
         counter = RouteUseCounter()
+        for entry in ("e-1", "e-2", "e-2"):
+            counter.connect(entry)
+        counter.disconnect("e-2")
         for step in range(300):
             counter.begin("r", "e-1" if step % 3 else "e-2", step * 0.01)
             if step >= 2:
                 counter.end("r", "e-1" if (step - 2) % 3 else "e-2")
-        (route, use), *rest = counter.describe("e-1", 2, 3.0)
+        (route, use), *rest = counter.describe("e-1", 3.0)
         self.assertEqual(("r", []), (route, rest))
         self.assertAlmostEqual(2 / 3, use.own_rate / use.total_rate, delta=0.02)
         self.assertEqual((2, 2), (use.total_running, use.entries))
         counter.end("r", "e-1")
         counter.end("r", "e-1" if 298 % 3 else "e-2")
-        self.assertEqual([], counter.describe("e-1", 2, 60.0))
+        self.assertEqual([], counter.describe("e-1", 60.0))
 
 
 class TestTargets(unittest.TestCase):
