Run test modules side by side

Four modules now run at once, each in a process of its own; the slowest are shown. Ruled out: shorter histories, which would weaken them.

--- /dev/null
+++ b/tests/runner.py
@@ -0,0 +1,113 @@
+"""Runs every test, passes over exactly the entries of KNOWN-RED.txt, and prints a summary.
+
+Modules run in a few processes side by side; arguments name modules, classes or tests to run alone.
+"""
+
+from __future__ import annotations
+
+import concurrent.futures
+import io
+import logging
+import multiprocessing
+import pathlib
+import time
+import unittest
+from typing import NamedTuple
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+WORKERS = 4
+SLOWEST_SHOWN = 12
+# Modules that start processes take longest, so they are begun first.
+SLOW_PREFIXES = ("tests.processes.", "tests.configuration.test_history", "tests.test_binary")
+
+
+class KnownRed(NamedTuple):
+    """One listed failure."""
+
+    test: str
+    line: str
+
+
+class ModuleResult(NamedTuple):
+    """How the tests of one name went; the duration is in seconds."""
+
+    name: str
+    run: int
+    failed: tuple[str, ...]
+    skipped: int
+    duration_s: float
+    output: str
+
+
+def read_known_red(path: pathlib.Path) -> tuple[KnownRed, ...]:
+    """Read the listed failures."""
+    entries = []
+    for line in path.read_text(encoding="utf-8").splitlines():
+        if not line.strip() or line.startswith("#"):
+            continue
+        entries.append(KnownRed(line.partition("|")[0].strip(), line))
+    return tuple(entries)
+
+
+def list_modules() -> list[str]:
+    """Name every test module, the slow ones first."""
+    names = []
+    for path in sorted((ROOT / "tests").rglob("test_*.py")):
+        names.append(".".join(path.relative_to(ROOT).with_suffix("").parts))
+    return sorted(names, key=lambda name: not name.startswith(SLOW_PREFIXES))
+
+
+def failed_ids(result: unittest.TestResult) -> tuple[str, ...]:
+    """Name the tests that failed, a failed subtest counting as its test."""
+    ids = {getattr(test, "test_case", test).id() for test, _ in result.failures + result.errors}
+    ids |= {test.id() for test in result.unexpectedSuccesses}
+    return tuple(sorted(ids))
+
+
+def run_name(name: str) -> ModuleResult:
+    """Run the tests of one module, class or test."""
+    # Tests start and poll processes from the loop, which its debug mode would report as slow.
+    logging.getLogger("asyncio").setLevel(logging.ERROR)
+    began = time.monotonic()
+    output = io.StringIO()
+    suite = unittest.TestLoader().loadTestsFromName(name)
+    result = unittest.TextTestRunner(verbosity=2, stream=output).run(suite)
+    return ModuleResult(
+        name,
+        result.testsRun,
+        failed_ids(result),
+        len(result.skipped),
+        time.monotonic() - began,
+        output.getvalue(),
+    )
+
+
+def run_all(names: list[str]) -> list[ModuleResult]:
+    """Run all names side by side and print each output as it comes."""
+    results = []
+    context = multiprocessing.get_context("spawn")
+    with concurrent.futures.ProcessPoolExecutor(WORKERS, mp_context=context) as pool:
+        futures = [pool.submit(run_name, name) for name in names]
+        for future in concurrent.futures.as_completed(futures):
+            result = future.result()
+            print(result.output, end="", flush=True)
+            results.append(result)
+    return results
+
+
+def main(arguments: list[str]) -> int:
+    """Run the named tests, or all; return the exit code."""
+    results = run_all(arguments or list_modules())
+    known = read_known_red(ROOT / "KNOWN-RED.txt")
+    failed = {test for result in results for test in result.failed}
+    for result in sorted(results, key=lambda result: -result.duration_s)[:SLOWEST_SHOWN]:
+        print(f"{result.duration_s:6.1f} s  {result.name}")
+    for entry in known:
+        print(f"known red, {'failed' if entry.test in failed else 'not failed'}: {entry.line}")
+    unexpected = sorted(failed - {entry.test for entry in known})
+    for test in unexpected:
+        print(f"FAILED {test}")
+    run = sum(result.run for result in results)
+    skipped = sum(result.skipped for result in results)
+    print(f"{run - len(failed) - skipped} passed, {len(unexpected)} failed, {skipped} skipped")
+    return 1 if unexpected or not run else 0
