--- a/src/bronzerudder/configuration/startup.py
+++ b/src/bronzerudder/configuration/startup.py
@@ -11,6 +11,7 @@
 from bronzerudder.configuration.shared import SharedConfiguration
 
 PEER_WAIT_S = 1.5
+PEER_SETTLE_S = 0.75
 
 
 class Startup:
@@ -78,8 +79,13 @@
     async def _learn_from_peers(self) -> None:
         await self.ask_seeds()
         await self._wait_pushed(0)
-        if self._shared.revision > 0:
-            self._ready.set()
+        if self._shared.revision == 0:
+            return
+        if self._is_pushed_to:
+            # The first to push may itself be behind; every connected peer shows its revision
+            # within a heartbeat.
+            await anyio.sleep(PEER_SETTLE_S)
+        self._ready.set()
 
     async def _wait_pushed(self, revision: int) -> None:
         if not self._is_pushed_to:
--- a/tests/configuration/test_sources.py
+++ b/tests/configuration/test_sources.py
@@ -5,13 +5,18 @@
 import contextlib
 import unittest
 
-from bronzerudder.configuration import RowKey
+from bronzerudder.configuration import ConfigurationError, ConfigurationErrorKind, RowKey
 from bronzerudder.tables import POOL_KIND, ROUTE_KIND
 from tests.configuration.processes import host, until
 from tests.configuration.rows import pool, route
 from tests.platform.serving import serve_platform
 
 
+async def never_adopt(root):
+    """Take no root over."""
+    return ConfigurationError(ConfigurationErrorKind.UNAVAILABLE, f"ignored {root.version}")
+
+
 class SourcesTest(unittest.IsolatedAsyncioTestCase):
     async def test_edits_are_recorded_once_by_whichever_entry_and_reach_an_agent(self):
         async with contextlib.AsyncExitStack() as stack:
@@ -58,6 +63,26 @@
                 for late in (late_entry, late_agent):
                     self.assertIn(RowKey(POOL_KIND, "p"), late.source.current.rows)
 
+    async def test_an_agent_that_a_stale_entry_reaches_first_is_ready_with_the_newer_revision(self):
+        async with contextlib.AsyncExitStack() as stack:
+            platform = await stack.enter_async_context(serve_platform())
+            stale = await stack.enter_async_context(host(platform.address, "stale"))
+            await platform.store.put(POOL_KIND, "p", pool(), 0)
+            await until(lambda: stale.source.revision == 1)
+            platform.app.faults.set("stale", {"stalled": True})
+            # The waiting watch was made before the fault; its answer must not reach the entry.
+            stale.source._recorder.adopt = never_adopt
+            entry = await stack.enter_async_context(host(platform.address, "entry"))
+            await platform.store.put(ROUTE_KIND, "r", route(), 0)
+            await until(lambda: entry.source.revision == 2)
+            platform.app.faults.set("*", {"down": True})
+            agent = await stack.enter_async_context(host(platform.address, "agent", False))
+            stale.source.observe(agent.address, 0)
+            await until(lambda: agent.source.revision == 1)
+            entry.source.observe(agent.address, 1)
+            await agent.source.wait_ready()
+            self.assertEqual(agent.source.revision, 2)
+
     async def test_an_entry_without_peers_is_not_ready_while_the_platform_is_down(self):
         async with serve_platform() as platform:
             platform.app.faults.set("*", {"down": True})
