--- a/src/bronzerudder/processes/agent.py
+++ b/src/bronzerudder/processes/agent.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import secrets
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import anyio
 import grpc.aio
@@ -18,20 +18,25 @@
 from bronzerudder.configuration.peer_service import ConfigurationPeerService
 from bronzerudder.configuration.peer_source import PeerConfigurationSource
 from bronzerudder.entry import ExchangeService
-from bronzerudder.execution import CrashGuard, Executor, ExecutorLimits
+from bronzerudder.execution import CrashGuard, Executor
 from bronzerudder.frames import exchange_pb2 as pb
 from bronzerudder.frames import exchange_pb2_grpc
 from bronzerudder.observability import AdminApp, Tracing, configure_logs, log_event
 from bronzerudder.observability.traces import DEFAULT_SAMPLE_RATIO
+from bronzerudder.policy.admission import FairQueue, FairQueueTerms
 from bronzerudder.processes.platform import open_store
 from bronzerudder.processes.signals import set_on_termination
 from bronzerudder.quarantine import QuarantineFeed
-from bronzerudder.settings.agent import AgentSettings
+from bronzerudder.settings.agent import AgentSettings, BackendServerSettings
 from bronzerudder.web import announce_listening, bind_listener, format_address, serve_http
 
+if TYPE_CHECKING:
+    from bronzerudder.processes.rank_group import RankGroupPart
+
 SETTINGS = AgentSettings
 DEFAULT_DRAIN_TIMEOUT_S = 30.0
 DEFAULT_SILENCE_TIMEOUT_S = 1.5
+DEFAULT_MAX_WAIT_S = {"engine": 0.3, "service": 2.0}
 GRPC_STOP_TIMEOUT_S = 0.5
 INCARNATION_BITS = 63
 GRPC_OPTIONS = (
@@ -100,6 +105,7 @@
             self._feed,
         )
         self._server = grpc.aio.server(options=GRPC_OPTIONS)
+        self._rank_group = self._build_rank_group()
 
     async def start(self, stopped: anyio.Event) -> None:
         """Listen, and tell where."""
@@ -107,6 +113,8 @@
         exchange_pb2_grpc.add_AgentExchangeServicer_to_server(self._service, self._server)
         self._peer_service.add_to(self._server)
         self._tasks.start_soon(supervise, "configuration", self._source.run)
+        if self._rank_group is not None:
+            self._rank_group.start(self._server, self._tasks)
         host, port = settings["listener"]["host"], settings["listener"]["port"]
         bound_port = self._server.add_insecure_port(f"{host}:{port}")
         await self._server.start()
@@ -117,6 +125,7 @@
         self._tasks.start_soon(serve_http, app, admin, stopped, GRPC_STOP_TIMEOUT_S)
         self._tasks.start_soon(supervise, "sweep", self._executor.sweep)
         self._tasks.start_soon(supervise, "claims", self._register.run)
+        self._tasks.start_soon(supervise, "queue expiry", self._executor.expire_queue)
         announce_listening(f"{host}:{bound_port}", admin_address=format_address(admin))
         log_event("listening", address=f"{host}:{bound_port}", incarnation=self._incarnation)
 
@@ -136,6 +145,8 @@
         """Stop serving."""
         await self._server.stop(GRPC_STOP_TIMEOUT_S)
         await self._backend_server.close()
+        if self._rank_group is not None:
+            await self._rank_group.close()
         await self._store.client.close()
         self._tracing.close()
 
@@ -146,12 +157,23 @@
             silence_timeout_s = settings.get("silence_timeout_s", DEFAULT_SILENCE_TIMEOUT_S)
         return HttpBackendServer(settings["url"], silence_timeout_s)
 
+    def _build_rank_group(self) -> RankGroupPart | None:
+        settings = self._settings.get("rank_group")
+        if settings is None:
+            return None
+        # Only agents of lock-step groups load what they need for it.
+        from bronzerudder.processes.rank_group import RankGroupPart
+
+        part = RankGroupPart(settings, self._store.objects, self._incarnation)
+        self._executor.watch_group(lambda: part.member.group_stalled)
+        return part
+
     def _build_executor(self) -> Executor:
         settings = self._settings["backend_server"]
         executor = Executor(
             self._backend_server,
             settings["kind"] == "engine",
-            ExecutorLimits(settings["max_running"], settings["max_queued"]),
+            FairQueue(settings["max_running"], _build_terms(settings)),
             self._tasks,
             self._incarnation,
             self._tracing,
@@ -164,6 +186,12 @@
             registry=self._registry,
         )
         unfinished.set_function(lambda: executor.unfinished)
+        quarantined = Gauge(
+            "bronzerudder_agent_requests_quarantined",
+            "Requests refused because backend servers crashed while they ran.",
+            registry=self._registry,
+        )
+        quarantined.set_function(lambda: len(self._feed.ledger.culprits))
         return executor
 
     def _find_unready_reason(self) -> str:
@@ -172,10 +200,23 @@
         return "" if self._source.is_ready else "no configuration yet"
 
     def _describe(self) -> dict[str, Any]:
+        group = {}
+        if self._rank_group is not None:
+            member = self._rank_group.member
+            group = {
+                "expert_map_version": member.active_version,
+                "group_stalled": member.group_stalled,
+            }
         return {
+            **group,
             "agent_id": self._settings["agent_id"],
             "incarnation": self._incarnation,
             "revision": self._source.revision,
             "unfinished": self._executor.unfinished,
             "entries": [session.entry_id for session in self._service.sessions],
         }
+
+
+def _build_terms(settings: BackendServerSettings) -> FairQueueTerms:
+    max_wait_s = settings.get("max_wait_s", DEFAULT_MAX_WAIT_S[settings["kind"]])
+    return FairQueueTerms(settings["max_queued"], max_wait_s)
