--- a/bench/claims.py
+++ b/bench/claims.py
@@ -8,8 +8,8 @@
 
 import itertools
 import random
-import resource
 import time
+import tracemalloc
 from typing import NamedTuple
 
 import anyio
@@ -163,7 +163,7 @@
 
 
 async def measure_memory(keys: int) -> tuple[float, float]:
-    """Return bytes of resident memory per finished key kept, and seconds to take a shard over."""
+    """Return bytes allocated for each finished key kept, and seconds to take a shard over."""
     store = open_store(0.0)
     register = StoredClaimRegister(store, "p", 1, {})
     async with anyio.create_task_group() as tasks:
@@ -171,7 +171,7 @@
         await Load(register).run(keys / DURATION_S, DURATION_S)
         await register.flush()
         tasks.cancel_scope.cancel()
-    before = _resident_bytes()
+    tracemalloc.start()
     successor = StoredClaimRegister(store, "p", 2, {})
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(successor.run)
@@ -179,12 +179,9 @@
         await successor.claim(ClaimKey(make_digest(0, keys * 2), FINGERPRINT), 60.0)
         took_s = time.monotonic() - began
         tasks.cancel_scope.cancel()
-    return (_resident_bytes() - before) / keys, took_s
-
-
-def _resident_bytes() -> int:
-    with open("/proc/self/statm", encoding="ascii") as statm:
-        return int(statm.read().split()[1]) * resource.getpagesize()
+    allocated, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return allocated / keys, took_s
 
 
 async def measure_whole_path(deployment: Deployment, part: int, keyed: bool) -> tuple[float, float]:
