--- a/src/bronzerudder/claims/shard_log.py
+++ b/src/bronzerudder/claims/shard_log.py
@@ -21,6 +21,7 @@
     decode_head,
     encode,
 )
+from bronzerudder.claims.sealed_index import SealedIndex
 from bronzerudder.claims.segment_store import SegmentStore
 from bronzerudder.claims.settings import (
     DEFAULT_RETENTION_S,
@@ -64,7 +65,7 @@
         self._head = EMPTY_HEAD
         self._head_bytes = 0
         self._recent: dict[bytes, Record] = {}
-        self._sealed: dict[str, dict[bytes, Record]] = {}
+        self._sealed: dict[str, SealedIndex] = {}
         self._change: SegmentChange | None = None
         self._loaded = False
 
@@ -209,7 +210,7 @@
         sealed = {}
         for part in head.segments:
             known = self._sealed.get(part.name)
-            sealed[part.name] = known if known is not None else _index(fetched[part.name])
+            sealed[part.name] = known if known is not None else SealedIndex(fetched[part.name])
         self._sealed = sealed
         self._recent = {record.digest: record for record in head.records}
         self._version = version
@@ -226,7 +227,3 @@
 
 def _as_entry(record: Record, segment: str | None) -> Entry:
     return Entry(record.fingerprint, record.state, record.incarnation, record.answer, segment)
-
-
-def _index(records: tuple[Record, ...]) -> dict[bytes, Record]:
-    return {record.digest: record._replace(answer=None) for record in records}
