--- a/bench/harness/configuration_history.py
+++ b/bench/harness/configuration_history.py
@@ -22,7 +22,7 @@
 
 
 class Accepted(NamedTuple):
-    """An operator was told that an edit was accepted; the time is in monotonic seconds.
+    """An operator was told that an edit was accepted; the times are in monotonic seconds.
 
     ``replaced`` is the version of the row that the operator had seen.
     """
@@ -32,6 +32,7 @@
     replaced: int
     revision: int
     deleted: bool
+    asked_at: float
     told_at: float
 
 
@@ -61,9 +62,15 @@
     """Everything that happened, in the order in which it was noted.
 
     ``recorded`` has the accepted decisions that the platform's log held at the end.
+
+    Parameters
+    ----------
+    ask_interval_s : float
+        Time between two questions to a process, in seconds.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, ask_interval_s: float = ASK_INTERVAL_S) -> None:
+        self._ask_interval_s = ask_interval_s
         self.accepted: list[Accepted] = []
         self.refused: list[Decision] = []
         self.failures: list[str] = []
@@ -86,12 +93,13 @@
                 else:
                     known = sighting.revision
                     self.sightings.append(sighting)
-                await anyio.sleep(ASK_INTERVAL_S)
+                await anyio.sleep(self._ask_interval_s)
 
     async def edit(
         self, editor: RowEditor, key: RowKey, value: bytes | None, timeout_s: float
     ) -> None:
         """Edit a row and note what the operator was told."""
+        asked_at = anyio.current_time()
         written = await editor.write(key, value, None)
         if isinstance(written, OperatorError):
             self.failures.append(written.reason)
@@ -108,7 +116,15 @@
             return
         version, told_at = written.edit.version, anyio.current_time()
         self.accepted.append(
-            Accepted(key, version, written.replaced, decision.revision, value is None, told_at)
+            Accepted(
+                key,
+                version,
+                written.replaced,
+                decision.revision,
+                value is None,
+                asked_at,
+                told_at,
+            )
         )
 
     async def read_log(self, reader: TableReader) -> None:
