Test a key that another process has claimed

Cause: the whole-path histories meet this case but do not assert what is told. Ruled out: a timing test with real processes. Before: the outcome and its wait were asserted nowhere at the agent; after: an agent tells unknown with a wait and does not call its backend server.

--- a/tests/execution/test_keyed.py
+++ b/tests/execution/test_keyed.py
@@ -9,7 +9,7 @@
 
 from bench.harness.memory_store import MemoryStore, Objects
 from bronzerudder.backend_server import BackendError, BackendErrorKind
-from bronzerudder.claims import StoredClaimRegister
+from bronzerudder.claims import StoredClaimRegister, make_claim_key
 from bronzerudder.execution import CrashGuard, Executor
 from bronzerudder.frames import exchange_pb2 as pb
 from bronzerudder.observability import Tracing
@@ -65,6 +65,23 @@
         self.assertTrue(finished.replayed)
         self.assertEqual(len(backend_server.calls), 1)
 
+    async def test_a_key_claimed_by_another_process_is_unknown_and_does_not_run(self):
+        store = MemoryStore(Objects())
+        other = StoredClaimRegister(store, "p", INCARNATION + 1, SETTINGS)
+        backend_server = ScriptedBackendServer([b"booked"])
+        async with keyed_executor(backend_server, store) as executor:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(other.run)
+                key = make_claim_key("w", "k", "POST", "/bookings", b"")
+                await other.claim(key, 1.0)
+                tasks.cancel_scope.cancel()
+            entry = Recorder()
+            executor.submit(keyed("r"), entry)
+            finished = await entry.wait_for("finished")
+        self.assertEqual(finished.state, pb.FINISH_STATE_UNKNOWN)
+        self.assertGreater(finished.retry_after_ms, 0)
+        self.assertEqual(backend_server.calls, [])
+
     async def test_a_key_of_another_request_is_refused(self):
         backend_server = ScriptedBackendServer([b"booked"])
         async with keyed_executor(backend_server) as executor:
