Send repeats of a key given back through admission

Cause: a repeat that attaches to a running key gives up its place in the queue; when that run was given back unrun, the repeat was granted the key and ran beside the queue, above the limit of running requests. Ruled out: keeping its place while it waits, as the key's own run may need that place. The repeat is now refused as cancelled, which the entry sends again at once.

--- a/src/bronzerudder/execution/keyed.py
+++ b/src/bronzerudder/execution/keyed.py
@@ -22,6 +22,7 @@
 
 CLAIM_TIMEOUT_S = 3.0
 STATUS_ANSWER_NOT_KEPT = 409
+GIVEN_BACK = "the running request of this key was given back unrun; send it again"
 ANSWER_NOT_KEPT = b"the request has run; its answer was too large to keep"
 
 Refuse = Callable[[Attempt, pb.RefusalReason, str, int], None]
@@ -62,29 +63,22 @@
     async def run(self, attempt: Attempt) -> None:
         """Run an attempt, attach it to the run of the same key, or refuse it."""
         key = _make_key(attempt.submit)
-        outcome = await self._claim(attempt, key)
+        outcome = await self._register.claim(key, CLAIM_TIMEOUT_S)
         if isinstance(outcome, Granted):
             await self._run_granted(attempt, key)
             return
+        # Its place is given up, and with it the right to run: the key's own run may need it.
         self._leave_queue(attempt)
+        if isinstance(outcome, Running):
+            outcome = await self._register.wait(key)
         if isinstance(outcome, ClaimError):
             self._refuse_claim(attempt, outcome)
             return
+        if isinstance(outcome, Released):
+            self._refuse(attempt, pb.REFUSAL_REASON_CANCELLED, GIVEN_BACK, 0)
+            return
         _emit_earlier_end(attempt, outcome)
 
-    async def _claim(
-        self, attempt: Attempt, key: ClaimKey
-    ) -> Granted | AlreadyFinished | Unknown | ClaimError:
-        while True:
-            outcome = await self._register.claim(key, CLAIM_TIMEOUT_S)
-            if not isinstance(outcome, Running):
-                return outcome
-            # From here on a refusal would hide that the key may be running.
-            self._leave_queue(attempt)
-            ended = await self._register.wait(key)
-            if not isinstance(ended, Released):
-                return ended
-
     async def _run_granted(self, attempt: Attempt, key: ClaimKey) -> None:
         attempt.keep_answer()
         try:
--- a/tests/execution/test_executor.py
+++ b/tests/execution/test_executor.py
@@ -36,6 +36,12 @@
     def kinds(self):
         return [frame.WhichOneof("body") for frame in self.frames]
 
+    async def wait_for_any(self, *kinds):
+        with anyio.fail_after(TIMEOUT_S):
+            while not set(kinds) & set(self.kinds()):
+                await self._changed.wait()
+        return next(kind for kind in self.kinds() if kind in kinds)
+
     async def wait_for(self, kind):
         with anyio.fail_after(TIMEOUT_S):
             while kind not in self.kinds():
