--- a/tests/execution/test_executor.py
+++ b/tests/execution/test_executor.py
@@ -7,6 +7,7 @@
 
 import anyio
 
+from bench.harness.memory_store import MemoryStore, Objects
 from bronzerudder.backend_server import BackendError, BackendErrorKind
 from bronzerudder.claims import StoredClaimRegister
 from bronzerudder.execution import CrashGuard, Executor
@@ -14,7 +15,6 @@
 from bronzerudder.observability import Tracing
 from bronzerudder.policy.admission import FairQueue, FairQueueTerms
 from bronzerudder.quarantine import QuarantineFeed
-from tests.claims.stores import MemoryStore, Objects
 from tests.fakes import ScriptedBackendServer
 
 INCARNATION = 7
