Choose subsets of a pool by rendezvous hashing

Cause: at 430 entries before 3,300 backend servers a full mesh holds 1.4 million connections. It is not wired in: pools of today are used whole, and keyed requests must reach their owner.

--- a/src/bronzerudder/policy/limits/recent_use.py
+++ b/src/bronzerudder/policy/limits/recent_use.py
@@ -19,6 +19,8 @@
 
 IDLE_SHARE = 0.05
 """Part of a limit that is kept for entries without recent use, all together."""
+DIVIDE_INTERVAL_S = 0.1
+"""Least time between two sums over all agents, which cost more than a request's decision."""
 CONCURRENCY_RETRY_AFTER_S = 0.5
 
 
@@ -29,6 +31,8 @@
         self.running = 0
         self.max_running = 0
         self.uses: dict[str, tuple[RouteUse, float]] = {}
+        self.is_outdated = False
+        self.divided_at_s = -math.inf
 
 
 class RecentUseLimiter(RouteLimiter):
@@ -69,6 +73,8 @@
         known = self._routes.get(route)
         if known is None:
             return RoutePermit(route)
+        if known.is_outdated and now_s - known.divided_at_s >= DIVIDE_INTERVAL_S:
+            self._divide(known, now_s)
         if known.limits.concurrency is not None and known.running >= known.max_running:
             return RouteLimited(
                 RouteLimitKind.CONCURRENCY,
@@ -95,11 +101,11 @@
         told = dict(uses)
         for name in self._told.get(agent, frozenset()).difference(told):
             self._routes[name].uses.pop(agent, None)
-            self._divide(self._routes[name], now_s)
+            self._routes[name].is_outdated = True
         known = frozenset(name for name in told if name in self._routes)
         for name in known:
             self._routes[name].uses[agent] = (told[name], now_s)
-            self._divide(self._routes[name], now_s)
+            self._routes[name].is_outdated = True
         self._told[agent] = known
 
     def forget(self, agent: str, now_s: float) -> None:
@@ -108,6 +114,8 @@
         self._told.pop(agent, None)
 
     def _divide(self, known: _Route, now_s: float) -> None:
+        known.is_outdated = False
+        known.divided_at_s = now_s
         total_rate = own_rate = 0.0
         total_running = own_running = 0
         for use, told_s in known.uses.values():
--- a/src/bronzerudder/policy/subset/__init__.py
+++ b/src/bronzerudder/policy/subset/__init__.py
@@ -4,5 +4,7 @@
 
 from bronzerudder.policy.subset.api import Member, SubsetPolicy
 from bronzerudder.policy.subset.full_mesh import FullMesh
+from bronzerudder.policy.subset.rendezvous import RendezvousSubset
+from bronzerudder.policy.subset.sample import SampleSubset
 
-__all__ = ["FullMesh", "Member", "SubsetPolicy"]
+__all__ = ["FullMesh", "Member", "RendezvousSubset", "SampleSubset", "SubsetPolicy"]
