Tell every entry of the limited routes in use

Every entry is now told of every limited route in use at an agent; only routes with limits are counted (new: Submit.limited). Ruled out: spreading a route's requests over all agents for the counts' sake.

--- a/src/bronzerudder/dispatch/dispatcher.py
+++ b/src/bronzerudder/dispatch/dispatcher.py
@@ -155,7 +155,7 @@
         time_left_s = deadline - anyio.current_time()
         submit = build_submit(request, match, number, time_left_s, progress.last_event_id)
         attempt = target.connection.start(submit)
-        placement = target.candidate.begin(request.estimated_tokens, request.prompt_tokens)
+        placement = target.candidate.begin(max(1, request.estimated_tokens), request.prompt_tokens)
         repeatable = match.route["repeatable"]
         try:
             return await self._follow(attempt, placement, progress, deadline, repeatable)
--- a/src/bronzerudder/dispatch/submit.py
+++ b/src/bronzerudder/dispatch/submit.py
@@ -44,4 +44,5 @@
         fingerprint=request.fingerprint,
         weight=match.route.get("weight", 1),
         prefix=request.prefix,
+        limited="rate_limit_rps" in match.route or "concurrency_limit" in match.route,
     )
--- a/src/bronzerudder/execution/executor.py
+++ b/src/bronzerudder/execution/executor.py
@@ -221,7 +221,8 @@
             self._gate.leave(waiting.submit)
 
     async def _run(self, attempt: Attempt, entry_id: str) -> None:
-        self._route_uses.begin(attempt.submit.route, entry_id, anyio.current_time())
+        if attempt.submit.limited:
+            self._route_uses.begin(attempt.submit.route, entry_id, anyio.current_time())
         span = self._tracing.start("agent attempt", attempt.submit.traceparent)
         attempt.submit.traceparent = self._tracing.format_traceparent(span)
         try:
@@ -231,7 +232,8 @@
             logging.exception("attempt of %s failed unexpectedly", attempt.key.request_id)
             attempt.emit_finished(_cut_state(attempt), "internal error")
         finally:
-            self._route_uses.end(attempt.submit.route, entry_id)
+            if attempt.submit.limited:
+                self._route_uses.end(attempt.submit.route, entry_id)
             span.end()
 
     async def _run_within_deadline(self, attempt: Attempt) -> None:
--- a/src/bronzerudder/policy/limits/use_counter.py
+++ b/src/bronzerudder/policy/limits/use_counter.py
@@ -38,11 +38,14 @@
         self.running = 0
 
 
+UNUSED = _Use()
+
+
 class RouteUseCounter:
     """Counts accepted and running requests by route and entry.
 
-    Each entry is told the totals of the routes that it uses itself, so that what is sent grows
-    with an entry's own traffic and not with the number of routes.
+    Every entry is told of every limited route in use here, also of those that it sends elsewhere:
+    entries prefer agents of their own failure domain, so that one agent may see one entry only.
     """
 
     def __init__(self) -> None:
@@ -70,14 +73,14 @@
         self._uses[route][entry].running -= 1
 
     def describe(self, entry: str, now_s: float) -> list[tuple[str, RouteUse]]:
-        """Describe the routes that an entry uses, to this entry."""
+        """Describe the use of routes to an entry."""
         described = []
         entries = max(1, len(self._connections))
         for route, by_entry in list(self._uses.items()):
             self._forget_idle(route, now_s)
-            own = by_entry.get(entry)
-            if own is None:
+            if not by_entry:
                 continue
+            own = by_entry.get(entry, UNUSED)
             described.append((route, _sum_up(own, by_entry, entries, now_s)))
         return described
 
--- a/src/bronzerudder/policy/routing/token_load.py
+++ b/src/bronzerudder/policy/routing/token_load.py
@@ -34,15 +34,15 @@
         many entries with the same old reports from all picking the same candidate.
     prefix_weight : float
         Outstanding tokens that one saved prompt token is worth.
-    remote_tokens : int
-        Tokens that the way to another failure domain is worth.
+    remote_weight : float
+        Part of the request's own tokens that the way to another failure domain is worth.
     """
 
     choices: int = 4
     report_time_constant_s: float = 2.0
     report_bound: float = 1.5
     prefix_weight: float = 2.0
-    remote_tokens: int = 50
+    remote_weight: float = 0.05
 
 
 DEFAULT_TERMS = TokenLoadTerms()
@@ -86,7 +86,7 @@
         for candidate in self._draw(available) + holders:
             cost = self._load(candidate, now_s, others_mean)
             if candidate.failure_domain != self._failure_domain:
-                cost += self._terms.remote_tokens
+                cost += request.estimated_tokens * self._terms.remote_weight
             if candidate not in holders:
                 cost += request.prompt_tokens * self._terms.prefix_weight
             if cost < least:
--- a/tests/policy/limits/test_recent_use.py
+++ b/tests/policy/limits/test_recent_use.py
@@ -94,6 +94,8 @@
             counter.begin("r", "e-1" if step % 3 else "e-2", step * 0.01)
             if step >= 2:
                 counter.end("r", "e-1" if (step - 2) % 3 else "e-2")
+        ((_, unused),) = counter.describe("e-3", 3.0)
+        self.assertEqual((0.0, 0), (unused.own_rate, unused.own_running))
         (route, use), *rest = counter.describe("e-1", 3.0)
         self.assertEqual(("r", []), (route, rest))
         self.assertAlmostEqual(2 / 3, use.own_rate / use.total_rate, delta=0.02)
--- a/tests/policy/routing/test_token_load.py
+++ b/tests/policy/routing/test_token_load.py
@@ -48,6 +48,11 @@
         picked = self.policy.pick(candidates, RoutedRequest(100), 0.0)
         self.assertEqual("d-0", picked.failure_domain)
 
+    def test_own_failure_domain_gives_way_to_a_small_difference(self):
+        near, remote = make_candidates(2)
+        near.begin(1)
+        self.assertIs(remote, self.policy.pick([near, remote], RoutedRequest(1), 0.0))
+
     def test_prefix_is_followed_until_its_holder_is_loaded(self):
         candidates = make_candidates(2)
         request = RoutedRequest(700, 500, "w/1")
