--- a/src/bronzerudder/execution/executor.py
+++ b/src/bronzerudder/execution/executor.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import functools
+from collections.abc import Callable
 
 import anyio
 from absl import logging
@@ -76,6 +77,7 @@
         self._route_uses = RouteUseCounter()
         self._leaving = False
         self._backend_up = True
+        self._is_group_stalled: Callable[[], bool] = _is_never_stalled
         self._keyed = KeyedRunner(register, self._run_in_slot, self._leave_queue, self._refuse)
 
     @property
@@ -93,6 +95,10 @@
         """Use of routes by entry."""
         return self._route_uses
 
+    def watch_group(self, is_stalled: Callable[[], bool]) -> None:
+        """Report a stall of the lock-step group that the backend server belongs to."""
+        self._is_group_stalled = is_stalled
+
     def leave(self) -> None:
         """Refuse new work from now on."""
         self._leaving = True
@@ -112,7 +118,7 @@
             estimated_wait_ms=int(queue.estimated_wait_s(now) * 1000),
             token_rate=round(queue.token_rate),
             backend_up=self._backend_up,
-            group_stalled=queue.is_stalled(now),
+            group_stalled=queue.is_stalled(now) or self._is_group_stalled(),
             route_uses=describe_uses(self._route_uses, entry_id, now),
         )
 
@@ -328,3 +334,8 @@
 
 def _cut_state(attempt: Attempt) -> pb.FinishState:
     return pb.FINISH_STATE_BROKEN if attempt.has_head else pb.FINISH_STATE_UNKNOWN
+
+
+def _is_never_stalled() -> bool:
+    """Answer for a backend server that belongs to no lock-step group."""
+    return False
--- a/src/bronzerudder/processes/agent.py
+++ b/src/bronzerudder/processes/agent.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import secrets
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import anyio
 import grpc.aio
@@ -30,6 +30,9 @@
 from bronzerudder.settings.agent import AgentSettings, BackendServerSettings
 from bronzerudder.web import announce_listening, bind_listener, format_address, serve_http
 
+if TYPE_CHECKING:
+    from bronzerudder.processes.rank_group import RankGroupPart
+
 SETTINGS = AgentSettings
 DEFAULT_DRAIN_TIMEOUT_S = 30.0
 DEFAULT_SILENCE_TIMEOUT_S = 1.5
@@ -102,6 +105,7 @@
             self._feed,
         )
         self._server = grpc.aio.server(options=GRPC_OPTIONS)
+        self._rank_group = self._build_rank_group()
 
     async def start(self, stopped: anyio.Event) -> None:
         """Listen, and tell where."""
@@ -109,6 +113,8 @@
         exchange_pb2_grpc.add_AgentExchangeServicer_to_server(self._service, self._server)
         self._peer_service.add_to(self._server)
         self._tasks.start_soon(supervise, "configuration", self._source.run)
+        if self._rank_group is not None:
+            self._rank_group.start(self._server, self._tasks)
         host, port = settings["listener"]["host"], settings["listener"]["port"]
         bound_port = self._server.add_insecure_port(f"{host}:{port}")
         await self._server.start()
@@ -118,8 +124,8 @@
         app = AdminApp(self._registry, self._find_unready_reason, self._describe)
         self._tasks.start_soon(serve_http, app, admin, stopped, GRPC_STOP_TIMEOUT_S)
         self._tasks.start_soon(supervise, "sweep", self._executor.sweep)
-        self._tasks.start_soon(supervise, "admission queue", self._executor.expire_queue)
         self._tasks.start_soon(supervise, "claims", self._register.run)
+        self._tasks.start_soon(supervise, "queue expiry", self._executor.expire_queue)
         announce_listening(f"{host}:{bound_port}", admin_address=format_address(admin))
         log_event("listening", address=f"{host}:{bound_port}", incarnation=self._incarnation)
 
@@ -139,6 +145,8 @@
         """Stop serving."""
         await self._server.stop(GRPC_STOP_TIMEOUT_S)
         await self._backend_server.close()
+        if self._rank_group is not None:
+            await self._rank_group.close()
         await self._store.client.close()
         self._tracing.close()
 
@@ -149,6 +157,17 @@
             silence_timeout_s = settings.get("silence_timeout_s", DEFAULT_SILENCE_TIMEOUT_S)
         return HttpBackendServer(settings["url"], silence_timeout_s)
 
+    def _build_rank_group(self) -> RankGroupPart | None:
+        settings = self._settings.get("rank_group")
+        if settings is None:
+            return None
+        # Only agents of lock-step groups load what they need for it.
+        from bronzerudder.processes.rank_group import RankGroupPart
+
+        part = RankGroupPart(settings, self._store.objects, self._incarnation)
+        self._executor.watch_group(lambda: part.member.group_stalled)
+        return part
+
     def _build_executor(self) -> Executor:
         settings = self._settings["backend_server"]
         executor = Executor(
@@ -167,6 +186,12 @@
             registry=self._registry,
         )
         unfinished.set_function(lambda: executor.unfinished)
+        quarantined = Gauge(
+            "bronzerudder_agent_requests_quarantined",
+            "Requests refused because backend servers crashed while they ran.",
+            registry=self._registry,
+        )
+        quarantined.set_function(lambda: len(self._feed.ledger.culprits))
         return executor
 
     def _find_unready_reason(self) -> str:
@@ -175,7 +200,15 @@
         return "" if self._source.is_ready else "no configuration yet"
 
     def _describe(self) -> dict[str, Any]:
+        group = {}
+        if self._rank_group is not None:
+            member = self._rank_group.member
+            group = {
+                "expert_map_version": member.active_version,
+                "group_stalled": member.group_stalled,
+            }
         return {
+            **group,
             "agent_id": self._settings["agent_id"],
             "incarnation": self._incarnation,
             "revision": self._source.revision,
--- a/tests/rank_group/explorer.py
+++ b/tests/rank_group/explorer.py
@@ -10,10 +10,11 @@
 from __future__ import annotations
 
 import collections
+import random
 from collections.abc import Iterator
 from typing import Any, NamedTuple
 
-from bronzerudder.backend_server.rank_api import RankStatus
+from bronzerudder.backend_server.rank_api import NO_MAP, RankStatus
 from bronzerudder.rank_group.messages import GroupReply, GroupRequest, Phase
 from bronzerudder.rank_group.participant import Participant
 from bronzerudder.rank_group.proposer import Proposer, next_term
@@ -25,7 +26,11 @@
 
 
 class Limits(NamedTuple):
-    """What may happen in a run; proposers are given by the ranks of their agents."""
+    """What may happen in a run; proposers are given by the ranks of their agents.
+
+    With a ``shuffle_seed`` the search goes in depth, in a seeded order, which finds violations
+    sooner; without it, in breadth.
+    """
 
     proposers: tuple[int, ...] = (0, 1)
     agent_restarts: int = 1
@@ -36,6 +41,7 @@
     honours_terms: bool = False
     formed: bool = True
     late_orders: bool = True
+    shuffle_seed: int | None = None
 
 
 class Attempt(NamedTuple):
@@ -90,9 +96,9 @@
         self._proposer_type = proposer_type
         self._ranks = Interned()
         self._attempts = Interned()
-        self._requests = Interned()
         self._orders = Interned()
         self._known: dict[tuple, Any] = {}
+        self._delivered: dict[tuple[int, int, int, int], tuple[int, int]] = {}
         self.visited = 0
         self.committed: set[int] = set()
         self.unexpected_reset = False
@@ -101,16 +107,16 @@
         self._may_reset = not limits.formed or limits.engine_restarts > 0
 
     def run(self) -> None:
-        """Visit states, breadth first, until all are visited or one violates the invariant."""
+        """Visit states until all are visited or one violates the invariant."""
         status = RankStatus(next_step=1, active=1) if self._limits.formed else RankStatus()
         rank = self._ranks.number(RankState(status=status))
         start = Node((rank,) * RANKS, (0,) * len(self._limits.proposers))
         seen: dict[Node, tuple[Node, str] | None] = {start: None}
         queue = collections.deque([start])
         while queue:
-            node = queue.popleft()
+            node = queue.popleft() if self._limits.shuffle_seed is None else queue.pop()
             self.visited += 1
-            for event, following in self._events(node):
+            for event, following in self._ordered_events(node):
                 if following in seen:
                     continue
                 seen[following] = (node, event)
@@ -121,6 +127,12 @@
                     continue
                 queue.append(following)
 
+    def _ordered_events(self, node: Node) -> list[tuple[tuple, Node]]:
+        events = list(self._events(node))
+        if self._limits.shuffle_seed is not None:
+            random.Random(hash((self._limits.shuffle_seed, node))).shuffle(events)
+        return events
+
     def _explain(self, seen: dict, node: Node) -> list[str]:
         events = []
         while seen[node] is not None:
@@ -131,12 +143,24 @@
     def _describe(self, event: tuple) -> str:
         name, rank, detail = event
         if name.startswith("request"):
-            return f"{name} {self._requests[detail]} at rank {rank}"
+            return f"{name} {detail} at rank {rank}"
         if name == "late":
             return f"late {self._orders[detail]} at rank {rank}"
         return f"{name} {rank}"
 
     def _violates(self, node: Node) -> bool:
+        return self._has_mixed_step(node) or not self._may_reset and self._has_lone_decision(node)
+
+    def _has_lone_decision(self, node: Node) -> bool:
+        """Whether a rank will use a version that another neither holds nor uses."""
+        statuses = [self._ranks[rank].status for rank in node.ranks]
+        for version in {status.pending for status in statuses} - {NO_MAP}:
+            others = [each for each in statuses if each.active != NO_MAP]
+            if any(version not in (each.held, each.pending, each.active) for each in others):
+                return True
+        return False
+
+    def _has_mixed_step(self, node: Node) -> bool:
         ready = [self._ranks[rank].ready for rank in node.ranks]
         lowest = min(step for step, _ in ready)
         if lowest == 0:
@@ -217,7 +241,7 @@
         attempts = list(node.attempts)
         attempts[index] = self._attempts.number(attempt)
         node = node._replace(attempts=tuple(attempts))
-        yield ("begin", index, None), self._deliver(node, index, attempt.sent[0], home)
+        yield ("begin", index, None), self._deliver(node, index, 0, home)
 
     def _proposer(self, term: int, incarnations: tuple[int, ...]) -> Proposer:
         proposer = self._proposer_type(RANKS, term, b"new", b"reset", self._limits.margin_steps)
@@ -226,12 +250,13 @@
 
     def _attempt_events(self, node: Node, index: int) -> Iterator[tuple[tuple, Node]]:
         attempt = self._attempts[node.attempts[index]]
-        for request in attempt.sent:
-            number = self._requests.number(request)
+        for position, request in enumerate(attempt.sent):
             for rank in range(RANKS):
-                yield ("request", rank, number), self._deliver(node, index, request, rank)
+                event = ("request", rank, request)
+                yield event, self._deliver(node, index, position, rank)
                 if request.phase in ORDER_PHASES and self._may_lose(node, rank):
-                    yield ("request, dies", rank, number), self._die(node, index, request, rank)
+                    event = ("request, dies", rank, request)
+                    yield event, self._die(node, index, request, rank)
         if attempt.alive:
             following = self._advance(node, index)
             if following is not None:
@@ -245,19 +270,32 @@
     def _may_lose(self, node: Node, rank: int) -> bool:
         return self._limits.late_orders and self._may_die(node, rank)
 
-    def _deliver(self, node: Node, index: int, request: GroupRequest, rank: int) -> Node:
-        attempt = self._attempts[node.attempts[index]]
-        number, reply = self._change(node.ranks[rank], "deliver", _address(attempt, request, rank))
-        following = _set_rank(node, rank, number)
-        if not attempt.alive or request is not attempt.sent[-1] or attempt.replies[rank]:
+    def _deliver(self, node: Node, index: int, position: int, rank: int) -> Node:
+        key = (node.attempts[index], position, rank, node.ranks[rank])
+        found = self._delivered.get(key)
+        if found is None:
+            found = self._delivered[key] = self._deliver_anew(*key)
+        following = _set_rank(node, rank, found[0])
+        if found[1] == node.attempts[index]:
             return following
+        attempts = list(node.attempts)
+        attempts[index] = found[1]
+        return following._replace(attempts=tuple(attempts))
+
+    def _deliver_anew(
+        self, attempt_number: int, position: int, rank: int, rank_number: int
+    ) -> tuple[int, int]:
+        """Return the numbers of the rank's and the attempt's state after a delivery."""
+        attempt = self._attempts[attempt_number]
+        request = attempt.sent[position]
+        number, reply = self._change(rank_number, "deliver", _address(attempt, request, rank))
+        if not attempt.alive or position < len(attempt.sent) - 1 or attempt.replies[rank]:
+            return number, attempt_number
         if not reply.accepted or request.phase not in AWAITED_PHASES:
-            return following
+            return number, attempt_number
         replies = list(attempt.replies)
         replies[rank] = _essence(request, reply, self._may_reset)
-        attempts = list(node.attempts)
-        attempts[index] = self._attempts.number(attempt._replace(replies=tuple(replies)))
-        return following._replace(attempts=tuple(attempts))
+        return number, self._attempts.number(attempt._replace(replies=tuple(replies)))
 
     def _die(self, node: Node, index: int, request: GroupRequest, rank: int) -> Node:
         attempt = self._attempts[node.attempts[index]]
@@ -316,6 +354,8 @@
 
 
 def _set_rank(node: Node, rank: int, number: int) -> Node:
+    if node.ranks[rank] == number:
+        return node
     ranks = list(node.ranks)
     ranks[rank] = number
     return node._replace(ranks=tuple(ranks))
--- a/tests/rank_group/processes.py
+++ b/tests/rank_group/processes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import json
 import pathlib
 import signal
@@ -12,6 +13,8 @@
 from collections.abc import Callable
 from typing import Any
 
+import httpx
+
 RANKS = 3
 STEP_TIME_S = 0.02
 POLL_INTERVAL_S = 0.02
@@ -68,7 +71,7 @@
         command = [sys.executable, "-m", "bronzerudder", "standin", "rank", str(path)]
         self._engines[rank] = self._start(command, f"engine-{rank}.out")
 
-    def start_member(self, rank: int) -> None:
+    def start_member(self, rank: int, **more: Any) -> None:
         settings = {
             "engine_url": f"http://{self._control[rank]}",
             "peers": self._peers,
@@ -76,6 +79,7 @@
             "rank": rank,
             "seed": rank,
             **self._member_settings,
+            **more,
         }
         module = "tests.rank_group.member_process"
         command = [sys.executable, "-m", module, json.dumps(settings)]
@@ -96,6 +100,14 @@
         process.kill()
         process.wait()
 
+    @property
+    def control(self) -> list[str]:
+        """Addresses at which the engines take orders."""
+        return self._control
+
+    def wait_member_death(self, rank: int, timeout_s: float) -> None:
+        self._members[rank].wait(timeout_s)
+
     def freeze_member(self, rank: int) -> None:
         self._members[rank].send_signal(signal.SIGSTOP)
 
@@ -139,6 +151,14 @@
         goals = [len(self.steps(rank)) + count for rank in range(RANKS)]
         return lambda: all(len(self.steps(rank)) >= goals[rank] for rank in range(RANKS))
 
+    def longest_wait_s(self) -> float:
+        """Return the longest time between two steps that followed each other at one rank."""
+        longest_s = 0.0
+        for rank in range(RANKS):
+            times = [line["time_s"] for line in self.steps(rank)]
+            longest_s = max([longest_s, *(b - a for a, b in itertools.pairwise(times))])
+        return longest_s
+
     def find_mixed_steps(self) -> list[tuple[int, set[int]]]:
         """Return the steps that ranks ran on more than one map."""
         versions: dict[int, set[int]] = {}
@@ -148,6 +168,55 @@
         return [(step, found) for step, found in versions.items() if len(found) > 1]
 
 
+class AgentGroup(Group):
+    """A group whose members are whole agents."""
+
+    def __init__(self, folder: str) -> None:
+        super().__init__(folder)
+        self._admin = free_addresses(RANKS)
+
+    def start_member(self, rank: int, **more: Any) -> None:
+        settings = {
+            "agent_id": f"agent-{rank}",
+            "failure_domain": "one",
+            "pool": "chat",
+            "listener": _as_listener(self._peers[rank]),
+            "admin_listener": _as_listener(self._admin[rank]),
+            "backend_server": {
+                "name": f"rank-{rank}",
+                "kind": "engine",
+                "url": f"http://{self._control[rank]}",
+                "max_running": 4,
+                "max_queued": 4,
+            },
+            "platform": {"address": self._dead_platform},
+            "rank_group": {
+                "group": "chat",
+                "rank": rank,
+                "peers": self._peers,
+                "engine_url": f"http://{self._control[rank]}",
+            },
+        }
+        path = self._folder / f"agent-{rank}.json"
+        path.write_text(json.dumps(settings), encoding="utf-8")
+        command = [sys.executable, "-m", "bronzerudder", "agent", str(path)]
+        self._members[rank] = self._start(command, f"member-{rank}.out")
+
+    def status(self, rank: int) -> dict:
+        """Return what the agent's admin port shows; nothing while it doesn't answer."""
+        try:
+            return httpx.get(
+                f"http://{self._admin[rank]}/status", timeout=1, trust_env=False
+            ).json()
+        except httpx.HTTPError:
+            return {}
+
+
+def _as_listener(address: str) -> dict[str, Any]:
+    host, _, port = address.rpartition(":")
+    return {"host": host, "port": int(port)}
+
+
 def _read_lines(path: pathlib.Path) -> list[dict]:
     if not path.exists():
         return []
