Learn the backend server's rate when answers are not streamed

Cause: the flood over real processes was not refused (24 callers before 4 places, seen red). The place that an ended request leaves was counted as room before its tokens were recorded, so that unstreamed answers never lowered the assumed 10,000 tokens/s; and with a time constant of 2 s from so high a guess it would have taken over 4 s. Now the room is looked at before, the first measurement replaces the guess, and early ones weigh more. Ruled out: a lower guess, which would refuse a fast backend server's first requests. Before and after, test_running: 10,000 to 200 +/- 60 after 3 s at 200 tokens/s (red, green). Run: tests.policy.admission, tests.policy.test_overload, tests.processes.test_overload, 19 passed.

--- a/src/bronzerudder/policy/admission/running.py
+++ b/src/bronzerudder/policy/admission/running.py
@@ -45,6 +45,7 @@
         self._window_tokens = 0
         self._window_start_s = 0.0
         self._progress_s = 0.0
+        self._measured_s = 0.0
 
     @property
     def count(self) -> int:
@@ -106,10 +107,11 @@
         self._left[request_id] = left - done
         self._tokens -= done
         self._begun.add(request_id)
-        self._record(done, now_s)
+        self._record(done, not self.has_room, now_s)
 
     def finish(self, request_id: str, now_s: float) -> int:
         """Count a request as ended; return the part of its estimate that was not used."""
+        was_full = not self.has_room
         left = self._left.pop(request_id, None)
         if left is None:
             return 0
@@ -118,7 +120,7 @@
         self._begun.discard(request_id)
         if left < started.tokens:
             self._learn_service(started, now_s)
-        self._record(left, now_s)
+        self._record(left, was_full, now_s)
         return left
 
     def _learn_service(self, started: _Started, now_s: float) -> None:
@@ -129,19 +131,22 @@
         kept = SERVICE_KEEP * self._seconds_per_token
         self._seconds_per_token = kept + (1 - SERVICE_KEEP) * measured
 
-    def _record(self, tokens: int, now_s: float) -> None:
+    def _record(self, tokens: int, was_full: bool, now_s: float) -> None:
         self._progress_s = now_s
         self._window_tokens += tokens
         elapsed_s = now_s - self._window_start_s
         if elapsed_s < RATE_INTERVAL_S:
             return
-        self._update_rate(elapsed_s)
+        self._update_rate(elapsed_s, was_full)
         self._window_start_s = now_s
         self._window_tokens = 0
 
-    def _update_rate(self, elapsed_s: float) -> None:
+    def _update_rate(self, elapsed_s: float, was_full: bool) -> None:
         measured = self._window_tokens / elapsed_s
-        if measured < self._rate and self.has_room:
+        if measured < self._rate and not was_full:
             return
-        keep = math.exp(-elapsed_s / RATE_TIME_CONSTANT_S)
+        # The first measurement replaces the assumed rate, and early ones weigh more.
+        time_constant_s = min(RATE_TIME_CONSTANT_S, self._measured_s)
+        keep = math.exp(-elapsed_s / time_constant_s) if time_constant_s > 0 else 0.0
+        self._measured_s += elapsed_s
         self._rate = keep * self._rate + (1 - keep) * measured
