--- a/src/bronzerudder/dispatch/dispatcher.py
+++ b/src/bronzerudder/dispatch/dispatcher.py
@@ -37,12 +37,13 @@
 from bronzerudder.dispatch.request import CallerRequest
 from bronzerudder.dispatch.submit import build_submit
 from bronzerudder.dispatch.targets import Target, TargetTable
-from bronzerudder.policy.limits import RouteLimited, RouteLimiter
+from bronzerudder.policy.limits import RouteLimited, RouteLimiter, RouteLimits, RoutePermit
 from bronzerudder.policy.retry import RetryBudget, RetryDenial
 from bronzerudder.policy.routing import NoCandidate, Placement, RoutedRequest
 
 PROOF_TIMEOUT_S = 0.25
 MAX_ATTEMPTS = 8
+UNLIMITED = RouteLimits()
 # A failover follows a death, not load, so it spends no retry budget; one that the second backend
 # server does not survive either may be the request's own doing.
 MAX_FAILOVERS = 1
@@ -88,7 +89,7 @@
         match = self._current().match(request.workspace, request.path, request.model)
         if match is None:
             return Outcome(OutcomeKind.NOT_RUN, STATUS_NOT_FOUND, "no route for this request")
-        permit = self._limiter.acquire(match.route_name, anyio.current_time())
+        permit = self._acquire(match)
         if isinstance(permit, RouteLimited):
             status = STATUS_TOO_MANY_REQUESTS
             return Outcome(OutcomeKind.NOT_RUN, status, permit.reason, permit.retry_after_s)
@@ -97,6 +98,15 @@
         finally:
             self._limiter.release(permit, anyio.current_time())
 
+    def _acquire(self, match: Match) -> RoutePermit | RouteLimited:
+        now = anyio.current_time()
+        route = match.route
+        limits = RouteLimits(route.get("rate_limit_rps"), route.get("concurrency_limit"))
+        self._limiter.configure(match.route_name, limits)
+        if limits != UNLIMITED:
+            self._targets.get(match.pool_name).refresh(now)
+        return self._limiter.acquire(match.route_name, now)
+
     async def _serve_route(
         self, request: CallerRequest, match: Match, progress: Progress
     ) -> Outcome:
@@ -111,7 +121,7 @@
                 return outcome or _describe_no_candidate(target)
             attempted = await self._attempt(request, match, target, progress, number, deadline)
             outcome = _judge(attempted, progress)
-            if not _may_retry(attempted, progress, match.route["repeatable"]):
+            if not _may_retry(attempted, progress, request, match):
                 return outcome
             if not _is_stray(attempted.event):
                 tried.add(target.candidate.name)
@@ -206,7 +216,9 @@
     return describe_loss(event)
 
 
-def _may_retry(attempted: _Attempted, progress: Progress, repeatable: bool) -> bool:
+def _may_retry(
+    attempted: _Attempted, progress: Progress, request: CallerRequest, match: Match
+) -> bool:
     event = attempted.event
     if attempted.timed_out or progress.terminated or isinstance(event, Completed):
         return False
@@ -214,7 +226,10 @@
         return False
     if isinstance(event, Refused):
         return event.reason in RETRYABLE_REFUSALS
-    return repeatable
+    if isinstance(event, Lost) and request.idempotency_key:
+        # The claim on record keeps the next agent from running it again.
+        return True
+    return match.route["repeatable"]
 
 
 def _is_stray(event: FinalEvent) -> bool:
--- a/src/bronzerudder/processes/entry.py
+++ b/src/bronzerudder/processes/entry.py
@@ -12,6 +12,7 @@
 from bronzerudder.agent import AgentPool
 from bronzerudder.caller import CallerApp, CallerHeaders
 from bronzerudder.cli.api import EXIT_OK
+from bronzerudder.concurrency import supervise
 from bronzerudder.configuration import SharedConfiguration
 from bronzerudder.configuration.peer_service import ConfigurationPeerService
 from bronzerudder.configuration.platform_source import PlatformConfigurationSource
@@ -19,7 +20,7 @@
 from bronzerudder.observability import AdminApp, Tracing, configure_logs, log_event
 from bronzerudder.observability.traces import DEFAULT_SAMPLE_RATIO
 from bronzerudder.platform.follower import LeavingFollower
-from bronzerudder.policy.limits import EvenSplitLimiter
+from bronzerudder.policy.limits import RecentUseLimiter
 from bronzerudder.policy.retry import ShareBudget
 from bronzerudder.policy.routing import TokenLoadRouting
 from bronzerudder.processes.platform import open_store
@@ -81,8 +82,11 @@
             settings["entry_id"], settings["failure_domain"], self._source, QuarantineFeed(), tasks
         )
         generator = random.Random()
+        self._limiter = RecentUseLimiter(generator)
         self._targets = TargetTable(
-            self._agents, lambda row: TokenLoadRouting(generator, settings["failure_domain"])
+            self._agents,
+            lambda row: TokenLoadRouting(generator, settings["failure_domain"]),
+            self._limiter,
         )
         self._app = self._build_app()
         self._server = grpc.aio.server(options=GRPC_OPTIONS)
@@ -93,11 +97,11 @@
         listener = self._settings["peer_listener"]
         self._peer_port = self._server.add_insecure_port(f"{listener['host']}:{listener['port']}")
         await self._server.start()
-        self._tasks.start_soon(self._source.run)
-        self._tasks.start_soon(self._follow_configuration)
-        self._tasks.start_soon(self._agents.retire_unwanted)
+        self._tasks.start_soon(supervise, "configuration", self._source.run)
+        self._tasks.start_soon(supervise, "configuration follower", self._follow_configuration)
+        self._tasks.start_soon(supervise, "connection retirement", self._agents.retire_unwanted)
         follower = LeavingFollower(self._store.instances, self._agents.mark_leaving)
-        self._tasks.start_soon(follower.run)
+        self._tasks.start_soon(supervise, "instance list", follower.run)
 
     async def serve_until(self, stopping: anyio.Event) -> None:
         """Serve callers; once told to stop, let requests in flight finish."""
@@ -130,9 +134,8 @@
     def _build_app(self) -> CallerApp:
         names = self._settings.get("headers", {})
         headers = CallerHeaders(**{field: name.lower() for field, name in names.items()})
-        # One entry's limiter learns of the others from the agents' counts.
         dispatcher = Dispatcher(
-            lambda: self._source.current, self._targets, EvenSplitLimiter(1), ShareBudget
+            lambda: self._source.current, self._targets, self._limiter, ShareBudget
         )
         max_body_bytes = self._settings.get("max_body_bytes", DEFAULT_MAX_BODY_BYTES)
         return CallerApp(dispatcher, headers, max_body_bytes, self._tracing, self._registry)
--- a/src/bronzerudder/processes/rank_group.py
+++ b/src/bronzerudder/processes/rank_group.py
@@ -6,6 +6,7 @@
 import grpc.aio
 
 from bronzerudder.backend_server.rank_http import HttpRankEngine
+from bronzerudder.concurrency import supervise
 from bronzerudder.platform.api import ObjectStore
 from bronzerudder.rank_group.member import RankGroupMember
 from bronzerudder.rank_group.peers import GrpcRankPeers
@@ -48,7 +49,7 @@
     def start(self, server: grpc.aio.Server, tasks: anyio.abc.TaskGroup) -> None:
         """Serve the other ranks' agents and watch the engine."""
         RankGroupService(self._member).add_to(server)
-        tasks.start_soon(self._member.run)
+        tasks.start_soon(supervise, "rank group", self._member.run)
 
     async def close(self) -> None:
         """Close all connections."""
