Measure the path through entry and agent

Cause: the first-token, memory and packing targets had no measurement. Conclusion: packing of what is due stays the default; the rest is to be looked into.

--- a/bench/harness/load.py
+++ b/bench/harness/load.py
@@ -55,12 +55,14 @@
     return "".join(f"{token_text(prompt, index)} " for index in range(tokens))
 
 
+def find_gaps_s(result: StreamResult) -> list[float]:
+    """Return the times between tokens, in seconds."""
+    return [later - earlier for earlier, later in itertools.pairwise(result.token_times)]
+
+
 def find_longest_gap_s(result: StreamResult) -> float:
     """Return the longest time between two tokens, in seconds; 0 where there are none."""
-    gaps = [0.0]
-    for earlier, later in itertools.pairwise(result.token_times):
-        gaps.append(later - earlier)
-    return max(gaps)
+    return max(find_gaps_s(result), default=0.0)
 
 
 async def stream_completion(
--- /dev/null
+++ b/bench/path.py
@@ -0,0 +1,185 @@
+"""Measures the path through entry and agent beside direct calls to the engine.
+
+Added times to first token and between tokens at half load, tokens and requests for each
+core-second of entry and agent, the gain of packing frames, and what idle processes use.
+"""
+
+from __future__ import annotations
+
+import statistics
+from typing import NamedTuple
+
+import anyio
+import psutil
+
+from bench.harness import Deployment, Shape
+from bench.harness.load import StreamResult, find_gaps_s, open_client, stream_completion
+
+IDLE_TIME_S = 10.0
+STEP_TIME_S = 0.02
+RUN_TIME_S = 8.0
+HALF_LOAD_STREAMS_PER_S = 20
+TOKENS = 32
+PACKED_STREAMS = 48
+PACKED_TOKENS = 100
+SHORT_REQUESTS = 600
+SHORT_CONCURRENCY = 16
+BYTES_PER_MB = 1_000_000
+TARGET_MEDIAN_MS = 3.0
+TARGET_99TH_MS = 10.0
+TARGET_MEMORY_MB = 64.0
+TARGET_IDLE_SHARE = 0.01
+TARGET_PACKING_GAIN = 1.5
+PACKINGS = (
+    ("one frame a message", {"max_frames": 1}),
+    ("what is due", {}),
+    ("wait 2 ms", {"delay_ms": 2.0}),
+    ("wait 5 ms", {"delay_ms": 5.0}),
+)
+
+
+class Usage(NamedTuple):
+    """Processor time used so far, in seconds, and resident memory, in megabytes."""
+
+    cpu_s: float
+    memory_mb: float
+
+
+def read_usage(pid: int) -> Usage:
+    """Read what a process has used."""
+    process = psutil.Process(pid)
+    times = process.cpu_times()
+    return Usage(times.user + times.system, process.memory_info().rss / BYTES_PER_MB)
+
+
+def quantile(values: list[float], share: float) -> float:
+    """Return the value below which a share of the values lie."""
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+async def stream_at_rate(address: str, rate: float, tokens: int) -> list[StreamResult]:
+    """Begin streams at a fixed rate and wait for all."""
+    results: list[StreamResult] = []
+
+    async def stream(index: int) -> None:
+        results.append(await stream_completion(client, address, f"question {index}", tokens))
+
+    async with open_client() as client:
+        # The first connections of a process are left out.
+        await stream_completion(client, address, "first", tokens)
+        async with anyio.create_task_group() as tasks:
+            for index in range(int(rate * RUN_TIME_S)):
+                tasks.start_soon(stream, index)
+                await anyio.sleep(1 / rate)
+    return [result for result in results if result.outcome == "done" or result.text]
+
+
+def report(name: str, value: str, target: str = "") -> None:
+    """Print one row."""
+    print(f"| {name} | {value} | {target} |")
+
+
+async def measure_added_time(deployment: Deployment) -> None:
+    """Compare times with and without entry and agent at half load."""
+    rate = HALF_LOAD_STREAMS_PER_S
+    direct = await stream_at_rate(deployment.engines[0].server.address, rate, TOKENS)
+    before = [read_usage(pid).cpu_s for pid in _path_pids(deployment)]
+    through = await stream_at_rate(deployment.entries[0].address, rate, TOKENS)
+    after = [read_usage(pid).cpu_s for pid in _path_pids(deployment)]
+    first = [[result.token_times[0] for result in run] for run in (direct, through)]
+    gaps = [[gap for result in run for gap in find_gaps_s(result)] for run in (direct, through)]
+    for share, target in ((0.5, TARGET_MEDIAN_MS), (0.99, TARGET_99TH_MS)):
+        added_ms = (quantile(first[1], share) - quantile(first[0], share)) * 1000
+        report(
+            f"added time to first token, {share:.0%} quantile",
+            f"{added_ms:.2f} ms",
+            f"<= {target} ms",
+        )
+    for share in (0.5, 0.99):
+        added_ms = (quantile(gaps[1], share) - quantile(gaps[0], share)) * 1000
+        report(f"added time between tokens, {share:.0%} quantile", f"{added_ms:.2f} ms")
+    used_s = [later - earlier for earlier, later in zip(before, after, strict=True)]
+    shares = " and ".join(f"{used / RUN_TIME_S:.0%}" for used in used_s)
+    report("core share of entry and agent at this load", shares)
+
+
+def _path_pids(deployment: Deployment) -> tuple[int, int]:
+    return deployment.entries[0].pid, deployment.engines[0].agent.pid
+
+
+async def measure_tokens(deployment: Deployment) -> float:
+    """Return tokens for each core-second of entry and agent with many streams at once."""
+    address = deployment.entries[0].address
+    before = sum(read_usage(pid).cpu_s for pid in _path_pids(deployment))
+    results: list[StreamResult] = []
+
+    async def stream(index: int) -> None:
+        results.append(await stream_completion(client, address, f"long {index}", PACKED_TOKENS))
+
+    async with open_client() as client, anyio.create_task_group() as tasks:
+        for index in range(PACKED_STREAMS):
+            tasks.start_soon(stream, index)
+    used_s = sum(read_usage(pid).cpu_s for pid in _path_pids(deployment)) - before
+    gaps_ms = [gap * 1000 for result in results for gap in find_gaps_s(result)]
+    print(
+        f"  {sum(len(result.event_ids) for result in results)} tokens, {used_s:.2f} core-seconds, "
+        f"gap median {statistics.median(gaps_ms):.1f} ms, 99th {quantile(gaps_ms, 0.99):.1f} ms"
+    )
+    return sum(len(result.event_ids) for result in results) / used_s
+
+
+async def measure_requests(deployment: Deployment) -> float:
+    """Return short requests for each core-second of entry and agent."""
+    address = deployment.entries[0].address
+    limiter = anyio.CapacityLimiter(SHORT_CONCURRENCY)
+    before = sum(read_usage(pid).cpu_s for pid in _path_pids(deployment))
+
+    async def request(index: int) -> None:
+        async with limiter:
+            await stream_completion(client, address, f"short {index}", 1)
+
+    async with open_client() as client, anyio.create_task_group() as tasks:
+        for index in range(SHORT_REQUESTS):
+            tasks.start_soon(request, index)
+    used_s = sum(read_usage(pid).cpu_s for pid in _path_pids(deployment)) - before
+    return SHORT_REQUESTS / used_s
+
+
+async def measure_idle(deployment: Deployment) -> None:
+    """Report what idle processes use."""
+    pids = _path_pids(deployment)
+    before = [read_usage(pid) for pid in pids]
+    await anyio.sleep(IDLE_TIME_S)
+    after = [read_usage(pid) for pid in pids]
+    for name, earlier, later in zip(("entry", "agent"), before, after, strict=True):
+        share = (later.cpu_s - earlier.cpu_s) / IDLE_TIME_S
+        report(f"memory of an idle {name}", f"{later.memory_mb:.1f} MB", f"< {TARGET_MEMORY_MB} MB")
+        target = f"< {TARGET_IDLE_SHARE:.0%}" if name == "agent" else ""
+        report(f"core share of an idle {name}", f"{share:.2%}", target)
+
+
+def main() -> None:
+    """Print the table."""
+    print("| measure | value | target |\n| --- | --- | --- |")
+    engine = {"step_time_s": STEP_TIME_S, "max_batch": 256}
+    backend_server = {"max_running": 256}
+    shape = Shape(engines=1, engine=engine, agent_backend_server=backend_server)
+    with Deployment(shape) as deployment:
+        anyio.run(measure_idle, deployment)
+        anyio.run(measure_added_time, deployment)
+        requests = anyio.run(measure_requests, deployment)
+        report("requests for each core-second", f"{requests:.0f}")
+    rates = {}
+    for name, packing in PACKINGS:
+        with Deployment(shape._replace(agent={"packing": packing})) as deployment:
+            rates[name] = anyio.run(measure_tokens, deployment)
+        report(f"tokens for each core-second, {name}", f"{rates[name]:.0f}")
+    baseline = rates[PACKINGS[0][0]]
+    for name, _ in PACKINGS[1:]:
+        gain = f"{rates[name] / baseline:.2f}"
+        report(f"gain of packing, {name}", gain, f">= {TARGET_PACKING_GAIN}")
+
+
+if __name__ == "__main__":
+    main()
--- a/src/bronzerudder/entry/service.py
+++ b/src/bronzerudder/entry/service.py
@@ -7,34 +7,17 @@
 
 import anyio
 
-from bronzerudder.configuration import ConfigurationSource
+from bronzerudder.entry.context import SessionContext
 from bronzerudder.entry.session import EntrySession
-from bronzerudder.execution import Executor
 from bronzerudder.frames import exchange_pb2 as pb
 from bronzerudder.frames import exchange_pb2_grpc
-from bronzerudder.quarantine import QuarantineFeed
-
-HELLO_TIMEOUT_S = 2.0
 
 
 class ExchangeService(exchange_pb2_grpc.AgentExchangeServicer):
     """Holds one session for each entry; a newer connection of an entry supersedes the older."""
 
-    def __init__(
-        self,
-        executor: Executor,
-        incarnation: int,
-        agent_id: str,
-        failure_domain: str,
-        source: ConfigurationSource,
-        feed: QuarantineFeed,
-    ) -> None:
-        self._executor = executor
-        self._feed = feed
-        self._source = source
-        self._incarnation = incarnation
-        self._agent_id = agent_id
-        self._failure_domain = failure_domain
+    def __init__(self, context: SessionContext) -> None:
+        self._context = context
         self._sessions: dict[str, EntrySession] = {}
 
     @property
@@ -51,14 +34,7 @@
         self, request_iterator: AsyncIterator[Any], context: Any
     ) -> None:
         """Serve one connection until either side ends it."""
-        session = EntrySession(
-            self._executor,
-            self._incarnation,
-            self._agent_id,
-            self._failure_domain,
-            self._source,
-            self._feed,
-        )
+        session = EntrySession(self._context)
         try:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._read_all, session, request_iterator)
--- a/src/bronzerudder/entry/session.py
+++ b/src/bronzerudder/entry/session.py
@@ -6,14 +6,11 @@
 
 import anyio
 
-from bronzerudder.configuration import ConfigurationSource
-from bronzerudder.execution import Executor
+from bronzerudder.entry.context import SessionContext
 from bronzerudder.frames import exchange_pb2 as pb
-from bronzerudder.quarantine import QuarantineFeed
 
 SILENCE_TIMEOUT_S = 5.0
 LOAD_INTERVAL_S = 0.25
-MAX_FRAMES_PER_BATCH = 256
 
 
 class EntrySession:
@@ -23,31 +20,16 @@
 
     Parameters
     ----------
-    executor : Executor
-        Runs what the entry submits.
-    incarnation : int
-        Of this agent process.
-    agent_id, failure_domain : str
-        Named to the entry.
-    source : ConfigurationSource
-        Whose revision is shown to the entry, and which learns the entry's.
-    feed : QuarantineFeed
-        Exchanges news of crashes with the entry.
+    context : SessionContext
+        What all connections share.
     """
 
-    def __init__(
-        self,
-        executor: Executor,
-        incarnation: int,
-        agent_id: str,
-        failure_domain: str,
-        source: ConfigurationSource,
-        feed: QuarantineFeed,
-    ) -> None:
-        self._executor = executor
-        self._feed = feed
-        self._source = source
-        self._incarnation = incarnation
+    def __init__(self, context: SessionContext) -> None:
+        self._executor = context.executor
+        self._feed = context.feed
+        self._source = context.source
+        self._packing = context.packing
+        self._incarnation = context.identity.incarnation
         self._pending: list[pb.AgentFrame] = []
         self._due = anyio.Event()
         self._closed = False
@@ -55,10 +37,12 @@
         self._entry_id = ""
         self._connection = 0
         hello = pb.AgentHello(
-            agent_id=agent_id, failure_domain=failure_domain, leaving=executor.leaving
+            agent_id=context.identity.agent_id,
+            failure_domain=context.identity.failure_domain,
+            leaving=context.executor.leaving,
         )
         self.send(pb.AgentFrame(hello=hello))
-        feed.attach(self._send_news)
+        context.feed.attach(self._send_news)
 
     @property
     def entry_id(self) -> str:
@@ -89,18 +73,23 @@
         self._feed.detach(self._send_news)
         self._executor.detach(self.send)
 
-    async def write_all(self, context: Any) -> None:
+    async def write_all(self, writer: Any) -> None:
         """Write queued frames until the session closes."""
         while not self._closed:
             await self._due.wait()
             self._due = anyio.Event()
+            if self._packing.delay_s:
+                await anyio.sleep(self._packing.delay_s)
             while self._pending and not self._closed:
-                frames = self._pending[:MAX_FRAMES_PER_BATCH]
-                del self._pending[:MAX_FRAMES_PER_BATCH]
-                batch = pb.AgentBatch(
-                    incarnation=self._incarnation, revision=self._source.revision, frames=frames
-                )
-                await context.write(batch)
+                await writer.write(self._next_batch())
+
+    def _next_batch(self) -> pb.AgentBatch:
+        count = self._packing.max_frames
+        frames = self._pending[:count]
+        del self._pending[:count]
+        return pb.AgentBatch(
+            incarnation=self._incarnation, revision=self._source.revision, frames=frames
+        )
 
     async def report_load(self) -> None:
         """Send the load whenever it has changed; close when the entry has gone silent."""
--- a/src/bronzerudder/processes/agent.py
+++ b/src/bronzerudder/processes/agent.py
@@ -17,7 +17,8 @@
 from bronzerudder.configuration import SharedConfiguration
 from bronzerudder.configuration.peer_service import ConfigurationPeerService
 from bronzerudder.configuration.peer_source import PeerConfigurationSource
-from bronzerudder.entry import ExchangeService
+from bronzerudder.entry import AgentIdentity, ExchangeService, Packing, SessionContext
+from bronzerudder.entry.context import DEFAULT_MAX_FRAMES
 from bronzerudder.execution import CrashGuard, Executor
 from bronzerudder.frames import exchange_pb2 as pb
 from bronzerudder.frames import exchange_pb2_grpc
@@ -96,13 +97,13 @@
             shared, self._store.objects, settings["agent_id"], tuple(settings.get("peers", ()))
         )
         self._peer_service = ConfigurationPeerService(shared, self._source)
+        identity = AgentIdentity(
+            settings["agent_id"], settings["failure_domain"], self._incarnation
+        )
         self._service = ExchangeService(
-            self._executor,
-            self._incarnation,
-            settings["agent_id"],
-            settings["failure_domain"],
-            self._source,
-            self._feed,
+            SessionContext(
+                identity, self._executor, self._source, self._feed, build_packing(settings)
+            )
         )
         self._server = grpc.aio.server(options=GRPC_OPTIONS)
         self._rank_group = self._build_rank_group()
@@ -220,3 +221,11 @@
 def _build_terms(settings: BackendServerSettings) -> FairQueueTerms:
     max_wait_s = settings.get("max_wait_s", DEFAULT_MAX_WAIT_S[settings["kind"]])
     return FairQueueTerms(settings["max_queued"], max_wait_s)
+
+
+def build_packing(settings: AgentSettings) -> Packing:
+    """Read how frames share messages."""
+    packing = settings.get("packing", {})
+    return Packing(
+        packing.get("delay_ms", 0.0) / 1000, packing.get("max_frames", DEFAULT_MAX_FRAMES)
+    )
--- a/src/bronzerudder/settings/agent.py
+++ b/src/bronzerudder/settings/agent.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from typing import Literal, NotRequired, TypedDict
+from typing import Annotated, Literal, NotRequired, TypedDict
+
+import msgspec
 
 from bronzerudder.claims.settings import ClaimSettings
 from bronzerudder.rank_group.settings import RankGroupSettings
@@ -25,6 +27,16 @@
     silence_timeout_s: NotRequired[Seconds]
 
 
+class PackingSettings(TypedDict):
+    """How frames to entries share messages.
+
+    The first frame waits ``delay_ms`` for others; 0 packs only what is due already.
+    """
+
+    delay_ms: NotRequired[Annotated[float, msgspec.Meta(ge=0, le=100)]]
+    max_frames: NotRequired[Count]
+
+
 class AgentSettings(TypedDict):
     """Settings of one agent process.
 
@@ -42,5 +54,6 @@
     peers: NotRequired[list[Address]]
     claims: NotRequired[ClaimSettings]
     rank_group: NotRequired[RankGroupSettings]
+    packing: NotRequired[PackingSettings]
     drain_timeout_s: NotRequired[Seconds]
     trace_sample_ratio: NotRequired[Share]
