--- a/bench/policy_cost.py
+++ b/bench/policy_cost.py
@@ -12,6 +12,7 @@
 
 import numpy as np
 
+from bronzerudder.frames import exchange_pb2 as pb
 from bronzerudder.policy.admission import AdmissionRequest, FairQueue, FairQueueTerms
 from bronzerudder.policy.limits import (
     RecentUseLimiter,
@@ -117,6 +118,12 @@
     counter = RouteUseCounter()
     counting_us = measure_us(lambda n: (counter.begin("r", "e", n), counter.end("r", "e")))
     print(f"agent's count of a request: {counting_us:.2f} us")
+    row = pb.RouteUse(
+        route="chat-1", total_rate=9.4, own_rate=1.2, total_running=20, own_running=3, entries=430
+    )
+    without = pb.Load(outstanding_requests=9, outstanding_tokens=9000, token_rate=9000)
+    named = pb.Load(route_uses=[row])
+    print(f"load frame: {without.ByteSize()} bytes, each limited route {named.ByteSize()} bytes")
     for members, size in SIZES:
         for policy in (RendezvousSubset(size), SampleSubset(size)):
             name = f"{type(policy).__name__}, {size} of {members}"
