Split the replay of the placement benchmark

Its one function held the group, the weight store and the loop together. The group that runs on one map while the next is loading is now a class. The policy is asked once the loading is over, as before, and the rate is given back just before that.

--- a/bench/placement.py
+++ b/bench/placement.py
@@ -26,6 +26,7 @@
 from bench.traces.api import INTERVAL_S
 from bronzerudder.policy.placement import (
     FullPlacement,
+    GrantedProposal,
     Hold,
     IncrementalPlacement,
     LoadAllowance,
@@ -122,47 +123,69 @@
     return IncrementalPlacement(terms)
 
 
+class _Group:
+    """A group that runs on one map while the weights of the next are loading."""
+
+    def __init__(self, shape: GroupShape) -> None:
+        self.active = initial_map(shape.ranks, shape.slots_per_rank, shape.experts, shape.layers)
+        self._experts = layout_of_map(self.active).experts
+        self._next: Proposal | None = None
+        self._loaded_at_s = 0.0
+        self.skews: list[float] = []
+        self.loading_steps = 0
+        self.loaded_bytes = 0
+        self.changes = 0
+
+    @property
+    def loading(self) -> bool:
+        """Whether a map is on its way."""
+        return self._next is not None
+
+    def change(self, decision: GrantedProposal, now_s: float) -> None:
+        """Begin to load a map at the granted rate."""
+        load_s = decision.proposal.load_bytes / decision.grant.bytes_per_s
+        self._next = decision.proposal
+        self._loaded_at_s = now_s + load_s
+        self.loaded_bytes += decision.proposal.load_bytes
+        self.changes += 1
+
+    def run_step(self, tokens: np.ndarray, now_s: float) -> None:
+        """Run one step, on the next map once its weights are loaded."""
+        if self._next is not None and now_s >= self._loaded_at_s:
+            self.active = self._next.expert_map
+            self._experts = layout_of_map(self.active).experts
+            self._next = None
+        self.loading_steps += self.loading
+        self.skews.append(step_skew(rank_loads(self._experts, tokens)))
+
+
 async def replay(customer: Customer, variant: Variant, seed: int, shape: GroupShape) -> Run:
     """Run one trace through one policy."""
     trace = customer.trace(seed, shape)
     budget = DividedBudget(WeightStoreLimits(STORE_BYTES_PER_S, 1))
     policy = build_policy(variant, customer)
     rebalancer = Rebalancer(policy, ShiftFollowingEstimator(), budget, INTERVAL_S)
-    active = initial_map(shape.ranks, shape.slots_per_rank, shape.experts, shape.layers)
-    experts = layout_of_map(active).experts
-    pending: tuple[float, Proposal] | None = None
-    skews = []
-    loading_steps = loaded_bytes = changes = 0
+    group = _Group(shape)
     for interval in range(trace.interval_count):
         steps = trace.sample_steps(interval)
         for index, tokens in enumerate(steps):
-            now_s = (interval + index / len(steps)) * INTERVAL_S
-            if pending is not None and now_s >= pending[0]:
-                active = pending[1].expert_map
-                experts = layout_of_map(active).experts
-                pending = None
-                await rebalancer.finish()
-            loading_steps += pending is not None
-            skews.append(step_skew(rank_loads(experts, tokens)))
+            group.run_step(tokens, (interval + index / len(steps)) * INTERVAL_S)
         rebalancer.observe(LoadObservation(steps.sum(axis=0), INTERVAL_S))
-        if pending is not None or interval % variant.every:
+        if group.loading or interval % variant.every:
             continue
-        decision = await rebalancer.propose(active)
-        if isinstance(decision, Hold):
-            continue
-        load_s = decision.proposal.load_bytes / decision.grant.bytes_per_s
-        pending = ((interval + 1) * INTERVAL_S + load_s, decision.proposal)
-        loaded_bytes += decision.proposal.load_bytes
-        changes += 1
+        await rebalancer.finish()
+        decision = await rebalancer.propose(group.active)
+        if not isinstance(decision, Hold):
+            group.change(decision, (interval + 1) * INTERVAL_S)
     return Run(
         customer.name,
         variant.name,
         seed,
-        float(np.median(skews)),
-        float(np.percentile(skews, 99)),
-        loaded_bytes,
-        loading_steps / len(skews),
-        changes,
+        float(np.median(group.skews)),
+        float(np.percentile(group.skews, 99)),
+        group.loaded_bytes,
+        group.loading_steps / len(group.skews),
+        group.changes,
     )
 
 
