--- a/src/bronzerudder/processes/rank_group.py
+++ b/src/bronzerudder/processes/rank_group.py
@@ -29,8 +29,10 @@
     """
 
     def __init__(self, settings: RankGroupSettings, objects: ObjectStore, incarnation: int) -> None:
+        self._group = settings["group"]
+        self._rank = settings["rank"]
         self._engine = HttpRankEngine(settings["engine_url"])
-        self._peers = GrpcRankPeers(tuple(settings["peers"]))
+        self._peers = GrpcRankPeers(settings["group"], tuple(settings["peers"]))
         self._member = RankGroupMember(
             settings["rank"],
             len(settings["peers"]),
@@ -48,7 +50,7 @@
 
     def start(self, server: grpc.aio.Server, tasks: anyio.abc.TaskGroup) -> None:
         """Serve the other ranks' agents and watch the engine."""
-        RankGroupService(self._member).add_to(server)
+        RankGroupService(self._member, self._group, self._rank).add_to(server)
         tasks.start_soon(supervise, "rank group", self._member.run)
 
     async def close(self) -> None:
--- a/src/bronzerudder/rank_group/peers.py
+++ b/src/bronzerudder/rank_group/peers.py
@@ -30,11 +30,14 @@
 
     Parameters
     ----------
+    group : str
+        Name of the group.
     addresses : tuple of str
         ``host:port`` of every rank's agent, in the order of ranks.
     """
 
-    def __init__(self, addresses: tuple[str, ...]) -> None:
+    def __init__(self, group: str, addresses: tuple[str, ...]) -> None:
+        self._group = group
         self._addresses = addresses
         self._channels: dict[int, grpc.aio.Channel] = {}
 
@@ -43,8 +46,11 @@
     ) -> GroupReply | PeerError:
         """Send one request over the rank's connection."""
         stub = rank_group_pb2_grpc.RankGroupStub(self._channel(rank))
+        message = encode_request(request)
+        message.group = self._group
+        message.rank = rank
         try:
-            return decode_reply(await stub.Call(encode_request(request), timeout=timeout_s))
+            return decode_reply(await stub.Call(message, timeout=timeout_s))
         except grpc.aio.AioRpcError as error:
             return PeerError(rank, f"{error.code().name}: {error.details()}")
 
--- a/src/bronzerudder/rank_group/service.py
+++ b/src/bronzerudder/rank_group/service.py
@@ -14,10 +14,22 @@
 
 
 class RankGroupService(rank_group_pb2_grpc.RankGroupServicer):
-    """Hands the requests of other ranks' agents to this agent's member of the group."""
-
-    def __init__(self, member: RankGroupMember) -> None:
+    """Hands the requests of other ranks' agents to this agent's member of the group.
+
+    Parameters
+    ----------
+    member : RankGroupMember
+        Answers them.
+    group : str
+        Name of the group.
+    rank : int
+        Rank of this agent; requests meant for another group or rank are refused.
+    """
+
+    def __init__(self, member: RankGroupMember, group: str, rank: int) -> None:
         self._member = member
+        self._group = group
+        self._rank = rank
 
     def add_to(self, server: grpc.aio.Server) -> None:
         """Serve on an agent's port."""
@@ -25,6 +37,9 @@
 
     async def Call(self, request: pb.GroupRequest, context: Any) -> pb.GroupReply:  # noqa: N802
         """Answer one request."""
+        if (request.group, request.rank) != (self._group, self._rank):
+            reason = f"this is rank {self._rank} of group {self._group}"
+            await context.abort(grpc.StatusCode.FAILED_PRECONDITION, reason)
         decoded = decode_request(request)
         if decoded is None:
             await context.abort(grpc.StatusCode.INVALID_ARGUMENT, "unknown phase")
