Trace each attempt, and stop the HTTP server without an error

Cause: a test of spans, logs and metrics found that an entry whose admin port had been asked anything exits with code 1 on SIGTERM: the server library fails on a cancellation while connections are open (InvalidStateError). It is now told to stop and shielded. A second fault on the way: listener and library owned the same descriptor, so a late close could hit another socket; the descriptor is handed over. Ruled out: the tracing, whose spans were right. The dispatcher records a span for each attempt, and takes one job in place of six arguments. Conclusion: a clean exit is part of the drain's promise.

--- a/src/bronzerudder/dispatch/dispatcher.py
+++ b/src/bronzerudder/dispatch/dispatcher.py
@@ -37,6 +37,7 @@
 from bronzerudder.dispatch.request import CallerRequest
 from bronzerudder.dispatch.submit import build_submit
 from bronzerudder.dispatch.targets import Target, TargetTable
+from bronzerudder.observability import Tracing
 from bronzerudder.policy.limits import RouteLimited, RouteLimiter, RouteLimits, RoutePermit
 from bronzerudder.policy.retry import RetryBudget, RetryDenial
 from bronzerudder.policy.routing import NoCandidate, Placement, RoutedRequest
@@ -51,6 +52,23 @@
 FinalEvent = Completed | Cut | Refused | Lost
 
 
+class _Job(NamedTuple):
+    """A request on its way; the deadline is in monotonic seconds."""
+
+    request: CallerRequest
+    match: Match
+    progress: Progress
+    deadline: float
+
+    @property
+    def repeatable(self) -> bool:
+        return self.match.route["repeatable"]
+
+    @property
+    def time_left_s(self) -> float:
+        return self.deadline - anyio.current_time()
+
+
 class _Attempted(NamedTuple):
     event: FinalEvent
     timed_out: bool
@@ -69,6 +87,8 @@
         Holds the routes' limits.
     build_budget : callable
         Makes the retry budget of a pool.
+    tracing : Tracing
+        Records a span for each attempt.
     """
 
     def __init__(
@@ -77,11 +97,13 @@
         targets: TargetTable,
         limiter: RouteLimiter,
         build_budget: Callable[[], RetryBudget],
+        tracing: Tracing,
     ) -> None:
         self._current = current
         self._targets = targets
         self._limiter = limiter
         self._build_budget = build_budget
+        self._tracing = tracing
         self._budgets: dict[str, RetryBudget] = {}
 
     async def serve(self, request: CallerRequest, sink: AnswerSink) -> Outcome:
@@ -94,7 +116,8 @@
             status = STATUS_TOO_MANY_REQUESTS
             return Outcome(OutcomeKind.NOT_RUN, status, permit.reason, permit.retry_after_s)
         try:
-            return await self._serve_route(request, match, Progress(sink))
+            deadline = anyio.current_time() + _find_time_limit(request, match)
+            return await self._serve_job(_Job(request, match, Progress(sink), deadline))
         finally:
             self._limiter.release(permit, anyio.current_time())
 
@@ -107,25 +130,22 @@
             self._targets.get(match.pool_name).refresh(now)
         return self._limiter.acquire(match.route_name, now)
 
-    async def _serve_route(
-        self, request: CallerRequest, match: Match, progress: Progress
-    ) -> Outcome:
-        deadline = anyio.current_time() + _find_time_limit(request, match)
-        budget = self._budgets.setdefault(match.pool_name, self._build_budget())
+    async def _serve_job(self, job: _Job) -> Outcome:
+        budget = self._budgets.setdefault(job.match.pool_name, self._build_budget())
         budget.record_fresh(anyio.current_time())
         tried: set[str] = set()
         outcome: Outcome | None = None
         for number in range(1, MAX_ATTEMPTS + 1):
-            target = self._pick(request, match, frozenset(tried))
+            target = self._pick(job.request, job.match, frozenset(tried))
             if isinstance(target, NoCandidate):
                 return outcome or _describe_no_candidate(target)
-            attempted = await self._attempt(request, match, target, progress, number, deadline)
-            outcome = _judge(attempted, progress)
-            if not _may_retry(attempted, progress, request, match):
+            attempted = await self._attempt(job, target, number)
+            outcome = _judge(attempted, job.progress)
+            if not _may_retry(attempted, job):
                 return outcome
             if not _is_stray(attempted.event):
                 tried.add(target.candidate.name)
-            delay_s = _find_retry_delay(attempted.event, progress, budget, number, deadline)
+            delay_s = _find_retry_delay(attempted.event, job, budget, number)
             if delay_s is None:
                 return outcome
             await anyio.sleep(delay_s)
@@ -143,39 +163,30 @@
             return targets.pick_for_key(digest, routed, anyio.current_time())
         return targets.pick(routed, anyio.current_time())
 
-    async def _attempt(
-        self,
-        request: CallerRequest,
-        match: Match,
-        target: Target,
-        progress: Progress,
-        number: int,
-        deadline: float,
-    ) -> _Attempted:
-        time_left_s = deadline - anyio.current_time()
-        submit = build_submit(request, match, number, time_left_s, progress.last_event_id)
+    async def _attempt(self, job: _Job, target: Target, number: int) -> _Attempted:
+        request = job.request
+        span = self._tracing.start(
+            "entry attempt", request.traceparent, backend_server=target.candidate.name
+        )
+        submit = build_submit(
+            request, job.match, number, job.time_left_s, job.progress.last_event_id
+        )
+        submit.traceparent = self._tracing.format_traceparent(span)
         attempt = target.connection.start(submit)
         placement = target.candidate.begin(max(1, request.estimated_tokens), request.prompt_tokens)
-        repeatable = match.route["repeatable"]
         try:
-            return await self._follow(attempt, placement, progress, deadline, repeatable)
+            return await self._follow(job, attempt, placement)
         finally:
             placement.finish()
             if not attempt.final:
-                attempt.cancel(only_if_not_started=not repeatable)
+                attempt.cancel(only_if_not_started=not job.repeatable)
             target.connection.forget(attempt)
+            span.end()
 
-    async def _follow(
-        self,
-        attempt: RemoteAttempt,
-        placement: Placement,
-        progress: Progress,
-        deadline: float,
-        repeatable: bool,
-    ) -> _Attempted:
-        with anyio.move_on_after(deadline - anyio.current_time()):
-            return _Attempted(await _relay_events(attempt, placement, progress), False)
-        attempt.cancel(only_if_not_started=not repeatable)
+    async def _follow(self, job: _Job, attempt: RemoteAttempt, placement: Placement) -> _Attempted:
+        with anyio.move_on_after(job.time_left_s):
+            return _Attempted(await _relay_events(attempt, placement, job.progress), False)
+        attempt.cancel(only_if_not_started=not job.repeatable)
         with anyio.move_on_after(PROOF_TIMEOUT_S):
             return _Attempted(await _await_final(attempt), True)
         return _Attempted(Lost("the deadline passed"), True)
@@ -216,20 +227,18 @@
     return describe_loss(event)
 
 
-def _may_retry(
-    attempted: _Attempted, progress: Progress, request: CallerRequest, match: Match
-) -> bool:
+def _may_retry(attempted: _Attempted, job: _Job) -> bool:
     event = attempted.event
-    if attempted.timed_out or progress.terminated or isinstance(event, Completed):
+    if attempted.timed_out or job.progress.terminated or isinstance(event, Completed):
         return False
-    if not progress.can_move:
+    if not job.progress.can_move:
         return False
     if isinstance(event, Refused):
         return event.reason in RETRYABLE_REFUSALS
-    if isinstance(event, Lost) and request.idempotency_key:
+    if isinstance(event, Lost) and job.request.idempotency_key:
         # The claim on record keeps the next agent from running it again.
         return True
-    return match.route["repeatable"]
+    return job.repeatable
 
 
 def _is_stray(event: FinalEvent) -> bool:
@@ -237,14 +246,14 @@
 
 
 def _find_retry_delay(
-    event: FinalEvent, progress: Progress, budget: RetryBudget, attempts: int, deadline: float
+    event: FinalEvent, job: _Job, budget: RetryBudget, attempts: int
 ) -> float | None:
     if isinstance(event, Cut | Lost):
-        progress.failovers += 1
-        return 0.0 if progress.failovers <= MAX_FAILOVERS else None
+        job.progress.failovers += 1
+        return 0.0 if job.progress.failovers <= MAX_FAILOVERS else None
     if isinstance(event, Refused) and event.reason in FREE_REFUSALS:
         return 0.0
-    allowance = budget.allow(attempts, deadline, anyio.current_time())
+    allowance = budget.allow(attempts, job.deadline, anyio.current_time())
     return None if isinstance(allowance, RetryDenial) else allowance.delay_s
 
 
--- a/src/bronzerudder/processes/entry.py
+++ b/src/bronzerudder/processes/entry.py
@@ -135,7 +135,11 @@
         names = self._settings.get("headers", {})
         headers = CallerHeaders(**{field: name.lower() for field, name in names.items()})
         dispatcher = Dispatcher(
-            lambda: self._source.current, self._targets, self._limiter, ShareBudget
+            lambda: self._source.current,
+            self._targets,
+            self._limiter,
+            ShareBudget,
+            self._tracing,
         )
         max_body_bytes = self._settings.get("max_body_bytes", DEFAULT_MAX_BODY_BYTES)
         return CallerApp(dispatcher, headers, max_body_bytes, self._tracing, self._registry)
--- a/src/bronzerudder/web/server.py
+++ b/src/bronzerudder/web/server.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import functools
 import logging
 import socket
 from collections.abc import Callable
@@ -13,6 +12,7 @@
 from hypercorn.config import Config
 
 DEFAULT_DRAIN_TIMEOUT_S = 30.0
+CANCELLED_TIMEOUT_S = 0.1
 KEEP_ALIVE_TIMEOUT_S = 75.0
 MAX_STREAMS_PER_CONNECTION = 1_000
 
@@ -30,14 +30,15 @@
     app : callable
         An ASGI application that accepts the ``http`` scope.
     listener : socket.socket
-        A bound, listening socket; closed on return.
+        A bound, listening socket; it is detached, and its descriptor closed on return.
     stopping : anyio.Event
         Starts the graceful shutdown.
     drain_timeout_s : float
         How long requests in flight may take after that, in seconds.
     """
     config = Config()
-    config.bind = [f"fd://{listener.fileno()}"]
+    # The server closes the descriptor, so nothing else may own it.
+    config.bind = [f"fd://{listener.detach()}"]
     config.graceful_timeout = drain_timeout_s
     config.keep_alive_timeout = KEEP_ALIVE_TIMEOUT_S
     config.h2_max_concurrent_streams = MAX_STREAMS_PER_CONNECTION
@@ -45,10 +46,23 @@
     config.accesslog = None
     config.errorlog = logging.getLogger("bronzerudder.web")
     config.loglevel = "WARNING"
-    run = functools.partial(serve, shutdown_trigger=stopping.wait, mode="asgi")
-    # The server leaves its task marked as cancelled, which the caller's task must not inherit.
+    closing = anyio.Event()
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(run, _without_lifespan(app), config)
+        tasks.start_soon(_run_server, _without_lifespan(app), config, closing)
+        try:
+            await stopping.wait()
+        except anyio.get_cancelled_exc_class():
+            config.graceful_timeout = CANCELLED_TIMEOUT_S
+            raise
+        finally:
+            closing.set()
+
+
+async def _run_server(app: Callable[..., Any], config: Config, closing: anyio.Event) -> None:
+    # The server does not survive a cancellation while connections are open, and leaves its task
+    # marked as cancelled; it is told to stop instead, and has this task for itself.
+    with anyio.CancelScope(shield=True):
+        await serve(app, config, shutdown_trigger=closing.wait, mode="asgi")
 
 
 def _without_lifespan(app: Callable[..., Any]) -> Callable[..., Any]:
