Judge edited rows by the platform's log

Cause: the history failed once on a busy machine: a row told as accepted was gone twelve revisions later. The check allowed for deletions told as accepted only, while a deletion whose author was told nothing certain may take effect as well. Ruled out: a revert; all processes agreed on each revision, and that check stands before this one. Before and after: each sighting must now equal the last decision recorded up to its revision, for every edited row and not only for those told; the log must have every edit told as accepted. Conclusion: the check is stricter than before where the log is known.

--- a/tests/configuration/history_check.py
+++ b/tests/configuration/history_check.py
@@ -48,27 +48,27 @@
 
 
 def find_reverted_edits(history: ConfigurationHistory) -> list[str]:
-    """Find accepted edits that were out of force with no later edit of their row."""
+    """Find sightings of an edited row that differ from the last edit recorded until then.
+
+    The platform's log is the judge: an edit whose author was told nothing certain may have taken
+    effect all the same. `find_unrecorded_edits` checks that it has every edit told as accepted.
+    """
     found = []
-    latest_deletion: dict[RowKey, int] = {}
-    for edit in history.accepted:
-        if edit.deleted:
-            latest_deletion[edit.key] = max(edit.version, latest_deletion.get(edit.key, 0))
+    recorded = sorted(history.recorded, key=lambda decision: decision.revision)
+    keys = {edit.key for edit in history.accepted}
     for sighting in history.sightings:
         if sighting.rows is None:
             continue
-        for edit in history.accepted:
-            if edit.revision > sighting.revision:
-                continue
-            version = sighting.rows.get(edit.key)
-            if version is None and latest_deletion.get(edit.key, 0) >= edit.version:
-                continue
-            if (
-                version is None
-                or version < edit.version
-                or (edit.deleted and version <= edit.version)
-            ):
-                found.append(f"{sighting.process} at {sighting.revision} lost {edit}")
+        expected: dict[RowKey, int] = {}
+        for decision in recorded:
+            if decision.revision > sighting.revision:
+                break
+            expected.pop(decision.edit.key, None)
+            if decision.edit.value is not None:
+                expected[decision.edit.key] = decision.edit.version
+        seen = {key: version for key, version in sighting.rows.items() if key in keys}
+        if seen != expected:
+            found.append(f"{sighting.process} at {sighting.revision}: {seen}, not {expected}")
     return found
 
 
--- a/tests/configuration/test_history.py
+++ b/tests/configuration/test_history.py
@@ -139,8 +139,8 @@
         await anyio.sleep(2 * PHASE_S)
         await scenario.stop_operators()
         await scenario.set_fault(EVERYONE)
-        await scenario.history.read_log(TableReader(store))
         await anyio.sleep(PHASE_S)
+        await scenario.history.read_log(TableReader(store))
 
     def check(self, history, ended_at):
         self.assertGreater(len(history.accepted), 40, history.failures)
