Give work again to a backend server that came back; close a false proof

Cause, found by reading: (1) after a refused connection an agent reported its backend server down, no entry sent it work, and only work would have shown it up again: down for good. The agent now probes while it is down. (2) A silent first connection followed by a refused one was reported as a refusal, 'not-run', though the first may have brought the call. Ruled out: entries sending a request now and then, which would spend callers' time. Conclusion: a refusal needs every connection of the attempt to have failed before the call.

--- a/bench/harness/deployment.py
+++ b/bench/harness/deployment.py
@@ -170,6 +170,15 @@
         self.entries.append(entry)
         return entry
 
+    def restart_engine(self, index: int) -> None:
+        """Start an engine that has ended again, at its old address."""
+        backend = self.engines[index]
+        host, _, port = backend.server.address.rpartition(":")
+        settings = {"host": host, "port": int(port), **self._shape.engine}
+        server = self._run(backend.server.name, ("standin", "engine"), settings)
+        server.wait_listening()
+        self.engines[index] = backend._replace(server=server)
+
     def start_agent(
         self,
         name: str,
--- a/bench/harness/process.py
+++ b/bench/harness/process.py
@@ -38,6 +38,7 @@
         path.write_text(json.dumps(settings), encoding="utf-8")
         self._log_path = directory / f"{name}.log"
         self._output_path = directory / f"{name}.out"
+        self._output_path.unlink(missing_ok=True)
         with self._log_path.open("ab") as log, self._output_path.open("ab") as output:
             self._process = subprocess.Popen(
                 [sys.executable, "-m", "bronzerudder", *command, str(path)],
--- a/src/bronzerudder/execution/executor.py
+++ b/src/bronzerudder/execution/executor.py
@@ -27,6 +27,7 @@
 
 ORPHAN_TIMEOUT_S = 10.0
 SWEEP_INTERVAL_S = 1.0
+PROBE_INTERVAL_S = 0.5
 LEAVING_RETRY_AFTER_MS = 100
 BACKEND_DOWN_RETRY_AFTER_MS = 1_000
 QUARANTINED_DETAIL = "backend servers crashed while this request ran"
@@ -190,6 +191,16 @@
                     continue
                 self._drop_orphan(attempt)
 
+    async def watch_backend_server(self) -> None:
+        """Find out when a backend server that was down answers again, for ever.
+
+        No entry sends it work meanwhile, so no request would show it.
+        """
+        while True:
+            await anyio.sleep(PROBE_INTERVAL_S)
+            if not self._backend_up:
+                self._backend_up = await self._backend_server.probe() is None
+
     def _drop_orphan(self, attempt: Attempt) -> None:
         if attempt.state is AttemptState.FINISHED:
             self._table.conclude(attempt.key, anyio.current_time())
--- a/src/bronzerudder/execution/relay.py
+++ b/src/bronzerudder/execution/relay.py
@@ -41,11 +41,15 @@
     async def run(self, attempt: Attempt) -> BackendError | None:
         """Relay until the answer ends; return an error when it broke off or never began."""
         splitter = EventSplitter()
+        error = await self._relay_once(attempt, splitter)
         for _ in range(MAX_REOPENS):
-            error = await self._relay_once(attempt, splitter)
             if error is None or not await self._may_reopen(error):
                 return error
             splitter.drop_tail()
+            error = await self._relay_once(attempt, splitter)
+            if error is not None and error.kind is BackendErrorKind.UNREACHABLE:
+                # The call reached the backend server on an earlier connection.
+                error = error._replace(kind=BackendErrorKind.BROKEN)
         return error
 
     async def _may_reopen(self, error: BackendError) -> bool:
--- a/src/bronzerudder/processes/agent.py
+++ b/src/bronzerudder/processes/agent.py
@@ -125,6 +125,8 @@
         app = AdminApp(self._registry, self._find_unready_reason, self._describe)
         self._tasks.start_soon(serve_http, app, admin, stopped, GRPC_STOP_TIMEOUT_S)
         self._tasks.start_soon(supervise, "sweep", self._executor.sweep)
+        watch = self._executor.watch_backend_server
+        self._tasks.start_soon(supervise, "backend server watch", watch)
         self._tasks.start_soon(supervise, "claims", self._register.run)
         self._tasks.start_soon(supervise, "queue expiry", self._executor.expire_queue)
         announce_listening(f"{host}:{bound_port}", admin_address=format_address(admin))
--- a/tests/execution/test_executor.py
+++ b/tests/execution/test_executor.py
@@ -155,6 +155,31 @@
             refused = await entry.wait_for("refused")
         self.assertEqual(refused.reason, pb.REFUSAL_REASON_BACKEND_DOWN)
 
+    async def test_no_proof_is_given_once_an_earlier_connection_may_have_brought_the_call(self):
+        silent = BackendError(BackendErrorKind.SILENT, "silent")
+        unreachable = BackendError(BackendErrorKind.UNREACHABLE, "refused")
+        async with run_executor(ScriptedBackendServer(silent, unreachable)) as executor:
+            entry = Recorder()
+            executor.submit(build_submit(), entry)
+            finished = await entry.wait_for("finished")
+        self.assertEqual(finished.state, pb.FINISH_STATE_UNKNOWN)
+        self.assertNotIn("refused", entry.kinds())
+
+    async def test_a_backend_server_that_answers_again_is_reported_up(self):
+        unreachable = BackendError(BackendErrorKind.UNREACHABLE, "refused")
+        async with run_executor(ScriptedBackendServer(unreachable)) as executor:
+            entry = Recorder()
+            executor.submit(build_submit(), entry)
+            await entry.wait_for("refused")
+            self.assertFalse(executor.build_load().backend_up)
+            with anyio.move_on_after(TIMEOUT_S):
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(executor.watch_backend_server)
+                    while not executor.build_load().backend_up:
+                        await anyio.sleep(0.01)
+                    tasks.cancel_scope.cancel()
+            self.assertTrue(executor.build_load().backend_up)
+
     async def test_a_cut_answer_is_never_complete(self):
         broken = BackendError(BackendErrorKind.BROKEN, "reset")
         async with run_executor(ScriptedBackendServer([b"a\n\n", broken], broken)) as executor:
