Share the callers of the process tests

Cause: three tests streamed to callers in the same words. Ruled out: leaving it, as a fourth would copy it too.

--- a/tests/processes/test_leaving.py
+++ b/tests/processes/test_leaving.py
@@ -5,7 +5,7 @@
 import anyio
 
 from bench.harness import Deployment, Shape
-from bench.harness.load import call_service, expected_text, open_client, stream_completion
+from bench.harness.load import call_service, open_client
 from tests.processes.case import ProcessTestCase
 from tests.processes.history import service_runs
 
@@ -27,7 +27,7 @@
             leaving = deployment.engines[0].agent
             results = await self._stream_while(deployment, leaving.terminate)
             self.assertEqual(leaving.wait(EXIT_TIMEOUT_S), 0)
-        self._judge(results)
+        self.assert_whole(results, TOKENS)
 
     async def test_an_entry_cuts_nothing_off_and_exits_by_itself(self):
         shape = Shape(engines=1, engine={"step_time_s": STEP_TIME_S})
@@ -35,7 +35,7 @@
             leaving = deployment.entries[0]
             results = await self._stream_while(deployment, leaving.terminate)
             self.assertEqual(leaving.wait(EXIT_TIMEOUT_S), 0)
-        self._judge(results)
+        self.assert_whole(results, TOKENS)
 
     async def test_an_agent_whose_work_never_ends_exits_after_its_drain_timeout(self):
         shape = Shape(
@@ -52,24 +52,8 @@
         self.assertEqual(code, 0)
 
     async def _stream_while(self, deployment, fault):
-        results = []
-
-        async def stream(client, prompt):
-            entry = deployment.entries[0].address
-            results.append(await stream_completion(client, entry, prompt, TOKENS))
-
-        async with open_client() as client, anyio.create_task_group() as tasks:
-            for index in range(CALLERS):
-                tasks.start_soon(stream, client, f"caller {index}")
-            await anyio.sleep(LEAVE_AFTER_S)
-            fault()
-        return results
-
-    def _judge(self, results):
-        self.assertEqual(len(results), CALLERS)
-        for result in results:
-            self.assertEqual(result.outcome, "done", result.problem)
-            self.assertEqual(result.text, expected_text(result.prompt, TOKENS))
+        entry = deployment.entries[0].address
+        return await self.stream_while(entry, CALLERS, TOKENS, LEAVE_AFTER_S, fault)
 
 
 class NoNewWorkTest(ProcessTestCase):
--- a/tests/processes/test_silence.py
+++ b/tests/processes/test_silence.py
@@ -2,10 +2,8 @@
 
 from __future__ import annotations
 
-import anyio
-
 from bench.harness import Deployment, Shape
-from bench.harness.load import expected_text, find_longest_gap_s, open_client, stream_completion
+from bench.harness.load import find_longest_gap_s
 from tests.processes.case import ProcessTestCase
 
 STREAMS = 10
@@ -35,18 +33,8 @@
                     await self._check(deployment, lambda d=directions: link.silence(**d))
 
     async def _check(self, deployment, fault):
-        results = []
-
-        async def stream(client, prompt):
-            entry = deployment.entries[0].address
-            results.append(await stream_completion(client, entry, prompt, TOKENS))
-
-        async with open_client() as client, anyio.create_task_group() as tasks:
-            for index in range(STREAMS):
-                tasks.start_soon(stream, client, f"caller {index}")
-            await anyio.sleep(SILENCE_AFTER_S)
-            fault()
+        entry = deployment.entries[0].address
+        results = await self.stream_while(entry, STREAMS, TOKENS, SILENCE_AFTER_S, fault)
+        self.assert_whole(results, TOKENS)
         for result in results:
-            self.assertEqual(result.outcome, "done", result.problem)
-            self.assertEqual(result.text, expected_text(result.prompt, TOKENS))
             self.assertLess(find_longest_gap_s(result), NOTICE_S + REPLACEMENT_S)
--- a/tests/processes/test_whole_answers.py
+++ b/tests/processes/test_whole_answers.py
@@ -14,6 +14,7 @@
 SEED = 20261203
 STREAMS = 200
 TOKENS = 30
+MOVED_STREAMS = 10
 ENGINE = {"step_time_s": 0.05, "max_batch": 256}
 AGENT_BACKEND_SERVER = {"max_running": 256}
 FAULT_INTERVAL_S = 0.4
@@ -57,15 +58,14 @@
 
     async def _stream_while(self, fault):
         shape = Shape(engines=2, engine=ENGINE, agent_backend_server=AGENT_BACKEND_SERVER)
-        results = []
         with Deployment(shape) as deployment:
-            entry = deployment.entries[0].address
-            async with open_client() as client, anyio.create_task_group() as tasks:
-                for index in range(10):
-                    tasks.start_soon(self._stream, client, entry, f"caller {index}", results)
-                await anyio.sleep(FAULT_INTERVAL_S * 2)
-                fault(deployment.engines[0])
-        return results
+            return await self.stream_while(
+                deployment.entries[0].address,
+                MOVED_STREAMS,
+                TOKENS,
+                FAULT_INTERVAL_S * 2,
+                lambda: fault(deployment.engines[0]),
+            )
 
     async def _stream(self, client, entry, prompt, results):
         results.append(await stream_completion(client, entry, prompt, TOKENS))
