Take neither a slow reader nor a service's pause for a stall

Cause, found by reading: an answer whose buffer is full is no longer read from the engine, so a single slow caller's silence closed the breaker of the whole group; and a plain service may pause within an answer. A full buffer now takes the request out of the stall's account until it goes on, plain services have no stall, and the threshold is 1 s in place of 0.5 s, which a starved machine reaches without a fault. Ruled out: trials while a stall is reported, which the agent refuses anyway. Tests: test_fair gains both cases.

--- a/src/bronzerudder/execution/attempt.py
+++ b/src/bronzerudder/execution/attempt.py
@@ -68,6 +68,7 @@
         self._room = anyio.Event()
         self._withdrawn = anyio.Event()
         self.on_part: Callable[[int], None] | None = None
+        self.on_full: Callable[[], None] | None = None
         self._finish_state = pb.FINISH_STATE_UNSPECIFIED
         self._refused = False
         self._kept: KeptAnswer | None = None
@@ -215,6 +216,8 @@
     async def wait_for_room(self) -> None:
         """Wait until the buffer is below its limit."""
         while self._buffered_bytes > BUFFER_LIMIT_BYTES and not self._withdrawn.is_set():
+            if self.on_full is not None:
+                self.on_full()
             await self._room.wait()
 
     def _emit(self, frame: pb.AgentFrame, size: int) -> None:
--- a/src/bronzerudder/execution/executor.py
+++ b/src/bronzerudder/execution/executor.py
@@ -135,6 +135,7 @@
         attempt = Attempt(key, submit, outlet, anyio.current_time())
         self._table.add(attempt)
         attempt.on_part = functools.partial(self._gate.count_part, submit)
+        attempt.on_full = functools.partial(self._gate.pause, submit)
         outlet(pb.AgentFrame(accepted=pb.Accepted(**key._asdict())))
         self._tasks.start_soon(self._run, attempt, entry_id)
 
--- a/src/bronzerudder/execution/gate.py
+++ b/src/bronzerudder/execution/gate.py
@@ -70,6 +70,10 @@
         """Count a part of an answer."""
         self._queue.progressed(_name(submit), tokens, anyio.current_time())
 
+    def pause(self, submit: pb.Submit) -> None:
+        """Note that an answer waits for its reader."""
+        self._queue.paused(_name(submit))
+
     def leave(self, submit: pb.Submit) -> None:
         """Give up an attempt's place, whether it runs or waits; further calls do nothing."""
         name = _name(submit)
--- a/src/bronzerudder/policy/admission/__init__.py
+++ b/src/bronzerudder/policy/admission/__init__.py
@@ -12,6 +12,7 @@
 )
 from bronzerudder.policy.admission.fair import FairQueue, FairQueueTerms
 from bronzerudder.policy.admission.first_come import FirstComeQueue
+from bronzerudder.policy.admission.running import STALL_THRESHOLD_S
 
 __all__ = [
     "EXPIRY_INTERVAL_S",
@@ -22,5 +23,6 @@
     "FairQueue",
     "FairQueueTerms",
     "FirstComeQueue",
+    "STALL_THRESHOLD_S",
     "Queued",
 ]
--- a/src/bronzerudder/policy/admission/api.py
+++ b/src/bronzerudder/policy/admission/api.py
@@ -129,6 +129,10 @@
     def progressed(self, request_id: str, tokens: int, now_s: float) -> None:
         """Count `tokens` of a running request as processed."""
 
+    @abc.abstractmethod
+    def paused(self, request_id: str) -> None:
+        """Note that a running request waits for its reader until it next progresses."""
+
     @abc.abstractmethod
     def finished(self, request_id: str, now_s: float) -> None:
         """Count a running request as ended."""
--- a/src/bronzerudder/policy/admission/fair.py
+++ b/src/bronzerudder/policy/admission/fair.py
@@ -12,7 +12,7 @@
 )
 from bronzerudder.policy.admission.backlog import Backlog
 from bronzerudder.policy.admission.refusals import refuse_full, refuse_late, refuse_long_wait
-from bronzerudder.policy.admission.running import RunningSet
+from bronzerudder.policy.admission.running import STALL_THRESHOLD_S, RunningSet
 
 DEFAULT_QUEUE_LENGTH = 256
 DEFAULT_MAX_WAIT_S = 0.3
@@ -32,12 +32,16 @@
         Whether requests that can't meet their deadlines are refused.
     shares_fairly : bool
         Whether workspaces take turns; all count as one otherwise.
+    stall_threshold_s : float
+        Silence amid answers, in seconds, that is taken for a stall; infinite for backend servers
+        that may pause.
     """
 
     max_queued: int = DEFAULT_QUEUE_LENGTH
     max_wait_s: float = DEFAULT_MAX_WAIT_S
     checks_deadlines: bool = True
     shares_fairly: bool = True
+    stall_threshold_s: float = STALL_THRESHOLD_S
 
 
 DEFAULT_TERMS = FairQueueTerms()
@@ -60,7 +64,7 @@
 
     def __init__(self, concurrency: int, terms: FairQueueTerms = DEFAULT_TERMS) -> None:
         self._terms = terms
-        self._running = RunningSet(concurrency)
+        self._running = RunningSet(concurrency, stall_threshold_s=terms.stall_threshold_s)
         self._backlogs: dict[str, Backlog] = {}
         self._waiting: dict[str, AdmissionRequest] = {}
         self._offered_s: dict[str, float] = {}
@@ -155,6 +159,10 @@
         """Count `tokens` of a running request as processed."""
         self._running.progress(request_id, tokens, now_s)
 
+    def paused(self, request_id: str) -> None:
+        """Note that a running request waits for its reader until it next progresses."""
+        self._running.pause(request_id)
+
     def finished(self, request_id: str, now_s: float) -> None:
         """Count a running request as ended, and give back what it did not use."""
         unused = self._running.finish(request_id, now_s)
--- a/src/bronzerudder/policy/admission/first_come.py
+++ b/src/bronzerudder/policy/admission/first_come.py
@@ -92,6 +92,10 @@
         """Count `tokens` of a running request as processed."""
         self._running.progress(request_id, tokens, now_s)
 
+    def paused(self, request_id: str) -> None:
+        """Note that a running request waits for its reader until it next progresses."""
+        self._running.pause(request_id)
+
     def finished(self, request_id: str, now_s: float) -> None:
         """Count a running request as ended."""
         self._running.finish(request_id, now_s)
--- a/src/bronzerudder/policy/admission/running.py
+++ b/src/bronzerudder/policy/admission/running.py
@@ -14,7 +14,7 @@
 RATE_INTERVAL_S = 0.1
 SERVICE_KEEP = 0.9
 """Part of the old estimate of service time kept with each request that ends."""
-STALL_THRESHOLD_S = 0.5
+STALL_THRESHOLD_S = 1.0
 """Silence amid answers that is no longer ordinary."""
 
 
@@ -32,9 +32,17 @@
         Requests that may run at a time.
     initial_token_rate : float
         Tokens per second assumed at first.
+    stall_threshold_s : float
+        Silence amid answers, in seconds, that is taken for a stall.
     """
 
-    def __init__(self, concurrency: int, initial_token_rate: float = INITIAL_TOKEN_RATE) -> None:
+    def __init__(
+        self,
+        concurrency: int,
+        initial_token_rate: float = INITIAL_TOKEN_RATE,
+        stall_threshold_s: float = STALL_THRESHOLD_S,
+    ) -> None:
+        self._stall_threshold_s = stall_threshold_s
         self._concurrency = concurrency
         self._rate = initial_token_rate
         self._seconds_per_token = 0.0
@@ -86,7 +94,7 @@
         if not self._begun:
             return 0.0
         silence_s = now_s - self._progress_s
-        return silence_s if silence_s >= STALL_THRESHOLD_S else 0.0
+        return silence_s if silence_s >= self._stall_threshold_s else 0.0
 
     def start(self, request: AdmissionRequest, now_s: float) -> None:
         """Count a request as running."""
@@ -109,6 +117,10 @@
         self._begun.add(request_id)
         self._record(done, not self.has_room, now_s)
 
+    def pause(self, request_id: str) -> None:
+        """Note that a request waits for its reader, so that its silence says nothing."""
+        self._begun.discard(request_id)
+
     def finish(self, request_id: str, now_s: float) -> int:
         """Count a request as ended; return the part of its estimate that was not used."""
         was_full = not self.has_room
--- a/src/bronzerudder/processes/agent.py
+++ b/src/bronzerudder/processes/agent.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import secrets
 from typing import TYPE_CHECKING, Any
 
@@ -24,7 +25,7 @@
 from bronzerudder.frames import exchange_pb2_grpc
 from bronzerudder.observability import AdminApp, Tracing, configure_logs, log_event
 from bronzerudder.observability.traces import DEFAULT_SAMPLE_RATIO
-from bronzerudder.policy.admission import FairQueue, FairQueueTerms
+from bronzerudder.policy.admission import STALL_THRESHOLD_S, FairQueue, FairQueueTerms
 from bronzerudder.processes.platform import open_store
 from bronzerudder.processes.signals import set_on_termination
 from bronzerudder.quarantine import QuarantineFeed
@@ -220,7 +221,9 @@
 
 def _build_terms(settings: BackendServerSettings) -> FairQueueTerms:
     max_wait_s = settings.get("max_wait_s", DEFAULT_MAX_WAIT_S[settings["kind"]])
-    return FairQueueTerms(settings["max_queued"], max_wait_s)
+    # A plain service may pause within an answer for as long as it likes.
+    stall_threshold_s = STALL_THRESHOLD_S if settings["kind"] == "engine" else math.inf
+    return FairQueueTerms(settings["max_queued"], max_wait_s, stall_threshold_s=stall_threshold_s)
 
 
 def build_packing(settings: AgentSettings) -> Packing:
--- a/tests/policy/admission/test_fair.py
+++ b/tests/policy/admission/test_fair.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import unittest
 
 from hypothesis import given
@@ -134,6 +135,19 @@
         refused = queue.offer(ask(2000, deadline_s=self.now_s + 16.0), self.now_s + 10.0)
         self.assertEqual(AdmissionRefusalKind.DEADLINE, refused.kind)
 
+    def test_answer_that_waits_for_its_reader_is_no_stall(self):
+        queue = self.make_busy(FairQueueTerms(max_wait_s=FAR_S))
+        self.assertTrue(queue.is_stalled(self.now_s + 10.0))
+        queue.paused("1000")
+        self.assertFalse(queue.is_stalled(self.now_s + 10.0))
+        queue.progressed("1000", 1, self.now_s + 10.0)
+        self.assertFalse(queue.is_stalled(self.now_s + 10.1))
+        self.assertTrue(queue.is_stalled(self.now_s + 20.0))
+
+    def test_backend_server_that_may_pause_has_no_stall(self):
+        queue = self.make_busy(FairQueueTerms(max_wait_s=FAR_S, stall_threshold_s=math.inf))
+        self.assertFalse(queue.is_stalled(self.now_s + 10.0))
+
     def test_full_queue_gives_up_the_flood_not_the_newcomer(self):
         queue = FairQueue(1, FairQueueTerms(max_queued=10, max_wait_s=FAR_S))
         for number in range(11):
