--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -44,8 +44,8 @@
     duration_s = time.monotonic() - began
     title = (module.__doc__ or name).strip().splitlines()[0]
     return (
-        f"## {name}\n\n{title}\n\n`python -m bench.{name}`, {duration_s:.0f} s, load average "
-        f"{load:.1f} on {os.cpu_count()} cores, Python {platform.python_version()}.\n\n"
+        f"## {name}\n\n{title}\n\n`python -m bench.{name}`, {duration_s:.0f} s, load "
+        f"average {load:.1f} on {os.cpu_count()} cores, Python {platform.python_version()}.\n\n"
         f"{_frame(output.getvalue().rstrip())}\n"
     )
 
