Probe a slow engine again before its answer is given up

Ruled out: a longer timeout, which would delay every real death. A silent probe is now repeated up to five times; a refused one ends at once. Before: new test red. After: green. Conclusion: a slow engine is not a dead one.

--- a/src/bronzerudder/execution/relay.py
+++ b/src/bronzerudder/execution/relay.py
@@ -18,6 +18,7 @@
 from bronzerudder.web.event_stream import LAST_EVENT_ID, EventSplitter, is_event_stream
 
 MAX_REOPENS = 8
+MAX_PROBES = 5
 
 
 class Relay:
@@ -55,7 +56,11 @@
     async def _may_reopen(self, error: BackendError) -> bool:
         if not self._resumable or error.kind is not BackendErrorKind.SILENT:
             return False
-        return await self._backend_server.probe() is None
+        for _ in range(MAX_PROBES):
+            failure = await self._backend_server.probe()
+            if failure is None or failure.kind is BackendErrorKind.UNREACHABLE:
+                return failure is None
+        return False
 
     async def _relay_once(self, attempt: Attempt, splitter: EventSplitter) -> BackendError | None:
         span = self._tracing.start("backend server call", attempt.submit.traceparent)
--- a/tests/execution/test_executor.py
+++ b/tests/execution/test_executor.py
@@ -147,6 +147,18 @@
         self.assertEqual(finished.state, pb.FINISH_STATE_COMPLETE)
         self.assertIn(("last-event-id", "1"), backend_server.calls[1].headers)
 
+    async def test_a_slow_answer_to_the_probe_does_not_end_a_silent_answer(self):
+        silent = BackendError(BackendErrorKind.SILENT, "silent")
+        backend_server = ScriptedBackendServer(
+            [b"id: 1\ndata: a\n\n", silent], [b"id: 2\ndata: b\n\n"]
+        )
+        backend_server.probes = [silent, None]
+        async with run_executor(backend_server) as executor:
+            entry = Recorder()
+            executor.submit(build_submit(), entry)
+            finished = await entry.wait_for("finished")
+        self.assertEqual(finished.state, pb.FINISH_STATE_COMPLETE)
+
     async def test_an_unreachable_backend_server_gives_a_refusal(self):
         unreachable = BackendError(BackendErrorKind.UNREACHABLE, "refused")
         async with run_executor(ScriptedBackendServer(unreachable)) as executor:
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -44,6 +44,7 @@
         self._scripts = list(scripts)
         self.calls: list[BackendCall] = []
         self.cancelled: list[str] = []
+        self.probes: list[BackendError | None] = []
 
     async def open(self, call):
         self.calls.append(call)
@@ -56,7 +57,7 @@
         self.cancelled.append(request_id)
 
     async def probe(self):
-        return None
+        return self.probes.pop(0) if self.probes else None
 
     async def close(self):
         return None
