Bound each refusal under a flood by a second again

Cause: the bound had been replaced by a comparison with served answers after it failed at 1.09 s on a machine with a load of 15 to 30; that is weaker, as it bounds no time. Ruled out: keeping only the comparison. Both hold now. Before: 95th below the median answer. Conclusion: refusals at once are checked in seconds.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -28,8 +28,8 @@
 )
 HEADING = """# Bench
 
-Written by `make bench`, one run of each measurement on loopback with the stand-ins. Figures of a run
-depend on what else the machine does; the load average at its start is given with each.
+Written by `make bench`, one run of each measurement on loopback with the stand-ins. Figures of a
+run depend on what else the machine does; the load average at its start is given with each.
 """
 
 
--- a/tests/processes/test_overload.py
+++ b/tests/processes/test_overload.py
@@ -14,6 +14,7 @@
 FLOOD_S = 4.0
 FLOOD_CALLERS = 24
 TOKENS = 20
+REFUSED_WITHIN_S = 1.0
 LIMIT_RPS = 20.0
 DEMAND_RPS = 60.0
 LIMITED_S = 9.0
@@ -44,9 +45,9 @@
         for status, hint, _ in refused:
             self.assertEqual(503, status)
             self.assertGreaterEqual(float(hint), 0)
-        # Both times grow alike on a busy machine; tests.policy.test_overload bounds the first one.
         served_s = [took_s for status, _, took_s in answers["large"] if status == 200]
         refused_s = [took_s for _, _, took_s in refused]
+        self.assertLess(max(refused_s), REFUSED_WITHIN_S)
         self.assertLess(np.percentile(refused_s, 95), np.median(served_s))
         self.assertEqual(200, after[0])
 
