Refuse honestly while a new pool is not connected

Cause, found by reading: between a new revision and the connections that follow it a request for a new pool met no pool and ended as 'unknown' with status 500. It is now refused with when to come back. Ruled out: waiting for the connection, since a refusal is to come at once. Conclusion: a request is unknown only when something was sent.

--- a/src/bronzerudder/dispatch/dispatcher.py
+++ b/src/bronzerudder/dispatch/dispatcher.py
@@ -40,10 +40,11 @@
 from bronzerudder.observability import Tracing
 from bronzerudder.policy.limits import RouteLimited, RouteLimiter, RouteLimits, RoutePermit
 from bronzerudder.policy.retry import RetryBudget, RetryDenial
-from bronzerudder.policy.routing import NoCandidate, Placement, RoutedRequest
+from bronzerudder.policy.routing import NoCandidate, NoCandidateKind, Placement, RoutedRequest
 
 PROOF_TIMEOUT_S = 0.25
 MAX_ATTEMPTS = 8
+NEW_POOL_RETRY_AFTER_S = 1.0
 UNLIMITED = RouteLimits()
 # A failover follows a death, not load, so it spends no retry budget; one that the second backend
 # server does not survive either may be the request's own doing.
@@ -126,8 +127,9 @@
         route = match.route
         limits = RouteLimits(route.get("rate_limit_rps"), route.get("concurrency_limit"))
         self._limiter.configure(match.route_name, limits)
-        if limits != UNLIMITED:
-            self._targets.get(match.pool_name).refresh(now)
+        targets = self._targets.get(match.pool_name)
+        if limits != UNLIMITED and targets is not None:
+            targets.refresh(now)
         return self._limiter.acquire(match.route_name, now)
 
     async def _serve_job(self, job: _Job) -> Outcome:
@@ -158,6 +160,10 @@
             request.estimated_tokens, request.prompt_tokens, request.prefix, tried
         )
         targets = self._targets.get(match.pool_name)
+        if targets is None:
+            # The configuration is a moment ahead of the connections.
+            kind = NoCandidateKind.EMPTY_POOL
+            return NoCandidate(kind, "the pool is not connected yet", NEW_POOL_RETRY_AFTER_S)
         if request.idempotency_key and not match.route["repeatable"]:
             digest = key_digest(request.workspace, request.idempotency_key)
             return targets.pick_for_key(digest, routed, anyio.current_time())
--- a/src/bronzerudder/dispatch/targets.py
+++ b/src/bronzerudder/dispatch/targets.py
@@ -83,8 +83,7 @@
         self, digest: bytes, request: RoutedRequest, now_s: float
     ) -> Target | NoCandidate:
         """Pick the backend server whose agent should record the claim of a key."""
-        for name, target in self._targets.items():
-            self._refresh(name, target, now_s)
+        self.refresh(now_s)
         candidates = [target.candidate for target in self._targets.values()]
         available = select_available(candidates, request, now_s)
         if isinstance(available, NoCandidate):
