--- a/src/bronzerudder/agent/connection.py
+++ b/src/bronzerudder/agent/connection.py
@@ -88,7 +88,6 @@
         self._load_received_at = 0.0
         self._last_heard = 0.0
         self._disconnected_at = anyio.current_time()
-        self._ready = anyio.Event()
 
     @property
     def address(self) -> str:
@@ -115,12 +114,6 @@
         """Note whether the platform lists the agent as leaving."""
         self._listed_leaving = leaving
 
-    async def wait_connected(self, timeout_s: float) -> bool:
-        """Wait until the agent has been heard; tell whether it has."""
-        with anyio.move_on_after(timeout_s):
-            await self._ready.wait()
-        return self._connected
-
     def start(self, submit: pb.Submit) -> RemoteAttempt:
         """Send a request to the incarnation of the agent that is now connected."""
         submit.incarnation = self._incarnation
@@ -250,7 +243,6 @@
         for attempt in self._attempts.values():
             attempt.repeat_cancel()
         self._connected = True
-        self._ready.set()
         self._due.set()
 
     def _resume(self, attempt: RemoteAttempt) -> pb.EntryFrame:
@@ -278,7 +270,6 @@
             self._disconnected_at = anyio.current_time()
         self._connected = False
         self._feed.detach(self._send_news)
-        self._ready = anyio.Event()
         self._source.forget(self._address)
         self._lose_unsent_attempts()
 
--- a/src/bronzerudder/policy/placement/expert_map.py
+++ b/src/bronzerudder/policy/placement/expert_map.py
@@ -44,11 +44,6 @@
         """Number of layers."""
         return self.experts.shape[0]
 
-    @property
-    def slot_count(self) -> int:
-        """Number of slots in each layer, over all ranks."""
-        return self.experts.shape[1]
-
     @property
     def rank_count(self) -> int:
         """Number of ranks."""
--- a/src/bronzerudder/policy/retry/share.py
+++ b/src/bronzerudder/policy/retry/share.py
@@ -42,11 +42,6 @@
         self._min_time_left_s = min_time_left_s
         self._balance = INITIAL_RETRIES
 
-    @property
-    def balance(self) -> float:
-        """Retries that could be made now."""
-        return self._balance
-
     def record_fresh(self, now_s: float) -> None:
         """Earn a part of a retry."""
         self._balance = min(MAX_SAVED_RETRIES, self._balance + self._share)
--- a/src/bronzerudder/policy/routing/breaker.py
+++ b/src/bronzerudder/policy/routing/breaker.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 OPEN_INTERVAL_S = 1.0
-"""Time without new work after a stall was seen, before a trial request."""
+"""Time without new work after a stall was seen, before it may be tried again."""
 
 
 class Breaker:
@@ -13,17 +13,12 @@
         self._open_interval_s = open_interval_s
         self._open_until_s: float | None = None
 
-    @property
-    def is_closed(self) -> bool:
-        """Whether work flows normally."""
-        return self._open_until_s is None
-
     def allows(self, now_s: float) -> bool:
-        """Whether a request may be sent, a trial included."""
+        """Whether a request may be sent."""
         return self._open_until_s is None or now_s >= self._open_until_s
 
     def retry_after_s(self, now_s: float) -> float:
-        """Seconds until the next trial."""
+        """Seconds until a request may be sent."""
         if self._open_until_s is None:
             return 0.0
         return max(0.0, self._open_until_s - now_s)
@@ -32,11 +27,6 @@
         """Note that a rank of the group took no step in time."""
         self._open_until_s = now_s + self._open_interval_s
 
-    def record_trial(self, now_s: float) -> None:
-        """Note a trial request; others are held back until it tells."""
-        if self._open_until_s is not None:
-            self._open_until_s = now_s + self._open_interval_s
-
     def record_progress(self, now_s: float) -> None:
         """Note that the group took a step, so that work flows again."""
         self._open_until_s = None
