Let an idle agent sleep

Cause: an idle agent used 1.2 to 1.3% of a core (target 1%): ten times a second it looked for expired requests in an empty queue. It now waits for a request. Ruled out: longer heartbeats, which the bound on silent connections needs.

--- a/src/bronzerudder/execution/gate.py
+++ b/src/bronzerudder/execution/gate.py
@@ -33,6 +33,7 @@
     def __init__(self, queue: AdmissionQueue) -> None:
         self._queue = queue
         self._turns: dict[str, _Turn] = {}
+        self._arrived = anyio.Event()
 
     @property
     def queue(self) -> AdmissionQueue:
@@ -54,6 +55,7 @@
         if isinstance(answer, AdmissionRefusal):
             return answer
         self._turns[request.request_id] = _Turn()
+        self._arrived.set()
         self._settle(answer.evicted)
         self._start_due()
         return None
@@ -91,9 +93,10 @@
     async def expire(self) -> None:
         """Refuse attempts that wait in vain, for ever."""
         while True:
-            await anyio.sleep(EXPIRY_INTERVAL_S)
             if not self._turns:
-                continue
+                self._arrived = anyio.Event()
+                await self._arrived.wait()
+            await anyio.sleep(EXPIRY_INTERVAL_S)
             self._settle(self._queue.expire(anyio.current_time()))
             self._start_due()
 
