--- a/bench/path.py
+++ b/bench/path.py
@@ -87,25 +87,51 @@
     print(f"| {name} | {value} | {target} |")
 
 
+class Comparison(NamedTuple):
+    """Times to the first token and between tokens, in seconds, without and with the path."""
+
+    direct_first_s: list[float]
+    through_first_s: list[float]
+    direct_gaps_s: list[float]
+    through_gaps_s: list[float]
+
+    def added_first_ms(self, share: float) -> float:
+        """Return the added time to the first token at a quantile, in milliseconds."""
+        return _added_ms(self.direct_first_s, self.through_first_s, share)
+
+    def added_gap_ms(self, share: float) -> float:
+        """Return the added time between tokens at a quantile, in milliseconds."""
+        return _added_ms(self.direct_gaps_s, self.through_gaps_s, share)
+
+
+def _added_ms(direct_s: list[float], through_s: list[float], share: float) -> float:
+    return (quantile(through_s, share) - quantile(direct_s, share)) * 1000
+
+
+async def compare(deployment: Deployment, rate: float) -> Comparison:
+    """Stream at a rate to the engine itself, then through entry and agent."""
+    direct = await stream_at_rate(deployment.engines[0].server.address, rate, TOKENS)
+    through = await stream_at_rate(deployment.entries[0].address, rate, TOKENS)
+    return Comparison(
+        [result.token_times[0] for result in direct],
+        [result.token_times[0] for result in through],
+        [gap for result in direct for gap in find_gaps_s(result)],
+        [gap for result in through for gap in find_gaps_s(result)],
+    )
+
+
 async def measure_added_time(deployment: Deployment, rate: float) -> None:
-    """Compare times with and without entry and agent at a rate of streams a second."""
+    """Report times with and without entry and agent at a rate of streams a second."""
     print(f"| {rate} streams of {TOKENS} tokens a second: | | |")
-    direct = await stream_at_rate(deployment.engines[0].server.address, rate, TOKENS)
     before = [read_usage(pid).cpu_s for pid in _path_pids(deployment)]
-    through = await stream_at_rate(deployment.entries[0].address, rate, TOKENS)
+    compared = await compare(deployment, rate)
     after = [read_usage(pid).cpu_s for pid in _path_pids(deployment)]
-    first = [[result.token_times[0] for result in run] for run in (direct, through)]
-    gaps = [[gap for result in run for gap in find_gaps_s(result)] for run in (direct, through)]
     for share, target in ((0.5, TARGET_MEDIAN_MS), (0.99, TARGET_99TH_MS)):
-        added_ms = (quantile(first[1], share) - quantile(first[0], share)) * 1000
-        report(
-            f"added time to first token, {share:.0%} quantile",
-            f"{added_ms:.2f} ms",
-            f"<= {target} ms",
-        )
+        name = f"added time to first token, {share:.0%} quantile"
+        report(name, f"{compared.added_first_ms(share):.2f} ms", f"<= {target} ms")
     for share in (0.5, 0.99):
-        added_ms = (quantile(gaps[1], share) - quantile(gaps[0], share)) * 1000
-        report(f"added time between tokens, {share:.0%} quantile", f"{added_ms:.2f} ms")
+        name = f"added time between tokens, {share:.0%} quantile"
+        report(name, f"{compared.added_gap_ms(share):.2f} ms")
     used_s = [later - earlier for earlier, later in zip(before, after, strict=True)]
     shares = " and ".join(f"{used / RUN_TIME_S:.0%}" for used in used_s)
     report("core share of entry and agent at this load", shares)
