--- a/src/bronzerudder/policy/admission/fair.py
+++ b/src/bronzerudder/policy/admission/fair.py
@@ -5,12 +5,12 @@
 from typing import NamedTuple
 
 from bronzerudder.policy.admission.api import (
-    AdmissionQueue,
     AdmissionRefusal,
     AdmissionRequest,
     Queued,
 )
 from bronzerudder.policy.admission.backlog import Backlog
+from bronzerudder.policy.admission.counted import CountedQueue
 from bronzerudder.policy.admission.refusals import refuse_full, refuse_late, refuse_long_wait
 from bronzerudder.policy.admission.running import STALL_THRESHOLD_S, RunningSet
 
@@ -47,7 +47,7 @@
 DEFAULT_TERMS = FairQueueTerms()
 
 
-class FairQueue(AdmissionQueue):
+class FairQueue(CountedQueue):
     """Starts requests by start-time fair queueing over workspaces, counted in tokens by weight.
 
     Each workspace's next request carries a start tag in virtual time; the lowest goes first. A
@@ -63,45 +63,19 @@
     """
 
     def __init__(self, concurrency: int, terms: FairQueueTerms = DEFAULT_TERMS) -> None:
+        super().__init__(RunningSet(concurrency, stall_threshold_s=terms.stall_threshold_s))
         self._terms = terms
-        self._running = RunningSet(concurrency, stall_threshold_s=terms.stall_threshold_s)
         self._backlogs: dict[str, Backlog] = {}
-        self._waiting: dict[str, AdmissionRequest] = {}
         self._offered_s: dict[str, float] = {}
         self._started: dict[str, AdmissionRequest] = {}
-        self._waiting_tokens = 0
         self._virtual_time = 0.0
         self._finish_tags: dict[str, float] = {}
         self._hopeless: list[AdmissionRefusal] = []
 
-    @property
-    def queued_requests(self) -> int:
-        """Requests held and not started."""
-        return len(self._waiting)
-
-    @property
-    def running_requests(self) -> int:
-        """Requests started and not finished."""
-        return self._running.count
-
-    @property
-    def outstanding_tokens(self) -> int:
-        """Work of all requests held or running."""
-        return self._waiting_tokens + self._running.tokens
-
-    @property
-    def token_rate(self) -> float:
-        """Tokens per second that the backend server has lately processed."""
-        return self._running.token_rate
-
     def estimated_wait_s(self, now_s: float) -> float:
         """Estimate the wait in seconds of a request of a workspace that has nothing waiting."""
         return self._estimate_wait_s(AdmissionRequest("", "", 0, 0.0), now_s)
 
-    def is_stalled(self, now_s: float) -> bool:
-        """Whether answers have begun and none has advanced for a while."""
-        return self._running.silence_s(now_s) > 0
-
     def offer(self, request: AdmissionRequest, now_s: float) -> Queued | AdmissionRefusal:
         """Take a request in, or refuse it at once."""
         wait_s = self._estimate_wait_s(request, now_s)
@@ -155,14 +129,6 @@
             refused.append(refuse_late(request, late_s))
         return tuple(refused)
 
-    def progressed(self, request_id: str, tokens: int, now_s: float) -> None:
-        """Count `tokens` of a running request as processed."""
-        self._running.progress(request_id, tokens, now_s)
-
-    def paused(self, request_id: str) -> None:
-        """Note that a running request waits for its reader until it next progresses."""
-        self._running.pause(request_id)
-
     def finished(self, request_id: str, now_s: float) -> None:
         """Count a running request as ended, and give back what it did not use."""
         unused = self._running.finish(request_id, now_s)
