Add a gateway that sends to backend servers itself, on the users' platform

Cause: nothing of the product spoke the platform's interface yet. Weighed: calls through the agent beside the rank against direct calls; direct calls have no hop.

--- /dev/null
+++ b/src/bronzerudder/cli/commands/gateway.py
@@ -0,0 +1,19 @@
+"""``bronzerudder gateway``."""
+
+from __future__ import annotations
+
+from bronzerudder.cli.api import Invocation
+from bronzerudder.cli.process import ProcessInvocation
+from bronzerudder.cli.registry import command
+
+
+@command("gateway")
+def gateway(settings: str) -> Invocation:
+    """Run a gateway, which serves callers and sends to backend servers itself.
+
+    Parameters
+    ----------
+    settings : str
+        Path of its JSON settings.
+    """
+    return ProcessInvocation(settings, "bronzerudder.processes.gateway")
--- /dev/null
+++ b/src/bronzerudder/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The gateway: takes callers' requests and sends them to backend servers itself."""
--- /dev/null
+++ b/src/bronzerudder/gateway/configuration.py
@@ -0,0 +1,77 @@
+"""The configuration in force at a gateway."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from bronzerudder.gateway.follower import KindListener
+from bronzerudder.gateway.tables import Configuration
+from bronzerudder.observability.event_log import EventLog
+from bronzerudder.platform.api import Change, Listing
+from bronzerudder.platform.errors import StoreError
+
+Decoder = Callable[[bytes], Configuration | StoreError]
+
+
+class ConfigurationHolder(KindListener):
+    """Holds the newest configuration that was read; never goes back to an older one.
+
+    Parameters
+    ----------
+    name : str
+        Name of the object that holds it.
+    decode : callable
+        Decodes the object.
+    on_change : callable
+        Called after each change.
+    log : EventLog
+        Takes a line for each change.
+    """
+
+    def __init__(
+        self, name: str, decode: Decoder, on_change: Callable[[], None], log: EventLog
+    ) -> None:
+        self._name = name
+        self._decode = decode
+        self._on_change = on_change
+        self._log = log
+        self._current: Configuration | None = None
+
+    @property
+    def current(self) -> Configuration | None:
+        """Configuration in force; None before the first was read."""
+        return self._current
+
+    def take_listing(self, listing: Listing, after_outage: bool) -> None:
+        """Take in the object, if it is there."""
+        for stored in listing.objects:
+            if stored.name == self._name:
+                self.take_value(stored.value)
+
+    def take_change(self, change: Change, after_outage: bool) -> None:
+        """Take in a new version; a deletion leaves the last one in force."""
+        if change.name != self._name:
+            return
+        if change.value is None:
+            self._log.state("configuration deleted on the store, last version kept")
+            return
+        self.take_value(change.value)
+
+    def take_value(self, value: bytes) -> None:
+        """Put a newer version in force."""
+        decoded = self._decode(value)
+        if isinstance(decoded, StoreError):
+            self._log.state("configuration rejected", reason=decoded.reason)
+            return
+        known = -1 if self._current is None else self._current.version
+        if decoded.version <= known:
+            return
+        self._current = decoded
+        self._log.state(
+            "configuration in force",
+            version=decoded.version,
+            previous=known,
+            routes=len(decoded.routes),
+            keys=len(decoded.workspaces or ()),
+        )
+        self._on_change()
--- /dev/null
+++ b/src/bronzerudder/gateway/metrics.py
@@ -0,0 +1,102 @@
+"""Counters and latency histograms of a gateway."""
+
+from __future__ import annotations
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+
+LATENCY_BUCKETS_S = (0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4)
+MAX_LABELS = 64
+"""Routes that get a label of their own; the rest share one, as routes may come by the thousand."""
+OTHER = "other"
+
+
+class GatewayMetrics:
+    """Metrics of one gateway.
+
+    Parameters
+    ----------
+    registry : CollectorRegistry
+        Where they are registered.
+    """
+
+    def __init__(self, registry: CollectorRegistry) -> None:
+        self.requests = Counter(
+            "bronzerudder_requests",
+            "Requests by route, status and outcome.",
+            ("route", "status", "outcome"),
+            registry=registry,
+        )
+        self.first_byte_s = Histogram(
+            "bronzerudder_first_byte_seconds",
+            "Time from the arrival of a request to the first byte of its answer.",
+            buckets=LATENCY_BUCKETS_S,
+            registry=registry,
+        )
+        self.duration_s = Histogram(
+            "bronzerudder_duration_seconds",
+            "Time from the arrival of a request to the end of its answer.",
+            buckets=LATENCY_BUCKETS_S,
+            registry=registry,
+        )
+        self.queue_s = Histogram(
+            "bronzerudder_queue_seconds",
+            "Time that a request waited for a slot.",
+            buckets=LATENCY_BUCKETS_S,
+            registry=registry,
+        )
+        self.gap_s = Histogram(
+            "bronzerudder_stream_gap_seconds",
+            "Longest pause between two events of a stream.",
+            buckets=LATENCY_BUCKETS_S,
+            registry=registry,
+        )
+        self.attempts = Counter(
+            "bronzerudder_attempts",
+            "Requests sent to backend servers, by result.",
+            ("service", "result"),
+            registry=registry,
+        )
+        self.refusals = Counter(
+            "bronzerudder_refusals", "Refused requests by reason.", ("reason",), registry=registry
+        )
+        self.retries_denied = Counter(
+            "bronzerudder_retries_denied",
+            "Retries not made, by reason.",
+            ("reason",),
+            registry=registry,
+        )
+        self.configuration_version = Gauge(
+            "bronzerudder_configuration_version", "Version in force.", registry=registry
+        )
+        self.configuration_age_s = Gauge(
+            "bronzerudder_configuration_age_seconds",
+            "Time since the store last confirmed the configuration.",
+            registry=registry,
+        )
+        self.store_calls = Gauge(
+            "bronzerudder_store_calls", "Calls to the store so far.", registry=registry
+        )
+        self.connections_opened = Gauge(
+            "bronzerudder_backend_connections_opened",
+            "Connections opened to backend servers so far.",
+            registry=registry,
+        )
+        self.log_lines_dropped = Gauge(
+            "bronzerudder_log_lines_dropped", "Log lines left out so far.", registry=registry
+        )
+        self.loop_lag_s = Histogram(
+            "bronzerudder_event_loop_lag_seconds",
+            "Delay of a timer of the event loop.",
+            buckets=(0.001, 0.005, 0.02, 0.1, 0.5),
+            registry=registry,
+        )
+        self._routes: set[str] = set()
+
+    def route_label(self, route: str) -> str:
+        """Label of a route, bounded in number."""
+        if route in self._routes:
+            return route
+        if len(self._routes) >= MAX_LABELS:
+            return OTHER
+        self._routes.add(route)
+        return route
--- /dev/null
+++ b/src/bronzerudder/gateway/relay.py
@@ -0,0 +1,81 @@
+"""Passes the events of a stream on to the caller, whole ones only."""
+
+from __future__ import annotations
+
+import time
+
+from bronzerudder.http1 import ResponseWriter
+from bronzerudder.web.event_stream import EventSplitter
+
+
+class StreamRelay:
+    """One caller's stream, which may come from several backend servers in turn.
+
+    Parameters
+    ----------
+    writer : ResponseWriter
+        Towards the caller.
+    last_event_id : str
+        Last event that the caller already has.
+    arrived_at_s : float
+        Monotonic arrival time of the request.
+    """
+
+    def __init__(self, writer: ResponseWriter, last_event_id: str, arrived_at_s: float) -> None:
+        self._writer = writer
+        self._splitter = EventSplitter()
+        self._given_event_id = last_event_id
+        self._last_event_at_s = arrived_at_s
+        self._longest_gap_s = 0.0
+        self._started = False
+
+    @property
+    def started(self) -> bool:
+        """Whether the caller has received the head."""
+        return self._started
+
+    @property
+    def last_event_id(self) -> str:
+        """Last whole event that the caller was sent; empty before the first."""
+        return self._splitter.last_event_id or self._given_event_id
+
+    @property
+    def last_event_at_s(self) -> float:
+        """Monotonic time of the last event, or of the request's arrival."""
+        return self._last_event_at_s
+
+    @property
+    def longest_gap_s(self) -> float:
+        """Longest pause between two events."""
+        return self._longest_gap_s
+
+    def continue_elsewhere(self) -> None:
+        """Drop the part of an event that a broken answer ended with."""
+        self._splitter.drop_tail()
+
+    async def begin(self, headers: list[tuple[bytes, bytes]]) -> None:
+        """Send the head, unless an earlier answer of this stream did."""
+        if not self._started:
+            self._started = True
+            await self._writer.start(200, headers)
+
+    async def take(self, headers: list[tuple[bytes, bytes]], data: bytes) -> bool:
+        """Pass on the events that are whole now; tell whether there were any."""
+        events = self._splitter.split(data)
+        if not events:
+            return False
+        now_s = time.monotonic()
+        if self._started:
+            self._longest_gap_s = max(self._longest_gap_s, now_s - self._last_event_at_s)
+        self._last_event_at_s = now_s
+        await self.begin(headers)
+        await self._writer.write(events)
+        return True
+
+    async def finish(self, headers: list[tuple[bytes, bytes]]) -> bool:
+        """End the stream as complete; tell whether it could, as no event may be left unfinished."""
+        if self._splitter.tail:
+            return False
+        await self.begin(headers)
+        await self._writer.finish()
+        return True
--- /dev/null
+++ b/src/bronzerudder/gateway/services.py
@@ -0,0 +1,182 @@
+"""The services that a gateway sends to: candidates, waiting room and retry budget of each."""
+
+from __future__ import annotations
+
+import random
+import time
+from typing import NamedTuple
+
+from anyio.abc import TaskGroup
+
+from bronzerudder.gateway.tables import BackendServer
+from bronzerudder.gateway.waiting_room import WaitingRoom
+from bronzerudder.http1 import ClientPool
+from bronzerudder.observability.event_log import EventLog
+from bronzerudder.policy.retry import WindowBudget
+from bronzerudder.policy.routing import Candidate, FreeSlotRouting, OutlierBreaker
+
+
+class RetryTerms(NamedTuple):
+    """Retries that all gateways together may send to a service in any window.
+
+    Parameters
+    ----------
+    share : float
+        For each request of the window.
+    extra : float
+        Besides; divided among the gateways.
+    window_s : float
+        Length of the window in seconds.
+    """
+
+    share: float
+    extra: float
+    window_s: float
+
+
+class ServicePool:
+    """One service as a gateway sees it."""
+
+    def __init__(self, name: str, retry: RetryTerms, gateways: int) -> None:
+        self._name = name
+        self._retry = retry
+        self._candidates: dict[str, Candidate] = {}
+        self._addresses: dict[str, str] = {}
+        self.room = WaitingRoom(
+            FreeSlotRouting(random.Random()), lambda: tuple(self._candidates.values())
+        )
+        self.budget = WindowBudget(retry.share, retry.extra / gateways, retry.window_s)
+
+    @property
+    def name(self) -> str:
+        """Name of the service."""
+        return self._name
+
+    @property
+    def candidates(self) -> dict[str, Candidate]:
+        """Backend servers by id."""
+        return self._candidates
+
+    def share_budget(self, gateways: int) -> None:
+        """Divide the fixed part of the retry budget anew."""
+        self.budget.set_extra(self._retry.extra / gateways)
+
+    def address_of(self, instance_id: str) -> str:
+        """Address of a candidate."""
+        return self._addresses[instance_id]
+
+    def put(self, server: BackendServer) -> None:
+        """Add or change a backend server."""
+        candidate = self._candidates.get(server.instance_id)
+        if candidate is None:
+            candidate = Candidate(server.instance_id, server.failure_domain, OutlierBreaker())
+            self._candidates[server.instance_id] = candidate
+        candidate.slots = server.slots
+        candidate.leaving = server.leaving
+        self._addresses[server.instance_id] = server.address
+        self.room.pump()
+
+    def drop(self, instance_id: str) -> None:
+        """Remove a backend server; what runs there goes on."""
+        candidate = self._candidates.pop(instance_id, None)
+        if candidate is not None:
+            candidate.leaving = True
+        self._addresses.pop(instance_id, None)
+
+    def observe_load(self, instance_id: str, requests: int) -> None:
+        """Take in how many requests of all gateways a backend server has."""
+        candidate = self._candidates.get(instance_id)
+        if candidate is not None:
+            candidate.observe_requests(requests, time.monotonic())
+
+
+class ServiceTable:
+    """All services.
+
+    Parameters
+    ----------
+    retry : RetryTerms
+        Retry budget of each service.
+    connections : ClientPool
+        Connections to backend servers, closed when these go.
+    log : EventLog
+        Says when a backend server is suspected and trusted again.
+    tasks : TaskGroup
+        Runs the waiting rooms.
+    """
+
+    def __init__(
+        self, retry: RetryTerms, connections: ClientPool, log: EventLog, tasks: TaskGroup
+    ) -> None:
+        self._retry = retry
+        self._connections = connections
+        self._log = log
+        self._tasks = tasks
+        self._pools: dict[str, ServicePool] = {}
+        self._service_of: dict[str, str] = {}
+        self._gateways = 1
+
+    def pool(self, service: str) -> ServicePool:
+        """Pool of a service, empty if no backend server is listed."""
+        pool = self._pools.get(service)
+        if pool is None:
+            pool = ServicePool(service, self._retry, self._gateways)
+            self._pools[service] = pool
+            self._tasks.start_soon(pool.room.run)
+        return pool
+
+    def set_gateways(self, gateways: int) -> None:
+        """Divide the retry budgets among so many gateways."""
+        self._gateways = max(1, gateways)
+        for pool in self._pools.values():
+            pool.share_budget(self._gateways)
+
+    def put(self, server: BackendServer) -> None:
+        """Add or change a backend server."""
+        previous = self._service_of.get(server.instance_id)
+        if previous is not None and previous != server.service:
+            self._pools[previous].drop(server.instance_id)
+        self._service_of[server.instance_id] = server.service
+        self.pool(server.service).put(server)
+
+    def drop(self, instance_id: str) -> None:
+        """Remove a backend server."""
+        service = self._service_of.pop(instance_id, None)
+        if service is None:
+            return
+        pool = self._pools[service]
+        self._connections.close_idle(pool.address_of(instance_id))
+        pool.drop(instance_id)
+
+    def find_pool(self, instance_id: str) -> ServicePool | None:
+        """Pool that a backend server is in."""
+        service = self._service_of.get(instance_id)
+        return None if service is None else self._pools[service]
+
+    def suspect(self, instance_id: str, reason: str, certain: bool) -> None:
+        """Count a failure of a backend server."""
+        pool = self.find_pool(instance_id)
+        if pool is None:
+            return
+        breaker = pool.candidates[instance_id].breaker
+        now_s = time.monotonic()
+        if isinstance(breaker, OutlierBreaker) and breaker.record_failure(now_s, certain):
+            self._log.state(
+                "backend server suspected",
+                instance=instance_id,
+                service=pool.name,
+                reason=reason,
+                failures=breaker.failures,
+                for_s=round(breaker.retry_after_s(now_s), 2),
+            )
+
+    def trust(self, instance_id: str) -> None:
+        """Count a success of a backend server."""
+        pool = self.find_pool(instance_id)
+        if pool is None:
+            return
+        breaker = pool.candidates[instance_id].breaker
+        if not isinstance(breaker, OutlierBreaker) or not breaker.failures:
+            return
+        breaker.record_success(time.monotonic())
+        self._log.state("backend server trusted again", instance=instance_id, service=pool.name)
--- /dev/null
+++ b/src/bronzerudder/http1/sockets.py
@@ -0,0 +1,168 @@
+"""Non-blocking TCP sockets whose failures are values."""
+
+from __future__ import annotations
+
+import errno
+import select
+import socket
+from typing import NamedTuple
+
+import anyio
+
+RECEIVE_BYTES = 65_536
+LISTEN_BACKLOG = 1024
+"""Callers of a failed neighbour arrive at once; a full queue delays them by seconds."""
+USER_TIMEOUT_MS = 2_000
+"""Time that sent data may stay unacknowledged; a peer behind a partition sends no reset."""
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 2
+"""Probes find a connection that went silent in about 3 s, the time in which a node must recover."""
+
+
+class TransportError(NamedTuple):
+    """Why a socket operation failed.
+
+    Parameters
+    ----------
+    reason : str
+        Name of the system error.
+    bytes_sent : int
+        Bytes of the failed call that the kernel had taken; they may have reached the peer.
+    """
+
+    reason: str
+    bytes_sent: int = 0
+
+
+class Connection:
+    """One TCP connection.
+
+    Parameters
+    ----------
+    sock : socket.socket
+        Connected, non-blocking; owned by this object from here on.
+    """
+
+    def __init__(self, sock: socket.socket) -> None:
+        self._socket = sock
+        self._closed = False
+
+    @property
+    def closed(self) -> bool:
+        """Whether this side has closed it."""
+        return self._closed
+
+    async def receive(self) -> bytes | TransportError:
+        """Read what has come; empty bytes at the end of the peer's data."""
+        while True:
+            try:
+                return self._socket.recv(RECEIVE_BYTES)
+            except BlockingIOError:
+                await anyio.wait_readable(self._socket)
+            except OSError as error:
+                return TransportError(_name_error(error))
+
+    async def send(self, data: bytes) -> TransportError | None:
+        """Write all of the data; waits while the peer does not read."""
+        view = memoryview(data)
+        sent = 0
+        while sent < len(view):
+            try:
+                sent += self._socket.send(view[sent:])
+            except BlockingIOError:
+                await anyio.wait_writable(self._socket)
+            except OSError as error:
+                return TransportError(_name_error(error), sent)
+        return None
+
+    def is_readable(self) -> bool:
+        """Whether bytes or the end of the peer's data wait to be read."""
+        poller = select.poll()
+        poller.register(self._socket.fileno(), select.POLLIN | select.POLLRDHUP)
+        return bool(poller.poll(0))
+
+    def end_sending(self) -> None:
+        """Tell the peer that no more data follows."""
+        try:
+            self._socket.shutdown(socket.SHUT_WR)
+        except OSError:
+            # The peer has already closed or reset it, which is what this is for.
+            pass
+
+    def close(self) -> None:
+        """Close it; unread bytes of the peer make this a reset."""
+        if self._closed:
+            return
+        self._closed = True
+        anyio.notify_closing(self._socket)
+        self._socket.close()
+
+    def reset(self) -> None:
+        """Close it so that the peer sees a reset, not an end of data."""
+        if self._closed:
+            return
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\0\0\0\0\0\0\0")
+        self.close()
+
+
+async def connect(address: str, timeout_s: float) -> Connection | TransportError:
+    """Open a connection to ``host:port``, where host is an IP number."""
+    host, _, port = address.rpartition(":")
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    connected = False
+    try:
+        _set_options(sock)
+        code = sock.connect_ex((host, int(port)))
+        if code == errno.EINPROGRESS:
+            with anyio.move_on_after(timeout_s) as scope:
+                await anyio.wait_writable(sock)
+            if scope.cancelled_caught:
+                return TransportError("connect timed out")
+            code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if code:
+            return TransportError(errno.errorcode.get(code, str(code)))
+        connected = True
+        return Connection(sock)
+    except (OSError, ValueError, OverflowError) as error:
+        return TransportError(f"address {address!r}: {error}")
+    finally:
+        if not connected:
+            sock.close()
+
+
+def listen(address: str) -> socket.socket:
+    """Open a listening socket on ``host:port``."""
+    host, _, port = address.rpartition(":")
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.setblocking(False)
+    sock.bind((host, int(port)))
+    sock.listen(LISTEN_BACKLOG)
+    return sock
+
+
+async def accept(listener: socket.socket) -> Connection:
+    """Wait for the next connection; raises `OSError` once the listener is closed."""
+    while True:
+        try:
+            sock, _ = listener.accept()
+        except (BlockingIOError, ConnectionAbortedError):
+            await anyio.wait_readable(listener)
+            continue
+        _set_options(sock)
+        return Connection(sock)
+
+
+def _set_options(sock: socket.socket) -> None:
+    sock.setblocking(False)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+
+
+def _name_error(error: OSError) -> str:
+    return errno.errorcode.get(error.errno or 0, type(error).__name__)
--- /dev/null
+++ b/src/bronzerudder/platform/configuration.py
@@ -0,0 +1,195 @@
+"""Decodes the operator's configuration and the list of backend servers."""
+
+from __future__ import annotations
+
+import msgspec
+
+from bronzerudder.gateway.tables import (
+    BackendServer,
+    Configuration,
+    EngineTerms,
+    RequestKind,
+    Route,
+    Service,
+    ServiceShare,
+    Workspace,
+)
+from bronzerudder.http1 import ServerLimits
+from bronzerudder.platform.errors import StoreError, StoreErrorKind
+
+MS_PER_S = 1000.0
+
+_KINDS = {
+    "idempotent": RequestKind.IDEMPOTENT,
+    "non_idempotent": RequestKind.NON_IDEMPOTENT,
+    "streaming": RequestKind.STREAMING,
+}
+_LEAVING_BY_STATE = {"ready": False, "draining": True}
+
+
+class _Share(msgspec.Struct):
+    service: str
+    weight: int = 1
+
+
+class _Route(msgspec.Struct):
+    name: str
+    host: str
+    path_prefix: str
+    kind: str
+    timeout_ms: float
+    target_latency_ms: float = 1000.0
+    priority: int = 0
+    service: str = ""
+    split: list[_Share] = []
+    max_attempts: int = 1
+    public: bool = False
+    resumable: bool = False
+    target_gap_ms: float = 0.0
+
+
+class _Usual(msgspec.Struct):
+    prompt: float = 1.0
+    answer: float = 1.0
+
+
+class _Engine(msgspec.Struct):
+    step_ms: float = 0.0
+    # Added to a step for each request that is writing.
+    per_seq_ms: float = 0.0
+    # Prompt tokens read a second.
+    read_per_s: float = 0.0
+    usual: _Usual = msgspec.field(default_factory=_Usual)
+    # Sets of layers that share a placement of experts.
+    sets: int = 0
+    experts: int = 0
+    # Experts that a rank holds of each set.
+    placements: int = 0
+    # Experts of each set that a rank may load for one change.
+    spare: int = 0
+    expert_mb: float = 0.0
+
+
+class _Service(msgspec.Struct):
+    name: str
+    max_conns: int = 0
+    engine: _Engine | None = None
+
+
+class _Workspace(msgspec.Struct):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+
+
+class _Limits(msgspec.Struct):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    header_timeout_ms: float = 3_000.0
+    idle_timeout_ms: float = 15_000.0
+
+
+class _Configuration(msgspec.Struct):
+    version: int
+    routes: list[_Route] = []
+    services: list[_Service] = []
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: list[_Workspace] | None = None
+
+
+class _BackendServer(msgspec.Struct):
+    service: str
+    address: str
+    state: str
+    zone: str = ""
+    slots: int = 1
+
+
+def decode_configuration(value: bytes) -> Configuration | StoreError:
+    """Decode one version of the configuration."""
+    try:
+        document = msgspec.json.decode(value, type=_Configuration)
+        routes = {(route.host, route.path_prefix): _route(route) for route in document.routes}
+    except (msgspec.DecodeError, KeyError, ValueError) as error:
+        return StoreError(StoreErrorKind.INVALID, f"configuration not understood: {error!r}")
+    limits = document.limits
+    return Configuration(
+        document.version,
+        routes,
+        {service.name: _service(service) for service in document.services},
+        _workspaces(document.tenants),
+        ServerLimits(
+            limits.max_header_bytes,
+            limits.max_body_bytes,
+            limits.header_timeout_ms / MS_PER_S,
+            limits.idle_timeout_ms / MS_PER_S,
+        ),
+    )
+
+
+def decode_backend_server(instance_id: str, value: bytes) -> BackendServer | StoreError:
+    """Decode an entry of the list; entries of other writers may be anything."""
+    try:
+        document = msgspec.json.decode(value, type=_BackendServer)
+    except msgspec.DecodeError as error:
+        return StoreError(StoreErrorKind.INVALID, f"entry {instance_id!r}: {error}")
+    leaving = _LEAVING_BY_STATE.get(document.state)
+    host, _, port = document.address.rpartition(":")
+    if leaving is None or not host or not port.isdigit():
+        reason = f"entry {instance_id!r}: state {document.state!r}, address {document.address!r}"
+        return StoreError(StoreErrorKind.INVALID, reason)
+    return BackendServer(
+        instance_id,
+        document.service,
+        document.address,
+        document.zone,
+        max(1, document.slots),
+        leaving,
+    )
+
+
+def _route(route: _Route) -> Route:
+    shares = tuple(ServiceShare(share.service, share.weight) for share in route.split)
+    return Route(
+        route.name,
+        route.host.lower(),
+        route.path_prefix,
+        _KINDS[route.kind],
+        route.timeout_ms / MS_PER_S,
+        route.target_latency_ms / MS_PER_S,
+        route.target_gap_ms / MS_PER_S,
+        route.priority,
+        shares or (ServiceShare(route.service, 1),),
+        max(1, route.max_attempts),
+        route.public,
+        route.resumable,
+    )
+
+
+def _service(service: _Service) -> Service:
+    engine = service.engine
+    if engine is None:
+        return Service(service.name, service.max_conns, None)
+    terms = EngineTerms(
+        engine.step_ms / MS_PER_S,
+        engine.per_seq_ms / MS_PER_S,
+        engine.read_per_s,
+        engine.usual.prompt,
+        engine.usual.answer,
+        engine.sets,
+        engine.experts,
+        engine.placements,
+        engine.spare,
+        engine.expert_mb,
+    )
+    return Service(service.name, service.max_conns, terms)
+
+
+def _workspaces(documents: list[_Workspace] | None) -> dict[str, Workspace] | None:
+    if documents is None:
+        return None
+    by_key: dict[str, Workspace] = {}
+    for document in documents:
+        for key in document.api_keys:
+            by_key[key] = Workspace(document.name, document.priority)
+    return by_key
--- a/src/bronzerudder/policy/retry/__init__.py
+++ b/src/bronzerudder/policy/retry/__init__.py
@@ -10,6 +10,7 @@
 )
 from bronzerudder.policy.retry.count import CountBudget
 from bronzerudder.policy.retry.share import ShareBudget
+from bronzerudder.policy.retry.window import WindowBudget
 
 __all__ = [
     "CountBudget",
@@ -18,4 +19,5 @@
     "RetryDenial",
     "RetryDenialKind",
     "ShareBudget",
+    "WindowBudget",
 ]
--- a/src/bronzerudder/policy/routing/__init__.py
+++ b/src/bronzerudder/policy/routing/__init__.py
@@ -10,17 +10,21 @@
 )
 from bronzerudder.policy.routing.breaker import Breaker
 from bronzerudder.policy.routing.candidate import Candidate, LoadReport, Placement
+from bronzerudder.policy.routing.free_slots import FreeSlotRouting
 from bronzerudder.policy.routing.least_outstanding import LeastOutstandingRouting
+from bronzerudder.policy.routing.outlier import OutlierBreaker
 from bronzerudder.policy.routing.random_choice import RandomRouting
 from bronzerudder.policy.routing.token_load import TokenLoadRouting, TokenLoadTerms
 
 __all__ = [
     "Breaker",
     "Candidate",
+    "FreeSlotRouting",
     "LeastOutstandingRouting",
     "LoadReport",
     "NoCandidate",
     "NoCandidateKind",
+    "OutlierBreaker",
     "Placement",
     "RandomRouting",
     "RoutedRequest",
--- a/src/bronzerudder/policy/routing/api.py
+++ b/src/bronzerudder/policy/routing/api.py
@@ -37,6 +37,7 @@
     EMPTY_POOL = "empty-pool"
     ALL_EXCLUDED = "all-excluded"
     ALL_UNAVAILABLE = "all-unavailable"
+    ALL_BUSY = "all-busy"
 
 
 class NoCandidate(NamedTuple):
--- a/src/bronzerudder/policy/routing/candidate.py
+++ b/src/bronzerudder/policy/routing/candidate.py
@@ -90,10 +90,15 @@
         Where it runs.
     breaker : Breaker
         Shared by all ranks of a group, since none can advance without the others.
+    slots : int
+        Requests that the backend server runs at once; 0 when not known.
     """
 
-    def __init__(self, name: str, failure_domain: str, breaker: Breaker | None = None) -> None:
+    def __init__(
+        self, name: str, failure_domain: str, breaker: Breaker | None = None, slots: int = 0
+    ) -> None:
         self.name = name
+        self.slots = slots
         self.failure_domain = failure_domain
         self.breaker = breaker or Breaker()
         self.connected = True
@@ -102,6 +107,7 @@
         self._own_requests = 0
         self._own_tokens = 0
         self._others_tokens = 0
+        self._others_requests = 0
         self._reported_at_s = 0.0
 
     @property
@@ -119,6 +125,11 @@
         """Tokens of the requests of other entries, when last reported."""
         return self._others_tokens
 
+    @property
+    def others_requests(self) -> int:
+        """Requests of other entries, when last reported."""
+        return self._others_requests
+
     @property
     def reported_at_s(self) -> float:
         """Monotonic time of the last report, in seconds."""
@@ -152,12 +163,18 @@
         self._own_requests -= requests
         self._own_tokens -= tokens
 
+    def observe_requests(self, outstanding: int, now_s: float) -> None:
+        """Take in how many requests of all entries the backend server has."""
+        self._reported_at_s = now_s
+        self._others_requests = max(0, outstanding - self._own_requests)
+
     def observe(self, report: LoadReport, now_s: float) -> None:
         """Take in an agent's report."""
         self.report = report
         self._reported_at_s = now_s
         own_tokens = self._own_tokens if report.entry_tokens is None else report.entry_tokens
         self._others_tokens = max(0, report.outstanding_tokens - own_tokens)
+        self._others_requests = max(0, report.outstanding_requests - self._own_requests)
         if report.group_stalled:
             self.breaker.record_stall(now_s)
             return
--- /dev/null
+++ b/src/bronzerudder/policy/routing/free_slots.py
@@ -0,0 +1,67 @@
+"""Places requests on free slots, evenly by what the ranks of a group then have to do."""
+
+from __future__ import annotations
+
+import math
+import random
+from collections.abc import Sequence
+
+from bronzerudder.policy.routing.api import (
+    NoCandidate,
+    NoCandidateKind,
+    RoutedRequest,
+    RoutingPolicy,
+    select_available,
+)
+from bronzerudder.policy.routing.candidate import Candidate
+
+REPORT_TIME_CONSTANT_S = 1.0
+"""A report on other entries' requests loses weight in the time that an answer usually takes."""
+BUSY_RETRY_AFTER_S = 0.1
+
+
+class FreeSlotRouting(RoutingPolicy):
+    """Picks the candidate with the smallest part of its slots in use, then the fewest tokens.
+
+    A request beyond the slots waits inside the backend server, where it can't be moved to a slot
+    that becomes free elsewhere. So there is no candidate while all slots are in use.
+
+    Parameters
+    ----------
+    generator : random.Random
+        Breaks ties, so that several entries don't pick alike.
+    """
+
+    def __init__(self, generator: random.Random) -> None:
+        self._generator = generator
+
+    def pick(
+        self, candidates: Sequence[Candidate], request: RoutedRequest, now_s: float
+    ) -> Candidate | NoCandidate:
+        """Pick a candidate with a free slot."""
+        available = select_available(candidates, request, now_s)
+        if isinstance(available, NoCandidate):
+            return available
+        best: Candidate | None = None
+        best_cost = (math.inf, math.inf, math.inf)
+        for candidate in available:
+            used = slots_in_use(candidate, now_s)
+            if candidate.slots and used > candidate.slots - 1:
+                continue
+            share = round(used) / max(1, candidate.slots)
+            cost = (share, candidate.own_tokens, self._generator.random())
+            if cost < best_cost:
+                best, best_cost = candidate, cost
+        if best is not None:
+            return best
+        reason = f"all slots of {len(available)} backend servers are in use"
+        return NoCandidate(NoCandidateKind.ALL_BUSY, reason, BUSY_RETRY_AFTER_S)
+
+
+def slots_in_use(candidate: Candidate, now_s: float) -> float:
+    """Estimate the slots in use from own requests and the last report."""
+    others = candidate.others_requests
+    if not others:
+        return candidate.own_requests
+    age_s = max(0.0, now_s - candidate.reported_at_s)
+    return candidate.own_requests + others * math.exp(-age_s / REPORT_TIME_CONSTANT_S)
