Keep experts placed by what requests choose, led by one of the rank agents

Cause: with map 0 the most loaded rank had 3.3 times the mean, and first events came after 0.5 s. Ruled out: fencing by the expected order number, which map orders do not raise (tried on a rank).

--- /dev/null
+++ b/src/bronzerudder/cli/commands/rank_agent.py
@@ -0,0 +1,19 @@
+"""``bronzerudder rank-agent``."""
+
+from __future__ import annotations
+
+from bronzerudder.cli.api import Invocation
+from bronzerudder.cli.process import ProcessInvocation
+from bronzerudder.cli.registry import command
+
+
+@command("rank-agent")
+def rank_agent(settings: str) -> Invocation:
+    """Run the agent beside a rank of a model group.
+
+    Parameters
+    ----------
+    settings : str
+        Path of its JSON settings.
+    """
+    return ProcessInvocation(settings, "bronzerudder.processes.rank_agent")
--- /dev/null
+++ b/src/bronzerudder/expert_maps/agent.py
@@ -0,0 +1,235 @@
+"""The agent beside one rank: tells the group's leader about the rank, or leads itself."""
+
+from __future__ import annotations
+
+import random
+import time
+from collections.abc import Awaitable, Callable
+
+import anyio
+from anyio.abc import TaskGroup
+
+from bronzerudder.expert_maps.api import RankCounts, RankFailure, RankPlaces, RankState
+from bronzerudder.expert_maps.leader import ExpertShape, GroupLeader
+from bronzerudder.expert_maps.leadership import NOBODY, Leader, LeaderRecord
+from bronzerudder.expert_maps.posts import (
+    ACCEPTED,
+    NOT_LEADER,
+    POST_PATH,
+    RankPost,
+    decode_post,
+    encode_post,
+)
+from bronzerudder.http1 import ClientPool, HttpError, Request, ResponseWriter
+from bronzerudder.observability.event_log import EventLog
+from bronzerudder.platform.api import ObjectStore
+from bronzerudder.platform.errors import StoreError
+from bronzerudder.platform.ranks import RankClient
+
+LOOK_INTERVAL_S = 0.12
+"""How often the rank is asked; a call on the own machine costs a fraction of a millisecond."""
+POST_INTERVAL_S = 0.45
+"""Between posts with counts; a post without goes out when the rank's map state changes."""
+POST_TIMEOUT_S = 0.4
+LEADER_SILENCE_S = 1.0
+"""A leader that took no post for this long is replaced."""
+CLAIM_SPREAD_S = 0.8
+"""Agents that miss the leader claim at different times, so that most find a new one."""
+STORE_PAUSE_S = 0.5
+
+ShapeReader = Callable[[], Awaitable[ExpertShape | StoreError]]
+
+
+class RankAgent:
+    """One rank's agent.
+
+    Parameters
+    ----------
+    ranks : RankClient
+        Speaks with ranks.
+    rank_address, own_address : str
+        Of the rank beside it, and where this agent takes posts.
+    store : ObjectStore
+        Holds the record of the leader.
+    read_shape : callable
+        Reads the shape of the maps.
+    log : EventLog
+        Takes a line for each change of leader.
+    tasks : TaskGroup
+        Runs the leading.
+    """
+
+    def __init__(
+        self,
+        ranks: RankClient,
+        rank_address: str,
+        own_address: str,
+        store: ObjectStore,
+        read_shape: ShapeReader,
+        log: EventLog,
+        tasks: TaskGroup,
+    ) -> None:
+        self._ranks = ranks
+        self._rank_address = rank_address
+        self._own_address = own_address
+        self._store = store
+        self._read_shape = read_shape
+        self._log = log
+        self._tasks = tasks
+        self._pool = ClientPool(POST_TIMEOUT_S)
+        self._record: LeaderRecord | None = None
+        self._leader: Leader | None = None
+        self._leading: GroupLeader | None = None
+        self._heard_at_s = time.monotonic()
+        self._posted_at_s = 0.0
+        self._posted: RankState | None = None
+        self._places_posted_for: tuple[str, int, int] | None = None
+
+    @property
+    def leading(self) -> GroupLeader | None:
+        """The leader's part, while this agent leads."""
+        return self._leading
+
+    async def handle(self, request: Request, writer: ResponseWriter) -> None:
+        """Take a post of another agent."""
+        post = decode_post(request.body) if request.target == POST_PATH else None
+        if post is None:
+            await writer.respond(400, [], b"not a post\n")
+            return
+        if self._leading is None:
+            await writer.respond(NOT_LEADER, [], b"not leading\n")
+            return
+        self._leading.take(post)
+        await writer.respond(ACCEPTED, [], b"")
+
+    async def run(self) -> None:
+        """Look at the rank and post, for ever."""
+        while True:
+            await anyio.sleep(LOOK_INTERVAL_S)
+            state = await self._ranks.state(self._rank_address)
+            if isinstance(state, RankFailure):
+                continue
+            if self._record is None:
+                self._record = LeaderRecord(self._store, state.group)
+            now_s = time.monotonic()
+            due = now_s - self._posted_at_s >= POST_INTERVAL_S
+            if not due and not self._is_news(state):
+                continue
+            await self._post(state, due)
+
+    def _is_news(self, state: RankState) -> bool:
+        last = self._posted
+        if last is None:
+            return True
+        return (
+            state.map_version,
+            state.prepared_version,
+            state.armed,
+            state.held_step,
+            state.epoch,
+            state.is_open,
+        ) != (
+            last.map_version,
+            last.prepared_version,
+            last.armed,
+            last.held_step,
+            last.epoch,
+            last.is_open,
+        )
+
+    async def _post(self, state: RankState, due: bool) -> None:
+        counts = await self._read_counts() if due else None
+        places = await self._read_places(state)
+        if due:
+            self._posted_at_s = time.monotonic()
+        post = RankPost(state, counts, places)
+        if await self._deliver(post):
+            self._posted = state
+            self._heard_at_s = time.monotonic()
+            if places is not None and self._leader is not None:
+                self._places_posted_for = (
+                    self._leader.address + str(self._leader.term),
+                    state.epoch,
+                    places.map_version,
+                )
+            return
+        if time.monotonic() - self._heard_at_s >= LEADER_SILENCE_S or self._leader is None:
+            await self._find_leader(state)
+
+    async def _read_counts(self) -> RankCounts | None:
+        counts = await self._ranks.counts(self._rank_address)
+        return None if isinstance(counts, RankFailure) else counts
+
+    async def _read_places(self, state: RankState) -> RankPlaces | None:
+        if self._leader is not None:
+            key = (self._leader.address + str(self._leader.term), state.epoch, state.map_version)
+            if key == self._places_posted_for:
+                return None
+        places = await self._ranks.places(self._rank_address)
+        return None if isinstance(places, RankFailure) else places
+
+    async def _deliver(self, post: RankPost) -> bool:
+        if self._leading is not None:
+            self._leading.take(post)
+            return True
+        leader = self._leader
+        if leader is None or not leader.address:
+            return False
+        headers = [(b"host", leader.address.encode())]
+        with anyio.move_on_after(POST_TIMEOUT_S):
+            answer = await self._pool.call(
+                leader.address, b"POST", POST_PATH, headers, encode_post(post)
+            )
+            if isinstance(answer, HttpError):
+                return False
+            if answer[0] == NOT_LEADER:
+                self._leader = None
+            return answer[0] == ACCEPTED
+        return False
+
+    async def _find_leader(self, state: RankState) -> None:
+        """Look for another leader; claim the group if there is none."""
+        assert self._record is not None
+        failed = self._leader
+        found = await self._record.read()
+        if isinstance(found, StoreError):
+            await anyio.sleep(STORE_PAUSE_S * random.uniform(0.5, 1.0))
+            return
+        is_new = found.address and (failed is None or found.term != failed.term)
+        if is_new and found.address != self._own_address:
+            self._follow(found)
+            return
+        if found != NOBODY and found.address != self._own_address and state.held_step is None:
+            await anyio.sleep(CLAIM_SPREAD_S * random.random())
+        await self._claim(found)
+
+    def _follow(self, leader: Leader) -> None:
+        self._leader = leader
+        self._heard_at_s = time.monotonic()
+        self._log.state("following", leader=leader.address, term=leader.term)
+
+    async def _claim(self, known: Leader) -> None:
+        assert self._record is not None
+        shape = await self._read_shape()
+        if isinstance(shape, StoreError):
+            self._log.state("shape of the maps not known", reason=shape.reason)
+            return
+        claimed = await self._record.claim(known, self._own_address)
+        if isinstance(claimed, StoreError):
+            self._log.state("claim failed", reason=claimed.reason)
+            return
+        self._leader = claimed
+        self._heard_at_s = time.monotonic()
+        leading = GroupLeader(
+            self._ranks, self._rank_address, shape, self._record, claimed, self._log
+        )
+        self._leading = leading
+        self._tasks.start_soon(self._lead, leading)
+
+    async def _lead(self, leading: GroupLeader) -> None:
+        try:
+            await leading.run()
+        finally:
+            if self._leading is leading:
+                self._leading = None
+                self._leader = None
--- /dev/null
+++ b/src/bronzerudder/expert_maps/change.py
@@ -0,0 +1,293 @@
+"""Changes the map of a group of ranks, so that no step runs on two maps.
+
+The change goes in this order: all ranks prepare the map; one rank holds a step some steps ahead;
+all ranks arm for that step; the step is released. As the held step can't begin, no rank switches
+before all are armed, and usually the release comes before the step is reached, so nothing waits.
+
+A step is released only in one of two cases:
+
+1. Every rank has accepted the arming for it. Nobody takes an arming back then, see 2.
+2. Every rank has accepted the preparation of a higher version since. A rank refuses to prepare
+   while it is armed, and to arm for a version that another preparation has replaced. So no rank is
+   armed then, and an order to arm that is still under way will be refused.
+
+Whoever takes over first looks whether all ranks are armed alike (case 1). If not, it prepares a
+higher version on a rank that is not armed: from then on the change can't be completed by whoever
+began it, and arming may be taken back on the others. Versions are unique, as they begin with the
+term of the leader, so an order of an earlier leader can't be mistaken for one of the present one.
+"""
+
+from __future__ import annotations
+
+import enum
+import time
+from collections.abc import Awaitable, Callable, Sequence
+from typing import NamedTuple
+
+import anyio
+
+from bronzerudder.expert_maps.api import (
+    Layout,
+    OrderResult,
+    RankFailure,
+    RankOrders,
+    RankState,
+)
+
+PREPARE_TIMEOUT_S = 1.5
+"""Time for all ranks to take the order to load."""
+LOAD_TIMEOUT_S = 4.0
+"""Time for all ranks to load; a few experts take a fraction of a second."""
+LOAD_CHECK_INTERVAL_S = 0.05
+HOLD_TIMEOUT_S = 1.0
+ARM_TIMEOUT_S = 20.0
+"""Orders that were lost are carried out up to 12 s later; until then the step stays held."""
+RETRY_INTERVAL_S = 0.02
+LEAD_S = 0.25
+"""How far ahead the step is: longer than all orders take on a usual day."""
+MIN_LEAD_STEPS = 4
+REPORT_LAG_S = 0.3
+"""What a rank tells another machine is older than this at times."""
+
+
+class ChangeResult(enum.Enum):
+    """How a change ended."""
+
+    CHANGED = "changed"
+    NOT_PREPARED = "not-prepared"
+    NOT_HELD = "not-held"
+    TAKEN_BACK = "taken-back"
+    UNSETTLED = "unsettled"
+
+
+class ChangePlan(NamedTuple):
+    """One change of map.
+
+    Parameters
+    ----------
+    version, fallback_version : int
+        Of the new map, and of the preparation that makes it void if the change fails.
+    layout : list
+        Experts by set and rank.
+    previous : list
+        Layout in use, which the fallback prepares.
+    steps_per_s : float
+        Rate at which the group makes steps.
+    """
+
+    version: int
+    fallback_version: int
+    layout: Layout
+    previous: Layout
+    steps_per_s: float
+
+
+Note = Callable[..., None]
+
+
+class MapChanger:
+    """Gives the orders of a change.
+
+    Parameters
+    ----------
+    orders : RankOrders
+        Takes orders to ranks.
+    own_address : str
+        Rank beside this process; its state is fresh here, and it holds the step.
+    prepared_by : callable
+        Returns the addresses of the ranks that are known to have loaded a version.
+    note : callable
+        Takes a log line: an event and fields.
+    """
+
+    def __init__(
+        self,
+        orders: RankOrders,
+        own_address: str,
+        prepared_by: Callable[[int], set[str]],
+        note: Note,
+    ) -> None:
+        self._orders = orders
+        self._own_address = own_address
+        self._prepared_by = prepared_by
+        self._note = note
+
+    async def change(self, ranks: Sequence[RankState], plan: ChangePlan) -> ChangeResult:
+        """Take a group to another map."""
+        version = plan.version
+        if not await self._prepare_all(ranks, version, plan.layout):
+            return ChangeResult.NOT_PREPARED
+        if not await self._await_loads(ranks, version):
+            return ChangeResult.NOT_PREPARED
+        holder = self._choose_holder(ranks)
+        step = await self._hold(holder, plan.steps_per_s)
+        if step is None:
+            return ChangeResult.NOT_HELD
+        held_at_s = time.monotonic()
+        armed = await self._arm_all(ranks, version, step)
+        if armed:
+            await self._release(holder, step)
+            self._note(
+                "map armed",
+                version=version,
+                step=step,
+                took_s=round(time.monotonic() - held_at_s, 4),
+            )
+            return ChangeResult.CHANGED
+        self._note("map not armed by all ranks", version=version, step=step)
+        settled = await self.settle(ranks, plan.fallback_version, plan.previous)
+        return ChangeResult.TAKEN_BACK if settled else ChangeResult.UNSETTLED
+
+    async def settle(
+        self, ranks: Sequence[RankState], version: int, layout: Layout
+    ) -> bool:
+        """End what an unfinished change left behind: armed ranks and held steps.
+
+        Parameters
+        ----------
+        ranks : sequence of RankState
+            All ranks of the group.
+        version : int
+            Above all versions that any rank has had.
+        layout : list
+            Layout in use.
+
+        Returns
+        -------
+        bool
+            Whether nothing is armed or held any more.
+        """
+        # An order of the unfinished change may be too recent to show.
+        await anyio.sleep(REPORT_LAG_S)
+        states = await self._read_states(ranks)
+        if states is None:
+            return False
+        armings = {state.armed for state in states}
+        if len(armings) == 1 and None not in armings:
+            self._note("inherited map is armed by all ranks", armed=str(armings.pop()))
+            return await self._release_all(states)
+        free = [state for state in states if state.armed is None]
+        if not free:
+            self._note("ranks are armed for different maps", armed=str(armings))
+            return False
+        if not await self._prepare_all(free, version, layout):
+            return False
+        for state in states:
+            if state.armed is None:
+                continue
+            if not await self._disarm(state, state.armed.version):
+                return False
+        if not await self._prepare_all(states, version, layout):
+            return False
+        return await self._release_all(states)
+
+    def _choose_holder(self, ranks: Sequence[RankState]) -> RankState:
+        for rank in ranks:
+            if rank.address == self._own_address:
+                return rank
+        return ranks[0]
+
+    async def _prepare_all(
+        self, ranks: Sequence[RankState], version: int, layout: Layout
+    ) -> bool:
+        async def prepare(rank: RankState) -> bool:
+            def give() -> Awaitable[OrderResult]:
+                return self._orders.prepare(rank, version, layout)
+
+            result = await _insist(give, PREPARE_TIMEOUT_S)
+            if result is OrderResult.ACCEPTED:
+                return True
+            # An order without an answer may have been carried out before it was given again.
+            await anyio.sleep(REPORT_LAG_S)
+            state = await self._orders.state(rank.address)
+            return isinstance(state, RankState) and state.prepared_version == version
+
+        return await _all(prepare, ranks)
+
+    async def _await_loads(self, ranks: Sequence[RankState], version: int) -> bool:
+        wanted = {rank.address for rank in ranks}
+        with anyio.move_on_after(LOAD_TIMEOUT_S):
+            while not wanted <= self._prepared_by(version):
+                await anyio.sleep(LOAD_CHECK_INTERVAL_S)
+            return True
+        return False
+
+    async def _hold(self, holder: RankState, steps_per_s: float) -> int | None:
+        state = await self._orders.state(holder.address)
+        if isinstance(state, RankFailure) or state.held_step is not None:
+            return None
+        step = state.step + MIN_LEAD_STEPS + int(steps_per_s * LEAD_S)
+        result = await _insist(lambda: self._orders.hold(holder, step), HOLD_TIMEOUT_S)
+        return step if result is OrderResult.ACCEPTED else None
+
+    async def _arm_all(self, ranks: Sequence[RankState], version: int, step: int) -> bool:
+        async def arm(rank: RankState) -> bool:
+            def give() -> Awaitable[OrderResult]:
+                return self._orders.arm(rank, version, step)
+
+            return await _insist(give, ARM_TIMEOUT_S) is OrderResult.ACCEPTED
+
+        return await _all(arm, ranks)
+
+    async def _disarm(self, rank: RankState, version: int) -> bool:
+        result = await _insist(lambda: self._orders.disarm(rank, version), ARM_TIMEOUT_S)
+        return result is OrderResult.ACCEPTED
+
+    async def _release(self, rank: RankState, step: int) -> bool:
+        result = await _insist(lambda: self._orders.release(rank, step), ARM_TIMEOUT_S)
+        return result is OrderResult.ACCEPTED
+
+    async def _release_all(self, states: Sequence[RankState]) -> bool:
+        released = True
+        for state in states:
+            if state.held_step is None:
+                continue
+            self._note("releasing a held step", rank=state.rank, step=state.held_step)
+            released = await self._release(state, state.held_step) and released
+        return released
+
+    async def _read_states(self, ranks: Sequence[RankState]) -> list[RankState] | None:
+        states: list[RankState] = []
+
+        async def read(rank: RankState) -> bool:
+            state = await self._orders.state(rank.address)
+            if isinstance(state, RankFailure):
+                self._note("rank does not answer", rank=rank.rank, reason=state.reason)
+                return False
+            if (state.group, state.epoch) != (rank.group, rank.epoch):
+                return False
+            states.append(state)
+            return True
+
+        if not await _all(read, ranks):
+            return None
+        return states
+
+
+async def _insist(give: Callable[[], Awaitable[OrderResult]], timeout_s: float) -> OrderResult:
+    """Give an order again until its outcome is certain, or the time is over."""
+    until_s = time.monotonic() + timeout_s
+    unknown = False
+    while True:
+        result = await give()
+        if result in (OrderResult.ACCEPTED, OrderResult.REFUSED):
+            return result
+        unknown = unknown or result is OrderResult.UNKNOWN
+        if time.monotonic() >= until_s:
+            return OrderResult.UNKNOWN if unknown else OrderResult.NOT_GIVEN
+        await anyio.sleep(RETRY_INTERVAL_S)
+
+
+async def _all(
+    function: Callable[[RankState], Awaitable[bool]], ranks: Sequence[RankState]
+) -> bool:
+    """Call a function for all ranks at once; tell whether it was true for all."""
+    results: list[bool] = []
+
+    async def call(rank: RankState) -> None:
+        results.append(await function(rank))
+
+    async with anyio.create_task_group() as tasks:
+        for rank in ranks:
+            tasks.start_soon(call, rank)
+    return all(results)
--- /dev/null
+++ b/src/bronzerudder/expert_maps/leader.py
@@ -0,0 +1,270 @@
+"""Leads a group: decides when its map changes, and changes it."""
+
+from __future__ import annotations
+
+import time
+from typing import NamedTuple
+
+import anyio
+
+from bronzerudder.expert_maps.api import Layout, RankOrders, RankPlaces, RankState
+from bronzerudder.expert_maps.bounded import Bounds, improve_set, skew
+from bronzerudder.expert_maps.change import ChangePlan, ChangeResult, MapChanger
+from bronzerudder.expert_maps.leadership import Leader, LeaderRecord
+from bronzerudder.expert_maps.popularity import ChoiceFollower
+from bronzerudder.expert_maps.posts import RankPost
+from bronzerudder.observability.event_log import EventLog
+from bronzerudder.platform.errors import StoreError
+
+CHECK_INTERVAL_S = 0.2
+MAX_POST_AGE_S = 2.0
+"""Agents post about twice a second; an older post tells nothing of a rank's state now."""
+LEAST_GAIN = 0.06
+"""Part of a step's time that a change must save. Loading slows steps by 15 in 100 for some tenths
+of a second, which a smaller gain takes seconds to earn back."""
+LEAST_WEIGHT = 3_000.0
+"""Choices to go by; fewer are noise."""
+CHANGE_PAUSE_S = 0.3
+"""After a change, before the next: posts must show the new map and the load on it."""
+HELD_GRACE_S = 0.6
+"""A step held for longer than a change takes was left behind."""
+VERSIONS_PER_TERM = 100_000
+MAX_FAILURE_PAUSE_S = 4.0
+
+
+class ExpertShape(NamedTuple):
+    """Shape of a group's maps.
+
+    Parameters
+    ----------
+    sets, experts : int
+        Sets of layers, and experts in each.
+    bounds : Bounds
+        What a rank can hold and load.
+    """
+
+    sets: int
+    experts: int
+    bounds: Bounds
+
+
+class _Told(NamedTuple):
+    state: RankState
+    at_s: float
+
+
+class GroupLeader:
+    """Takes the posts of a group's agents and gives orders to its ranks.
+
+    Parameters
+    ----------
+    orders : RankOrders
+        Takes orders to ranks.
+    own_address : str
+        Rank beside this process.
+    shape : ExpertShape
+        Shape of the maps.
+    record : LeaderRecord
+        Says whether this process still leads.
+    leader : Leader
+        The claim by which it leads.
+    log : EventLog
+        Takes a line for each step of a change.
+    """
+
+    def __init__(
+        self,
+        orders: RankOrders,
+        own_address: str,
+        shape: ExpertShape,
+        record: LeaderRecord,
+        leader: Leader,
+        log: EventLog,
+    ) -> None:
+        self._shape = shape
+        self._record = record
+        self._leader = leader
+        self._log = log
+        self._changer = MapChanger(orders, own_address, self._prepared_by, self._note)
+        self._told: dict[str, _Told] = {}
+        self._places: dict[str, RankPlaces] = {}
+        self._follower = ChoiceFollower(shape.sets, shape.experts)
+        self._versions = 0
+        self._held_since_s: float | None = None
+        self._not_before_s = 0.0
+        self._failures = 0
+        self._own_address = own_address
+        self._pace: tuple[int, float] | None = None
+        self._steps_per_s = 15.0
+        self._skew = 1.0
+
+    @property
+    def term(self) -> int:
+        """Term of this leader."""
+        return self._leader.term
+
+    @property
+    def current_skew(self) -> float:
+        """Largest over mean load when last looked at."""
+        return self._skew
+
+    def take(self, post: RankPost) -> None:
+        """Take in what an agent tells."""
+        now_s = time.monotonic()
+        state = post.state
+        self._told[state.address] = _Told(state, now_s)
+        if post.places is not None:
+            self._places[state.address] = post.places
+        if post.counts is not None:
+            self._follower.observe(state.address, post.counts, now_s)
+        if state.address == self._own_address:
+            self._note_pace(state.step, now_s)
+
+    async def run(self) -> None:
+        """Lead until another agent does."""
+        self._note("leading", term=self._leader.term)
+        while True:
+            await anyio.sleep(CHECK_INTERVAL_S)
+            ranks = self._whole_group()
+            if ranks is None:
+                self._held_since_s = None
+                continue
+            if self._is_held_too_long(ranks):
+                if not await self._still_leads():
+                    return
+                await self._settle(ranks)
+                continue
+            plan = self._plan(ranks)
+            if plan is None:
+                continue
+            if not await self._still_leads():
+                return
+            await self._change(ranks, plan)
+
+    def _whole_group(self) -> list[RankState] | None:
+        """All ranks of the group in order, or None while any is not known to be in it."""
+        oldest_s = time.monotonic() - MAX_POST_AGE_S
+        fresh = [told.state for told in self._told.values() if told.at_s >= oldest_s]
+        if not fresh:
+            return None
+        epoch = max(state.epoch for state in fresh)
+        ranks = {state.rank: state for state in fresh if state.epoch == epoch and state.is_open}
+        if len(ranks) != fresh[0].size or sorted(ranks) != list(range(len(ranks))):
+            return None
+        return [ranks[rank] for rank in range(len(ranks))]
+
+    def _is_held_too_long(self, ranks: list[RankState]) -> bool:
+        if all(state.held_step is None for state in ranks):
+            self._held_since_s = None
+            return False
+        now_s = time.monotonic()
+        if self._held_since_s is None:
+            self._held_since_s = now_s
+        return now_s - self._held_since_s >= HELD_GRACE_S
+
+    def _plan(self, ranks: list[RankState]) -> ChangePlan | None:
+        """Decide whether a change is worth it now."""
+        if time.monotonic() < self._not_before_s or self._follower.weight < LEAST_WEIGHT:
+            return None
+        if any(state.armed is not None for state in ranks):
+            return None
+        layout = self._layout(ranks)
+        if layout is None:
+            return None
+        popularity = self._follower.popularity
+        self._skew = skew(layout, popularity)
+        if self._skew < 1.0 + LEAST_GAIN:
+            return None
+        pairs = zip(layout, popularity, strict=True)
+        improved = [improve_set(held, loads, self._shape.bounds) for held, loads in pairs]
+        after = skew(improved, popularity)
+        if self._skew - after < LEAST_GAIN * self._skew:
+            return None
+        version = self._next_version()
+        self._note(
+            "map change planned",
+            version=version,
+            skew=round(self._skew, 3),
+            skew_after=round(after, 3),
+            choices=int(self._follower.weight),
+            oldest_post_s=round(self._oldest_post_s(ranks), 2),
+        )
+        return ChangePlan(version, self._next_version(), improved, layout, self._steps_per_s)
+
+    def _layout(self, ranks: list[RankState]) -> Layout | None:
+        """Map in use, or None while it is not known of all ranks."""
+        version = ranks[0].map_version
+        by_rank = []
+        for state in ranks:
+            places = self._places.get(state.address)
+            if places is None or state.map_version != version or places.map_version != version:
+                return None
+            if len(places.experts) != self._shape.sets:
+                return None
+            by_rank.append(places.experts)
+        return [[experts[index] for experts in by_rank] for index in range(self._shape.sets)]
+
+    async def _change(self, ranks: list[RankState], plan: ChangePlan) -> None:
+        started_s = time.monotonic()
+        result = await self._changer.change(ranks, plan)
+        now_s = time.monotonic()
+        self._note(
+            "map change ended",
+            version=plan.version,
+            result=result.value,
+            took_s=round(now_s - started_s, 3),
+        )
+        if result is ChangeResult.CHANGED:
+            self._failures = 0
+            self._not_before_s = now_s + CHANGE_PAUSE_S
+            return
+        self._failures += 1
+        self._not_before_s = now_s + min(MAX_FAILURE_PAUSE_S, CHANGE_PAUSE_S * 2**self._failures)
+
+    async def _settle(self, ranks: list[RankState]) -> None:
+        layout = self._layout(ranks)
+        if layout is None:
+            self._note("held step not settled yet, the map in use is not known")
+            return
+        settled = await self._changer.settle(ranks, self._next_version(), layout)
+        self._held_since_s = None
+        self._note("held step looked after", settled=settled)
+
+    async def _still_leads(self) -> bool:
+        """Whether no other agent has claimed the group; an unreachable store changes nothing.
+
+        Safety does not depend on it: orders of an earlier leader are refused by version.
+        """
+        found = await self._record.read()
+        if isinstance(found, StoreError):
+            self._note("leadership not confirmed", reason=found.reason)
+            return True
+        if (found.term, found.address) == (self._leader.term, self._leader.address):
+            return True
+        self._note("not leading any more", term=self._leader.term, present=found.term)
+        return False
+
+    def _next_version(self) -> int:
+        self._versions += 1
+        return self._leader.term * VERSIONS_PER_TERM + self._versions
+
+    def _prepared_by(self, version: int) -> set[str]:
+        return {
+            address
+            for address, told in self._told.items()
+            if told.state.prepared_version == version
+        }
+
+    def _oldest_post_s(self, ranks: list[RankState]) -> float:
+        oldest_s = min(self._told[state.address].at_s for state in ranks)
+        return time.monotonic() - oldest_s
+
+    def _note_pace(self, step: int, now_s: float) -> None:
+        last = self._pace
+        self._pace = (step, now_s)
+        if last is None or now_s <= last[1] or step <= last[0]:
+            return
+        self._steps_per_s = (step - last[0]) / (now_s - last[1])
+
+    def _note(self, event: str, **fields: object) -> None:
+        self._log.state(event, **fields)
--- a/src/bronzerudder/gateway/tables.py
+++ b/src/bronzerudder/gateway/tables.py
@@ -84,7 +84,7 @@
         Rate at which prompts are read.
     usual_prompt_tokens, usual_answer_tokens : float
         Means of the traffic.
-    layers, experts, slots_per_rank, loads_per_change : int
+    sets, experts, slots_per_rank, loads_per_change : int
         Sets of layers, experts in each, experts that a rank holds of each set, and how many of a
         set it may load for one change of map.
     """
@@ -94,7 +94,7 @@
     prompt_tokens_per_s: float
     usual_prompt_tokens: float
     usual_answer_tokens: float
-    layers: int
+    sets: int
     experts: int
     slots_per_rank: int
     loads_per_change: int
--- a/src/bronzerudder/http1/client.py
+++ b/src/bronzerudder/http1/client.py
@@ -108,14 +108,22 @@
             return None
         return self._fail(HttpErrorKind.BROKEN, "connection closed inside the answer")
 
-    async def skip(self) -> HttpError | None:
-        """Read past an answer that belongs to an earlier request, to the one that follows."""
+    async def read_rest(self) -> bytes | HttpError:
+        """Read the body to its end."""
+        parts: list[bytes] = []
         while True:
             part = await self.read_body()
             if isinstance(part, HttpError):
                 return part
             if part is None:
-                break
+                return b"".join(parts)
+            parts.append(part)
+
+    async def skip(self) -> HttpError | None:
+        """Read past an answer that belongs to an earlier request, to the one that follows."""
+        late = await self.read_rest()
+        if isinstance(late, HttpError):
+            return late
         data, closed = self._http.trailing_data
         if closed or self._request is None:
             return self._fail(HttpErrorKind.BROKEN, "connection closed after a late answer")
@@ -199,6 +207,34 @@
             return HttpError(HttpErrorKind.NOT_SENT, f"connect: {connection.reason}")
         return Exchange(self, address, connection, reused=False)
 
+    async def call(
+        self,
+        address: str,
+        method: bytes,
+        target: bytes,
+        headers: list[tuple[bytes, bytes]],
+        body: bytes = b"",
+    ) -> tuple[int, bytes] | HttpError:
+        """Send a request and read its whole answer: status and body."""
+        exchange = await self.open(address)
+        if isinstance(exchange, HttpError):
+            return exchange
+        try:
+            failed = await exchange.send(method, target, headers, body)
+            if failed is not None:
+                return failed
+            head = await exchange.read_head()
+            if isinstance(head, HttpError):
+                return head
+            content = await exchange.read_rest()
+            if isinstance(content, HttpError):
+                return content
+            exchange.release()
+            return head.status, content
+        finally:
+            # Does nothing after a release; closes the connection of a cancelled call.
+            exchange.discard()
+
     def keep(self, address: str, connection: Connection, idle_s: float) -> None:
         """Hold a connection for reuse."""
         kept = self._idle.setdefault(address, [])
--- a/src/bronzerudder/platform/object_api.py
+++ b/src/bronzerudder/platform/object_api.py
@@ -26,6 +26,7 @@
 WATCH_MARGIN_S = 1.5
 """Time past the end of a watch after which its connection counts as dead."""
 MS_PER_S = 1000.0
+HISTORY_GONE = "history is gone"
 
 _Document = TypeVar("_Document")
 
@@ -142,7 +143,7 @@
         path = f"{_path(kind)}?{urllib.parse.urlencode(query)}"
         answer = await self._call("GET", path, b"", timeout_s + WATCH_MARGIN_S)
         if isinstance(answer, StoreError):
-            if answer.kind is StoreErrorKind.NOT_FOUND and answer.reason == "status 410":
+            if answer.kind is StoreErrorKind.NOT_FOUND and answer.reason == HISTORY_GONE:
                 return ChangeBatch((), after_version, truncated=True)
             return answer
         batch = _decode(answer, _Events)
@@ -175,37 +176,21 @@
         return StoreError(kind, f"{method} {path}: no answer in {timeout_s} s")
 
     async def _exchange(self, method: str, path: str, body: bytes) -> bytes | StoreError:
-        exchange = await self._pool.open(self._address)
-        if isinstance(exchange, HttpError):
-            return StoreError(StoreErrorKind.UNAVAILABLE, exchange.reason)
         headers = list(self._host)
         if body:
             headers.append((b"content-type", b"application/json"))
-        try:
-            failure = await exchange.send(method.encode(), path.encode(), headers, body)
-            if failure is not None:
-                return _lost(method, failure)
-            head = await exchange.read_head()
-            if isinstance(head, HttpError):
-                return _lost(method, head)
-            parts = []
-            while True:
-                part = await exchange.read_body()
-                if isinstance(part, HttpError):
-                    return _lost(method, part)
-                if part is None:
-                    break
-                parts.append(part)
-            exchange.release()
-        finally:
-            # Does nothing after a release; ends a call that was cancelled.
-            exchange.discard()
-        if head.status in (200, 201, 202, 204):
-            return b"".join(parts)
-        if head.status == 410:
-            return StoreError(StoreErrorKind.NOT_FOUND, "status 410")
-        kind = _STATUS_KINDS.get(head.status, StoreErrorKind.INVALID)
-        return StoreError(kind, f"status {head.status}")
+        answer = await self._pool.call(
+            self._address, method.encode(), path.encode(), headers, body
+        )
+        if isinstance(answer, HttpError):
+            return _lost(method, answer)
+        status, content = answer
+        if status in (200, 201, 202, 204):
+            return content
+        if status == 410:
+            return StoreError(StoreErrorKind.NOT_FOUND, HISTORY_GONE)
+        kind = _STATUS_KINDS.get(status, StoreErrorKind.INVALID)
+        return StoreError(kind, f"status {status}")
 
 
 def _decode(answer: bytes, expected: type[_Document]) -> _Document | StoreError:
--- /dev/null
+++ b/src/bronzerudder/processes/rank_agent.py
@@ -0,0 +1,111 @@
+"""The process of an agent beside a rank."""
+
+from __future__ import annotations
+
+import os
+import signal
+import sys
+
+import anyio
+
+from bronzerudder.cli.api import EXIT_OK
+from bronzerudder.expert_maps.agent import RankAgent
+from bronzerudder.expert_maps.bounded import Bounds
+from bronzerudder.expert_maps.leader import ExpertShape
+from bronzerudder.http1 import HttpServer, ServerLimits, listen
+from bronzerudder.observability.event_log import DEFAULT_LINES_PER_S, EventLog
+from bronzerudder.platform import wire
+from bronzerudder.platform.configuration import decode_configuration
+from bronzerudder.platform.errors import StoreError, StoreErrorKind
+from bronzerudder.platform.object_api import RemoteObjectStore
+from bronzerudder.platform.ranks import RankClient
+from bronzerudder.settings.rank_agent import RankAgentSettings
+
+SETTINGS = RankAgentSettings
+FLUSH_INTERVAL_S = 0.5
+
+
+async def run(settings: RankAgentSettings) -> int:
+    """Work until told to stop."""
+    async with anyio.create_task_group() as tasks:
+        process = RankAgentProcess(settings, tasks)
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+            process.start()
+            async for received in signals:
+                if received is not signal.SIGHUP:
+                    break
+                process.note_reload()
+        tasks.cancel_scope.cancel()
+    process.close()
+    return EXIT_OK
+
+
+class RankAgentProcess:
+    """The parts of one agent.
+
+    Parameters
+    ----------
+    settings : RankAgentSettings
+        Its settings.
+    tasks : TaskGroup
+        Runs everything.
+    """
+
+    def __init__(self, settings: RankAgentSettings, tasks: anyio.abc.TaskGroup) -> None:
+        self._settings = settings
+        self._tasks = tasks
+        log = settings.get("log", {})
+        self._log = EventLog(
+            {"role": "rank-agent", "name": settings["agent_id"]},
+            sys.stdout.fileno(),
+            log.get("lines_per_s", DEFAULT_LINES_PER_S),
+            log.get("sample_share", 1.0),
+        )
+        self._store = RemoteObjectStore(settings["store_address"])
+        self._agent = RankAgent(
+            RankClient(),
+            settings["rank_address"],
+            settings["peer_address"],
+            self._store,
+            self._read_shape,
+            self._log,
+            tasks,
+        )
+
+    def start(self) -> None:
+        """Take posts, and look after the rank."""
+        server = HttpServer(self._agent.handle, ServerLimits)
+        self._tasks.start_soon(server.serve, listen(self._settings["peer_address"]))
+        self._tasks.start_soon(self._agent.run)
+        self._tasks.start_soon(self._flush_log)
+        self._log.state("started", process=os.getpid(), rank=self._settings["rank_address"])
+
+    def note_reload(self) -> None:
+        """Note a reload; addresses can not change while the process runs."""
+        self._log.state("reload requested")
+
+    def close(self) -> None:
+        """Write the last lines of the log."""
+        self._log.state("stopped")
+        self._log.flush()
+
+    async def _read_shape(self) -> ExpertShape | StoreError:
+        """Read the shape of the maps from the configuration."""
+        stored = await self._store.get(wire.CONFIGURATION_KIND, wire.CONFIGURATION_NAME)
+        if isinstance(stored, StoreError):
+            return stored
+        configuration = decode_configuration(stored.value)
+        if isinstance(configuration, StoreError):
+            return configuration
+        service = configuration.services.get(self._settings["service"])
+        if service is None or service.engine is None or not service.engine.sets:
+            reason = f"service {self._settings['service']!r} has no engine with experts"
+            return StoreError(StoreErrorKind.INVALID, reason)
+        engine = service.engine
+        bounds = Bounds(engine.slots_per_rank, engine.loads_per_change)
+        return ExpertShape(engine.sets, engine.experts, bounds)
+
+    async def _flush_log(self) -> None:
+        while True:
+            await anyio.sleep(FLUSH_INTERVAL_S)
+            self._log.flush()
