--- a/src/bronzerudder/expert_maps/bounded.py
+++ b/src/bronzerudder/expert_maps/bounded.py
@@ -14,8 +14,10 @@
 HOT_EXPERTS = 4
 COLD_RANKS = 6
 """Candidates looked at in each step; the best move is nearly always among them."""
-LEAST_STEP_GAIN = 0.002
+LEAST_STEP_GAIN = 0.01
 """A step that lowers the largest load by less is not worth a load."""
+EVEN_ENOUGH = 1.05
+"""A set whose largest load is this close to the mean is left alone."""
 
 
 class Bounds(NamedTuple):
@@ -127,6 +129,8 @@
         """Make the best move for the most loaded rank; tell whether there was one."""
         loads = self._loads
         hot = max(range(len(loads)), key=loads.__getitem__)
+        if loads[hot] * len(loads) <= EVEN_ENOUGH * sum(loads):
+            return False
         best: _Move | None = None
         best_peak = loads[hot] * (1.0 - LEAST_STEP_GAIN)
         for move in self._moves(hot):
--- a/src/bronzerudder/expert_maps/change.py
+++ b/src/bronzerudder/expert_maps/change.py
@@ -46,6 +46,8 @@
 LEAD_S = 0.25
 """How far ahead the step is: longer than all orders take on a usual day."""
 MIN_LEAD_STEPS = 4
+LONG_LEAD_S = 1.2
+"""Used when orders of the same change went without an answer: time to give each several times."""
 REPORT_LAG_S = 0.3
 """What a rank tells another machine is older than this at times."""
 
@@ -111,10 +113,12 @@
         self._own_address = own_address
         self._prepared_by = prepared_by
         self._note = note
+        self._unanswered = 0
 
     async def change(self, ranks: Sequence[RankState], plan: ChangePlan) -> ChangeResult:
         """Take a group to another map."""
         version = plan.version
+        self._unanswered = 0
         if not await self._prepare_all(ranks, version, plan.layout):
             return ChangeResult.NOT_PREPARED
         if not await self._await_loads(ranks, version):
@@ -194,7 +198,7 @@
             def give() -> Awaitable[OrderResult]:
                 return self._orders.prepare(rank, version, layout)
 
-            result = await _insist(give, PREPARE_TIMEOUT_S)
+            result = await self._insist(give, PREPARE_TIMEOUT_S)
             if result is OrderResult.ACCEPTED:
                 return True
             # An order without an answer may have been carried out before it was given again.
@@ -216,8 +220,9 @@
         state = await self._orders.state(holder.address)
         if isinstance(state, RankFailure) or state.held_step is not None:
             return None
-        step = state.step + MIN_LEAD_STEPS + int(steps_per_s * LEAD_S)
-        result = await _insist(lambda: self._orders.hold(holder, step), HOLD_TIMEOUT_S)
+        lead_s = LONG_LEAD_S if self._unanswered else LEAD_S
+        step = state.step + MIN_LEAD_STEPS + int(steps_per_s * lead_s)
+        result = await self._insist(lambda: self._orders.hold(holder, step), HOLD_TIMEOUT_S)
         return step if result is OrderResult.ACCEPTED else None
 
     async def _arm_all(self, ranks: Sequence[RankState], version: int, step: int) -> bool:
@@ -225,16 +230,16 @@
             def give() -> Awaitable[OrderResult]:
                 return self._orders.arm(rank, version, step)
 
-            return await _insist(give, ARM_TIMEOUT_S) is OrderResult.ACCEPTED
+            return await self._insist(give, ARM_TIMEOUT_S) is OrderResult.ACCEPTED
 
         return await _all(arm, ranks)
 
     async def _disarm(self, rank: RankState, version: int) -> bool:
-        result = await _insist(lambda: self._orders.disarm(rank, version), ARM_TIMEOUT_S)
+        result = await self._insist(lambda: self._orders.disarm(rank, version), ARM_TIMEOUT_S)
         return result is OrderResult.ACCEPTED
 
     async def _release(self, rank: RankState, step: int) -> bool:
-        result = await _insist(lambda: self._orders.release(rank, step), ARM_TIMEOUT_S)
+        result = await self._insist(lambda: self._orders.release(rank, step), ARM_TIMEOUT_S)
         return result is OrderResult.ACCEPTED
 
     async def _release_all(self, states: Sequence[RankState]) -> bool:
@@ -263,19 +268,22 @@
             return None
         return states
 
-
-async def _insist(give: Callable[[], Awaitable[OrderResult]], timeout_s: float) -> OrderResult:
-    """Give an order again until its outcome is certain, or the time is over."""
-    until_s = time.monotonic() + timeout_s
-    unknown = False
-    while True:
-        result = await give()
-        if result in (OrderResult.ACCEPTED, OrderResult.REFUSED):
-            return result
-        unknown = unknown or result is OrderResult.UNKNOWN
-        if time.monotonic() >= until_s:
-            return OrderResult.UNKNOWN if unknown else OrderResult.NOT_GIVEN
-        await anyio.sleep(RETRY_INTERVAL_S)
+    async def _insist(
+        self, give: Callable[[], Awaitable[OrderResult]], timeout_s: float
+    ) -> OrderResult:
+        """Give an order again until its outcome is certain, or the time is over."""
+        until_s = time.monotonic() + timeout_s
+        unknown = False
+        while True:
+            result = await give()
+            if result in (OrderResult.ACCEPTED, OrderResult.REFUSED):
+                return result
+            if result is OrderResult.UNKNOWN:
+                unknown = True
+                self._unanswered += 1
+            if time.monotonic() >= until_s:
+                return OrderResult.UNKNOWN if unknown else OrderResult.NOT_GIVEN
+            await anyio.sleep(RETRY_INTERVAL_S)
 
 
 async def _all(
--- a/src/bronzerudder/expert_maps/leader.py
+++ b/src/bronzerudder/expert_maps/leader.py
@@ -19,7 +19,7 @@
 CHECK_INTERVAL_S = 0.2
 MAX_POST_AGE_S = 2.0
 """Agents post about twice a second; an older post tells nothing of a rank's state now."""
-LEAST_GAIN = 0.06
+LEAST_GAIN = 0.12
 """Part of a step's time that a change must save. Loading slows steps by 15 in 100 for some tenths
 of a second, which a smaller gain takes seconds to earn back."""
 LEAST_WEIGHT = 3_000.0
--- a/src/bronzerudder/expert_maps/popularity.py
+++ b/src/bronzerudder/expert_maps/popularity.py
@@ -6,7 +6,7 @@
 
 from bronzerudder.expert_maps.api import RankCounts
 
-HALF_LIFE_S = 1.5
+HALF_LIFE_S = 2.5
 """Demand shifts within seconds, and a second of a group's traffic has enough tokens to see it."""
 
 
--- a/src/bronzerudder/gateway/attempt.py
+++ b/src/bronzerudder/gateway/attempt.py
@@ -71,16 +71,33 @@
     answer: BackendAnswer
 
 
+FIRST_EVENT_WEIGHT = 0.1
+"""Weight of a new time to the first event in the average."""
+FIRST_EVENT_FACTOR = 5.0
+"""A first event that takes this many times the average is not coming; queues vary by less."""
+MAX_SILENCE_S = 1.6
+"""Callers abandon a stream after 2 s without an event; a little is left to try elsewhere."""
+
+
 class ServiceProgress:
     """When the streams of a service last had an event; ranks in lock-step advance together."""
 
     def __init__(self) -> None:
         self._last_event_at_s = 0.0
+        self._first_event_s = MAX_SILENCE_S / FIRST_EVENT_FACTOR
 
     def record(self, now_s: float) -> None:
         """Note an event."""
         self._last_event_at_s = now_s
 
+    def record_first(self, took_s: float) -> None:
+        """Note the time from the sending of a request to its first event."""
+        self._first_event_s += FIRST_EVENT_WEIGHT * (took_s - self._first_event_s)
+
+    def silence_s(self, least_s: float) -> float:
+        """Time without an event after which a stream is not advancing with the others."""
+        return min(MAX_SILENCE_S, max(least_s, FIRST_EVENT_FACTOR * self._first_event_s))
+
     def is_advancing(self, now_s: float) -> bool:
         """Whether any stream had an event lately."""
         return now_s - self._last_event_at_s < PROGRESS_WINDOW_S
@@ -113,6 +130,8 @@
         self._relay = relay
         self._progress = progress
         self._sent = False
+        self._sent_at_s = 0.0
+        self._has_event = False
         self._answer: BackendAnswer | None = None
 
     @property
@@ -141,6 +160,7 @@
     ) -> WholeAnswer | StreamDelivered | AttemptFailure:
         outgoing = self._outgoing
         self._sent = True
+        self._sent_at_s = time.monotonic()
         failed = await exchange.send(
             outgoing.method, outgoing.target, outgoing.headers, outgoing.body
         )
@@ -227,13 +247,21 @@
                 exchange.release()
                 return StreamDelivered(answer)
             if await relay.take(answer.headers, part):
-                self._progress.record(time.monotonic())
+                self._note_event(time.monotonic())
+
+    def _note_event(self, now_s: float) -> None:
+        self._progress.record(now_s)
+        if not self._has_event:
+            self._has_event = True
+            self._progress.record_first(now_s - self._sent_at_s)
 
     async def _bounded(self, read):  # noqa: ANN001, ANN202
         """Read, but no longer than the backend server may be silent."""
         silence_s = self._outgoing.silence_s
         if silence_s is None:
             return await read()
+        if self._relay is not None and not self._has_event:
+            silence_s = self._progress.silence_s(silence_s)
         while True:
             with anyio.move_on_after(silence_s):
                 return await read()
--- a/src/bronzerudder/http1/server.py
+++ b/src/bronzerudder/http1/server.py
@@ -143,6 +143,9 @@
         self._closing = False
         self._busy = 0
         self._connections: set[Connection] = set()
+        self._idle: set[Connection] = set()
+        self._listeners: list[socket.socket] = []
+        self._stopped = False
 
     @property
     def busy(self) -> int:
@@ -158,13 +161,27 @@
         """Ask callers, with every answer from now on, to use another connection."""
         self._closing = True
 
+    def stop_accepting(self) -> None:
+        """Close the listeners and the idle connections; requests that are being served go on."""
+        self._stopped = True
+        for listener in self._listeners:
+            anyio.notify_closing(listener)
+            listener.close()
+        for connection in list(self._idle):
+            connection.close()
+
     async def serve(self, listener: socket.socket) -> None:
-        """Accept and serve connections until cancelled."""
+        """Accept and serve connections until cancelled, or told to stop accepting."""
+        self._listeners.append(listener)
         async with anyio.create_task_group() as tasks:
             while True:
                 try:
                     connection = await accept(listener)
+                except anyio.ClosedResourceError:
+                    return
                 except OSError as error:
+                    if self._stopped:
+                        return
                     logging.error("accept failed: %s", error)
                     await anyio.sleep(ACCEPT_RETRY_S)
                     continue
@@ -179,6 +196,7 @@
             logging.exception("connection failed")
         finally:
             self._connections.discard(connection)
+            self._idle.discard(connection)
             connection.close()
 
 
@@ -212,8 +230,11 @@
         if self._early or self._http.trailing_data[0]:
             return True
         data: bytes | TransportError = b""
+        idle = self._server._idle
+        idle.add(self._connection)
         with anyio.move_on_after(idle_s):
             data = await self._connection.receive()
+        idle.discard(self._connection)
         if isinstance(data, TransportError) or not data:
             return False
         self._early = data
--- a/src/bronzerudder/http1/sockets.py
+++ b/src/bronzerudder/http1/sockets.py
@@ -59,7 +59,10 @@
             try:
                 return self._socket.recv(RECEIVE_BYTES)
             except BlockingIOError:
-                await anyio.wait_readable(self._socket)
+                try:
+                    await anyio.wait_readable(self._socket)
+                except anyio.ClosedResourceError:
+                    return TransportError("closed on this side")
             except OSError as error:
                 return TransportError(_name_error(error))
 
@@ -71,7 +74,10 @@
             try:
                 sent += self._socket.send(view[sent:])
             except BlockingIOError:
-                await anyio.wait_writable(self._socket)
+                try:
+                    await anyio.wait_writable(self._socket)
+                except anyio.ClosedResourceError:
+                    return TransportError("closed on this side", sent)
             except OSError as error:
                 return TransportError(_name_error(error), sent)
         return None
--- a/src/bronzerudder/observability/event_log.py
+++ b/src/bronzerudder/observability/event_log.py
@@ -63,7 +63,7 @@
 
     def routine(self, event: str, request_id: str, **fields: Any) -> None:
         """Log an ordinary step of a request, if the request is sampled and the budget allows."""
-        if xxhash.xxh32_intdigest(request_id) >= self._sampled_below:
+        if xxhash.xxh32_intdigest(request_id.encode()) >= self._sampled_below:
             return
         if self._refill() < self._rate * RESERVED_SHARE:
             self._count_drop()
--- a/src/bronzerudder/platform/ranks.py
+++ b/src/bronzerudder/platform/ranks.py
@@ -20,7 +20,7 @@
 from bronzerudder.http1 import ClientPool, HttpError, HttpErrorKind
 from bronzerudder.platform import wire
 
-CALL_TIMEOUT_S = 0.3
+CALL_TIMEOUT_S = 0.1
 """A rank answers in milliseconds; an order without an answer by then may be carried out late."""
 ACCEPTED_STATUSES = (200, 202)
 
--- a/src/bronzerudder/processes/gateway.py
+++ b/src/bronzerudder/processes/gateway.py
@@ -31,10 +31,11 @@
 
 SETTINGS = GatewaySettings
 HOUSEKEEPING_INTERVAL_S = 0.25
-OUT_OF_ROTATION_S = 3.2
+OUT_OF_ROTATION_S = 2.6
 """The balancer asks each second and takes an instance out after two misses."""
-STOP_MARGIN_S = 0.7
+STOP_MARGIN_S = 0.3
 """Left of the grace time for closing; SIGKILL follows at its end."""
+DRAIN_CHECK_INTERVAL_S = 0.02
 FRESH_S = 2 * WATCH_S
 """A store that has not answered for two watches may have newer versions."""
 CONFIRM_TIMEOUT_S = 0.3
@@ -129,11 +130,11 @@
         self._server.close_after_answers()
         self._log.state("stopping", busy=self._server.busy)
         end_s = started_s + self._settings["grace_s"] - STOP_MARGIN_S
-        while time.monotonic() < end_s:
-            rotated_out = time.monotonic() - started_s > OUT_OF_ROTATION_S
-            if rotated_out and not self._server.busy:
-                break
-            await anyio.sleep(0.02)
+        await anyio.sleep(OUT_OF_ROTATION_S)
+        self._server.stop_accepting()
+        self._log.state("closed to new connections", busy=self._server.busy)
+        while self._server.busy and time.monotonic() < end_s:
+            await anyio.sleep(DRAIN_CHECK_INTERVAL_S)
         self._log.state("stopped", busy=self._server.busy)
 
     def reload(self) -> None:
