--- a/src/bronzerudder/expert_maps/agent.py
+++ b/src/bronzerudder/expert_maps/agent.py
@@ -31,9 +31,9 @@
 POST_INTERVAL_S = 0.45
 """Between posts with counts; a post without goes out when the rank's map state changes."""
 POST_TIMEOUT_S = 0.4
-LEADER_SILENCE_S = 1.0
+LEADER_SILENCE_S = 0.6
 """A leader that took no post for this long is replaced."""
-CLAIM_SPREAD_S = 0.8
+CLAIM_SPREAD_S = 0.4
 """Agents that miss the leader claim at different times, so that most find a new one."""
 STORE_PAUSE_S = 0.5
 
@@ -53,6 +53,8 @@
         Holds the record of the leader.
     read_shape : callable
         Reads the shape of the maps.
+    tell_load : callable
+        Tells the gateways how loaded the rank is.
     log : EventLog
         Takes a line for each change of leader.
     tasks : TaskGroup
@@ -66,9 +68,11 @@
         own_address: str,
         store: ObjectStore,
         read_shape: ShapeReader,
+        tell_load: Callable[[RankState], None],
         log: EventLog,
         tasks: TaskGroup,
     ) -> None:
+        self._tell_load = tell_load
         self._ranks = ranks
         self._rank_address = rank_address
         self._own_address = own_address
@@ -109,6 +113,7 @@
             state = await self._ranks.state(self._rank_address)
             if isinstance(state, RankFailure):
                 continue
+            self._tell_load(state)
             if self._record is None:
                 self._record = LeaderRecord(self._store, state.group)
             now_s = time.monotonic()
--- a/src/bronzerudder/gateway/attempt.py
+++ b/src/bronzerudder/gateway/attempt.py
@@ -71,6 +71,7 @@
     answer: BackendAnswer
 
 
+MIN_WAIT_S = 0.05
 FIRST_EVENT_WEIGHT = 0.1
 """Weight of a new time to the first event in the average."""
 FIRST_EVENT_FACTOR = 5.0
@@ -84,10 +85,13 @@
 
     def __init__(self) -> None:
         self._last_event_at_s = 0.0
+        self._advancing_since_s = 0.0
         self._first_event_s = MAX_SILENCE_S / FIRST_EVENT_FACTOR
 
     def record(self, now_s: float) -> None:
         """Note an event."""
+        if not self.is_advancing(now_s):
+            self._advancing_since_s = now_s
         self._last_event_at_s = now_s
 
     def record_first(self, took_s: float) -> None:
@@ -102,6 +106,10 @@
         """Whether any stream had an event lately."""
         return now_s - self._last_event_at_s < PROGRESS_WINDOW_S
 
+    def advancing_for_s(self, now_s: float) -> float:
+        """Time for which streams have had events without a pause; 0 while they have none."""
+        return now_s - self._advancing_since_s if self.is_advancing(now_s) else 0.0
+
 
 class Attempt:
     """Sends a request and reads its answer.
@@ -256,18 +264,27 @@
             self._progress.record_first(now_s - self._sent_at_s)
 
     async def _bounded(self, read):  # noqa: ANN001, ANN202
-        """Read, but no longer than the backend server may be silent."""
+        """Read, but no longer than the backend server may be silent.
+
+        A group of ranks that stands still as a whole is not this backend server's fault, so a
+        stream counts as silent only once the others have advanced for as long.
+        """
         silence_s = self._outgoing.silence_s
         if silence_s is None:
             return await read()
         if self._relay is not None and not self._has_event:
             silence_s = self._progress.silence_s(silence_s)
+        wait_s = silence_s
         while True:
-            with anyio.move_on_after(silence_s):
+            with anyio.move_on_after(wait_s):
                 return await read()
-            # A group of ranks that stands still as a whole is not this backend server's fault.
-            if self._relay is None or self._progress.is_advancing(time.monotonic()):
-                return AttemptFailure(FailureKind.SILENT, f"no byte for {silence_s:.2f} s")
+            if self._relay is None:
+                break
+            missing_s = silence_s - self._progress.advancing_for_s(time.monotonic())
+            if missing_s <= 0:
+                break
+            wait_s = max(MIN_WAIT_S, missing_s)
+        return AttemptFailure(FailureKind.SILENT, f"no byte for {silence_s:.2f} s")
 
 
 def _failure(error: HttpError) -> AttemptFailure:
--- a/src/bronzerudder/gateway/directory.py
+++ b/src/bronzerudder/gateway/directory.py
@@ -44,6 +44,7 @@
         self._on_gone = on_gone
         self._log = log
         self._servers: dict[str, BackendServer] = {}
+        self._versions: dict[str, int] = {}
         self._missing_until_s: dict[str, float] = {}
         self._grace_until_s = 0.0
 
@@ -57,7 +58,7 @@
         self._note_outage(after_outage)
         listed = {stored.name for stored in listing.objects}
         for stored in listing.objects:
-            self._take_entry(stored.name, stored.value)
+            self._take_entry(stored.name, stored.value, stored.version)
         for instance_id in [name for name in self._servers if name not in listed]:
             self._take_absence(instance_id)
 
@@ -67,7 +68,7 @@
         if change.value is None:
             self._take_absence(change.name)
             return
-        self._take_entry(change.name, change.value)
+        self._take_entry(change.name, change.value, change.version)
 
     def drop_missing(self) -> None:
         """Drop the entries that did not return in time after an outage of the store."""
@@ -80,7 +81,7 @@
         if after_outage:
             self._grace_until_s = time.monotonic() + RETURN_GRACE_S
 
-    def _take_entry(self, instance_id: str, value: bytes) -> None:
+    def _take_entry(self, instance_id: str, value: bytes, version: int) -> None:
         decoded = self._decode(instance_id, value)
         if isinstance(decoded, StoreError):
             self._log.state("backend server entry ignored", reason=decoded.reason)
@@ -89,8 +90,9 @@
             return
         self._missing_until_s.pop(instance_id, None)
         known = self._servers.get(instance_id)
-        if known == decoded:
+        if self._is_superseded(decoded, version) or known == decoded:
             return
+        self._versions[instance_id] = version
         self._servers[instance_id] = decoded
         self._log.state(
             "backend server listed" if known is None else "backend server changed",
@@ -101,6 +103,20 @@
         )
         self._on_server(decoded)
 
+    def _is_superseded(self, server: BackendServer, version: int) -> bool:
+        """Settle which of several entries for one address is the newest; drop the others.
+
+        The entry of a backend server that crashed stays until it lapses, while its successor at
+        the same address is listed already.
+        """
+        for other in list(self._servers.values()):
+            if other.address != server.address or other.instance_id == server.instance_id:
+                continue
+            if self._versions[other.instance_id] > version:
+                return True
+            self._drop(other.instance_id, f"{server.instance_id} has its address now")
+        return False
+
     def _take_absence(self, instance_id: str) -> None:
         known = self._servers.get(instance_id)
         if known is None or instance_id in self._missing_until_s:
@@ -114,6 +130,7 @@
     def _drop(self, instance_id: str, reason: str) -> None:
         self._missing_until_s.pop(instance_id, None)
         known = self._servers.pop(instance_id, None)
+        self._versions.pop(instance_id, None)
         if known is None:
             return
         self._log.state(
--- a/src/bronzerudder/gateway/forwarding.py
+++ b/src/bronzerudder/gateway/forwarding.py
@@ -34,6 +34,7 @@
 STREAM_SILENCE_S = 0.8
 """Longer than a prompt waits between other requests' tokens; shorter than callers' patience."""
 ERROR_STATUS = 500
+STATUS_MISDIRECTED = 421
 
 
 class Job(NamedTuple):
@@ -258,6 +259,9 @@
                 return
             services.trust(candidate.name)
             return
+        if answer is not None and answer.status == STATUS_MISDIRECTED:
+            services.avoid(candidate.name, "another instance has its address")
+            return
         if result.faulty_instance and result.faulty_instance != candidate.name:
             services.suspect(result.faulty_instance, result.reason, certain=True)
             return
--- a/src/bronzerudder/gateway/services.py
+++ b/src/bronzerudder/gateway/services.py
@@ -12,10 +12,17 @@
 from bronzerudder.gateway.waiting_room import WaitingRoom
 from bronzerudder.http1 import ClientPool
 from bronzerudder.observability.event_log import EventLog
+from bronzerudder.peers.messages import RankLoad
 from bronzerudder.policy.retry import WindowBudget
 from bronzerudder.policy.routing import Candidate, FreeSlotRouting, OutlierBreaker
 
 
+UNKNOWN_GATEWAYS = 8
+"""Gateways to share the retry budget with while their number is not known."""
+CLOSED_S = 0.6
+"""Agents tell the state of their rank several times in this time."""
+
+
 class RetryTerms(NamedTuple):
     """Retries that all gateways together may send to a service in any window.
 
@@ -42,8 +49,10 @@
         self._retry = retry
         self._candidates: dict[str, Candidate] = {}
         self._addresses: dict[str, str] = {}
+        self._by_address: dict[str, str] = {}
+        self._closed_until_s = 0.0
         self.room = WaitingRoom(
-            FreeSlotRouting(random.Random()), lambda: tuple(self._candidates.values())
+            FreeSlotRouting(random.Random()), self._usable_candidates
         )
         self.budget = WindowBudget(retry.share, retry.extra / gateways, retry.window_s)
 
@@ -61,18 +70,38 @@
         """Divide the fixed part of the retry budget anew."""
         self.budget.set_extra(self._retry.extra / gateways)
 
+    def note_group(self, is_open: bool) -> None:
+        """Note whether the group of ranks runs; while it does not, no rank can take a request."""
+        if not is_open:
+            self._closed_until_s = time.monotonic() + CLOSED_S
+            return
+        if self._closed_until_s:
+            self._closed_until_s = 0.0
+            self.room.pump()
+
+    def _usable_candidates(self) -> tuple[Candidate, ...]:
+        if time.monotonic() < self._closed_until_s:
+            return ()
+        return tuple(self._candidates.values())
+
     def address_of(self, instance_id: str) -> str:
         """Address of a candidate."""
         return self._addresses[instance_id]
 
+    def find_address(self, address: str) -> str | None:
+        """Id of the backend server at an address."""
+        return self._by_address.get(address)
+
     def put(self, server: BackendServer) -> None:
         """Add or change a backend server."""
+        self._by_address[server.address] = server.instance_id
         candidate = self._candidates.get(server.instance_id)
         if candidate is None:
             candidate = Candidate(server.instance_id, server.failure_domain, OutlierBreaker())
             self._candidates[server.instance_id] = candidate
         candidate.slots = server.slots
         candidate.leaving = server.leaving
+        candidate.connected = True
         self._addresses[server.instance_id] = server.address
         self.room.pump()
 
@@ -81,7 +110,9 @@
         candidate = self._candidates.pop(instance_id, None)
         if candidate is not None:
             candidate.leaving = True
-        self._addresses.pop(instance_id, None)
+        address = self._addresses.pop(instance_id, None)
+        if address is not None and self._by_address.get(address) == instance_id:
+            del self._by_address[address]
 
     def observe_load(self, instance_id: str, requests: int) -> None:
         """Take in how many requests of all gateways a backend server has."""
@@ -114,7 +145,7 @@
         self._tasks = tasks
         self._pools: dict[str, ServicePool] = {}
         self._service_of: dict[str, str] = {}
-        self._gateways = 1
+        self._gateways = UNKNOWN_GATEWAYS
 
     def pool(self, service: str) -> ServicePool:
         """Pool of a service, empty if no backend server is listed."""
@@ -127,7 +158,10 @@
 
     def set_gateways(self, gateways: int) -> None:
         """Divide the retry budgets among so many gateways."""
-        self._gateways = max(1, gateways)
+        gateways = gateways or UNKNOWN_GATEWAYS
+        if gateways == self._gateways:
+            return
+        self._gateways = gateways
         for pool in self._pools.values():
             pool.share_budget(self._gateways)
 
@@ -153,6 +187,25 @@
         service = self._service_of.get(instance_id)
         return None if service is None else self._pools[service]
 
+    def take_load(self, message: RankLoad) -> None:
+        """Take in what an agent tells of its rank."""
+        for pool in self._pools.values():
+            instance_id = pool.find_address(message.address)
+            if instance_id is None:
+                continue
+            pool.note_group(message.is_open)
+            pool.observe_load(instance_id, message.requests)
+
+    def avoid(self, instance_id: str, reason: str) -> None:
+        """Stop using a backend server until its entry changes."""
+        pool = self.find_pool(instance_id)
+        if pool is None or not pool.candidates[instance_id].connected:
+            return
+        pool.candidates[instance_id].connected = False
+        self._log.state(
+            "backend server not used", instance=instance_id, service=pool.name, reason=reason
+        )
+
     def suspect(self, instance_id: str, reason: str, certain: bool) -> None:
         """Count a failure of a backend server."""
         pool = self.find_pool(instance_id)
--- a/src/bronzerudder/platform/api.py
+++ b/src/bronzerudder/platform/api.py
@@ -92,8 +92,14 @@
         """Delete an object if its version is still ``if_version``; return the new store version."""
 
     @abc.abstractmethod
-    async def list(self, kind: str) -> Listing | StoreError:
-        """Read all objects of a kind."""
+    async def list(self, kind: str, stale: bool = False) -> Listing | StoreError:
+        """Read all objects of a kind.
+
+        Parameters
+        ----------
+        stale : bool
+            Whether an answer that is some seconds old will do; a platform may serve it cheaper.
+        """
 
     @abc.abstractmethod
     async def watch(
--- a/src/bronzerudder/platform/http_store.py
+++ b/src/bronzerudder/platform/http_store.py
@@ -57,7 +57,7 @@
         """Delete an object if its version is still ``if_version``; return the store version."""
         return await self._write("DELETE", _path(kind, name), b"", if_version)
 
-    async def list(self, kind: str) -> Listing | StoreError:
+    async def list(self, kind: str, stale: bool = False) -> Listing | StoreError:
         """Read all objects of a kind."""
         path = f"{OBJECTS_PATH}/{_quote(kind)}"
         document = await self._client.call(Call("GET", path, {}), ListingDocument)
--- a/src/bronzerudder/processes/gateway.py
+++ b/src/bronzerudder/processes/gateway.py
@@ -23,6 +23,9 @@
 from bronzerudder.gateway.services import RetryTerms, ServiceTable
 from bronzerudder.http1 import ClientPool, HttpServer, ServerLimits, listen
 from bronzerudder.observability.event_log import DEFAULT_LINES_PER_S, EventLog
+from bronzerudder.peers.datagrams import DatagramPort
+from bronzerudder.peers.messages import Message, RankLoad
+from bronzerudder.peers.registry import GatewayRegistry
 from bronzerudder.platform import wire
 from bronzerudder.platform.configuration import decode_backend_server, decode_configuration
 from bronzerudder.platform.errors import StoreError
@@ -107,6 +110,8 @@
         )
         self._server = HttpServer(handler, self._limits, self._note_rejected)
         self._standstill = StandstillDetector()
+        self._registry_of_gateways = GatewayRegistry(self._store, self._log)
+        self._peers = DatagramPort(settings["peer_address"])
 
     def start(self) -> None:
         """Follow the store and serve."""
@@ -120,6 +125,9 @@
         self._tasks.start_soon(self._server.serve, listen(settings["caller_address"]))
         self._tasks.start_soon(ready_server.serve, listen(settings["ready_address"]))
         self._tasks.start_soon(metrics_server.serve, listen(settings["metrics_address"]))
+        self._tasks.start_soon(self._registry_of_gateways.enter, settings["peer_address"])
+        self._tasks.start_soon(self._registry_of_gateways.run)
+        self._tasks.start_soon(self._peers.run, self._take_message)
         self._tasks.start_soon(self._keep_house)
         self._log.state("started", process=os.getpid(), store=settings["store_address"])
 
@@ -135,6 +143,8 @@
         self._log.state("closed to new connections", busy=self._server.busy)
         while self._server.busy and time.monotonic() < end_s:
             await anyio.sleep(DRAIN_CHECK_INTERVAL_S)
+        with anyio.move_on_after(STOP_MARGIN_S / 2):
+            await self._registry_of_gateways.leave(self._settings["peer_address"])
         self._log.state("stopped", busy=self._server.busy)
 
     def reload(self) -> None:
@@ -145,6 +155,10 @@
         """Write the last lines of the log."""
         self._log.flush()
 
+    def _take_message(self, message: Message) -> None:
+        if isinstance(message, RankLoad):
+            self._services.take_load(message)
+
     def _limits(self) -> ServerLimits:
         current = self._configuration.current
         return ServerLimits() if current is None else current.limits
@@ -197,6 +211,7 @@
             self._metrics.loop_lag_s.observe(max(0.0, lag_s))
             self._note_standstill()
             self._directory.drop_missing()
+            self._services.set_gateways(len(self._registry_of_gateways.addresses))
             self._connections.sweep()
             self._log.flush()
 
--- a/src/bronzerudder/processes/rank_agent.py
+++ b/src/bronzerudder/processes/rank_agent.py
@@ -5,15 +5,20 @@
 import os
 import signal
 import sys
+import time
 
 import anyio
 
 from bronzerudder.cli.api import EXIT_OK
 from bronzerudder.expert_maps.agent import RankAgent
+from bronzerudder.expert_maps.api import RankState
 from bronzerudder.expert_maps.bounded import Bounds
 from bronzerudder.expert_maps.leader import ExpertShape
 from bronzerudder.http1 import HttpServer, ServerLimits, listen
 from bronzerudder.observability.event_log import DEFAULT_LINES_PER_S, EventLog
+from bronzerudder.peers.datagrams import DatagramPort
+from bronzerudder.peers.messages import RankLoad
+from bronzerudder.peers.registry import GatewayRegistry
 from bronzerudder.platform import wire
 from bronzerudder.platform.configuration import decode_configuration
 from bronzerudder.platform.errors import StoreError, StoreErrorKind
@@ -23,6 +28,8 @@
 
 SETTINGS = RankAgentSettings
 FLUSH_INTERVAL_S = 0.5
+LOAD_INTERVAL_S = 0.3
+"""A load that does not change is told again, as datagrams may be lost."""
 
 
 async def run(settings: RankAgentSettings) -> int:
@@ -62,12 +69,17 @@
             log.get("sample_share", 1.0),
         )
         self._store = RemoteObjectStore(settings["store_address"])
+        self._gateways = GatewayRegistry(self._store, self._log)
+        self._datagrams = DatagramPort(f"{settings['peer_address'].rpartition(':')[0]}:0")
+        self._told_load: RankLoad | None = None
+        self._told_at_s = 0.0
         self._agent = RankAgent(
             RankClient(),
             settings["rank_address"],
             settings["peer_address"],
             self._store,
             self._read_shape,
+            self._tell_load,
             self._log,
             tasks,
         )
@@ -77,6 +89,7 @@
         server = HttpServer(self._agent.handle, ServerLimits)
         self._tasks.start_soon(server.serve, listen(self._settings["peer_address"]))
         self._tasks.start_soon(self._agent.run)
+        self._tasks.start_soon(self._gateways.run)
         self._tasks.start_soon(self._flush_log)
         self._log.state("started", process=os.getpid(), rank=self._settings["rank_address"])
 
@@ -89,6 +102,16 @@
         self._log.state("stopped")
         self._log.flush()
 
+    def _tell_load(self, state: RankState) -> None:
+        """Tell the gateways the load of the rank: when it changes, and from time to time."""
+        load = RankLoad(state.address, state.requests, state.is_open)
+        now_s = time.monotonic()
+        if load == self._told_load and now_s - self._told_at_s < LOAD_INTERVAL_S:
+            return
+        self._told_load = load
+        self._told_at_s = now_s
+        self._datagrams.send(load, self._gateways.addresses)
+
     async def _read_shape(self) -> ExpertShape | StoreError:
         """Read the shape of the maps from the configuration."""
         stored = await self._store.get(wire.CONFIGURATION_KIND, wire.CONFIGURATION_NAME)
