Hold on another rank and arm the leader's rank last, so that a successor can settle without it

Cause: a leader's machine that stood still took the held rank with it; the group waited 3.7 s. Ruled out: too slow a takeover (the new leader was there after 1.2 s but could not reach the rank).

--- a/src/bronzerudder/expert_maps/agent.py
+++ b/src/bronzerudder/expert_maps/agent.py
@@ -10,7 +10,7 @@
 from anyio.abc import TaskGroup
 
 from bronzerudder.expert_maps.api import RankCounts, RankFailure, RankPlaces, RankState
-from bronzerudder.expert_maps.leader import ExpertShape, GroupLeader
+from bronzerudder.expert_maps.leader import ExpertShape, GroupLeader, RankLister
 from bronzerudder.expert_maps.leadership import NOBODY, Leader, LeaderRecord
 from bronzerudder.expert_maps.posts import (
     ACCEPTED,
@@ -53,6 +53,8 @@
         Holds the record of the leader.
     read_shape : callable
         Reads the shape of the maps.
+    list_ranks : callable
+        Reads the addresses of the ranks of the service.
     tell_load : callable
         Tells the gateways how loaded the rank is.
     log : EventLog
@@ -68,6 +70,7 @@
         own_address: str,
         store: ObjectStore,
         read_shape: ShapeReader,
+        list_ranks: RankLister,
         tell_load: Callable[[RankState], None],
         log: EventLog,
         tasks: TaskGroup,
@@ -78,6 +81,7 @@
         self._own_address = own_address
         self._store = store
         self._read_shape = read_shape
+        self._list_ranks = list_ranks
         self._log = log
         self._tasks = tasks
         self._pool = ClientPool(POST_TIMEOUT_S)
@@ -219,14 +223,21 @@
         if isinstance(shape, StoreError):
             self._log.state("shape of the maps not known", reason=shape.reason)
             return
-        claimed = await self._record.claim(known, self._own_address)
+        claimed = await self._record.claim(known, self._own_address, self._rank_address)
         if isinstance(claimed, StoreError):
             self._log.state("claim failed", reason=claimed.reason)
             return
         self._leader = claimed
         self._heard_at_s = time.monotonic()
         leading = GroupLeader(
-            self._ranks, self._rank_address, shape, self._record, claimed, self._log
+            self._ranks,
+            self._rank_address,
+            self._list_ranks,
+            shape,
+            self._record,
+            claimed,
+            known.rank_address,
+            self._log,
         )
         self._leading = leading
         self._tasks.start_soon(self._lead, leading)
--- a/src/bronzerudder/expert_maps/api.py
+++ b/src/bronzerudder/expert_maps/api.py
@@ -125,3 +125,15 @@
     @abc.abstractmethod
     async def state(self, address: str) -> RankState | RankFailure:
         """Ask a rank for its state; what another machine is told may be some hundred ms old."""
+
+
+class RankCalls(RankOrders):
+    """Orders, and what ranks tell besides their state."""
+
+    @abc.abstractmethod
+    async def counts(self, address: str) -> RankCounts | RankFailure:
+        """Ask a rank what its requests chose; from another machine this pauses the group."""
+
+    @abc.abstractmethod
+    async def places(self, address: str) -> RankPlaces | RankFailure:
+        """Ask a rank which experts it holds."""
--- a/src/bronzerudder/expert_maps/change.py
+++ b/src/bronzerudder/expert_maps/change.py
@@ -11,6 +11,11 @@
    while it is armed, and to arm for a version that another preparation has replaced. So no rank is
    armed then, and an order to arm that is still under way will be refused.
 
+The rank beside the leader is armed last, once all others have accepted. A leader's machine that
+stands still or is cut off takes its rank's interface with it, and the order lets a successor go on
+without it: as long as any other rank can be made unable to arm, the leader's rank is not armed and
+never will be.
+
 Whoever takes over first looks whether all ranks are armed alike (case 1). If not, it prepares a
 higher version on a rank that is not armed: from then on the change can't be completed by whoever
 began it, and arming may be taken back on the others. Versions are unique, as they begin with the
@@ -43,8 +48,9 @@
 ARM_TIMEOUT_S = 20.0
 """Orders that were lost are carried out up to 12 s later; until then the step stays held."""
 RETRY_INTERVAL_S = 0.02
-LEAD_S = 0.25
-"""How far ahead the step is: longer than all orders take on a usual day."""
+LEAD_S = 0.5
+"""How far ahead the step is. All orders take some hundredths of a second; the rest is for another
+agent to take over before the group has to wait, should this one stop in the middle."""
 MIN_LEAD_STEPS = 4
 LONG_LEAD_S = 1.2
 """Used when orders of the same change went without an answer: time to give each several times."""
@@ -95,7 +101,7 @@
     orders : RankOrders
         Takes orders to ranks.
     own_address : str
-        Rank beside this process; its state is fresh here, and it holds the step.
+        Rank beside this process, which is armed last.
     prepared_by : callable
         Returns the addresses of the ranks that are known to have loaded a version.
     note : callable
@@ -123,13 +129,15 @@
             return ChangeResult.NOT_PREPARED
         if not await self._await_loads(ranks, version):
             return ChangeResult.NOT_PREPARED
-        holder = self._choose_holder(ranks)
+        holder = self._choose_holder(ranks, version)
         step = await self._hold(holder, plan.steps_per_s)
         if step is None:
             return ChangeResult.NOT_HELD
         held_at_s = time.monotonic()
-        armed = await self._arm_all(ranks, version, step)
-        if armed:
+        own = [rank for rank in ranks if rank.address == self._own_address]
+        others = [rank for rank in ranks if rank.address != self._own_address]
+        armed = await self._arm_all(others, version, step)
+        if armed and await self._arm_all(own, version, step):
             await self._release(holder, step)
             self._note(
                 "map armed",
@@ -143,7 +151,11 @@
         return ChangeResult.TAKEN_BACK if settled else ChangeResult.UNSETTLED
 
     async def settle(
-        self, ranks: Sequence[RankState], version: int, layout: Layout
+        self,
+        ranks: Sequence[RankState],
+        version: int,
+        layout: Layout,
+        without_last: bool = False,
     ) -> bool:
         """End what an unfinished change left behind: armed ranks and held steps.
 
@@ -151,6 +163,8 @@
         ----------
         ranks : sequence of RankState
             All ranks of the group.
+        without_last : bool
+            The rank that the previous leader armed last is not among them, as it does not answer.
         version : int
             Above all versions that any rank has had.
         layout : list
@@ -168,6 +182,9 @@
             return False
         armings = {state.armed for state in states}
         if len(armings) == 1 and None not in armings:
+            if without_last:
+                self._note("all reachable ranks are armed; the last one must answer first")
+                return False
             self._note("inherited map is armed by all ranks", armed=str(armings.pop()))
             return await self._release_all(states)
         free = [state for state in states if state.armed is None]
@@ -185,11 +202,10 @@
             return False
         return await self._release_all(states)
 
-    def _choose_holder(self, ranks: Sequence[RankState]) -> RankState:
-        for rank in ranks:
-            if rank.address == self._own_address:
-                return rank
-        return ranks[0]
+    def _choose_holder(self, ranks: Sequence[RankState], version: int) -> RankState:
+        """Choose a rank on another machine than this process, so that a successor reaches it."""
+        others = [rank for rank in ranks if rank.address != self._own_address]
+        return others[version % len(others)] if others else ranks[0]
 
     async def _prepare_all(
         self, ranks: Sequence[RankState], version: int, layout: Layout
--- a/src/bronzerudder/expert_maps/leader.py
+++ b/src/bronzerudder/expert_maps/leader.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import time
+from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
 import anyio
 
-from bronzerudder.expert_maps.api import Layout, RankOrders, RankPlaces, RankState
+from bronzerudder.expert_maps.api import Layout, RankCalls, RankFailure, RankPlaces, RankState
 from bronzerudder.expert_maps.bounded import Bounds, improve_set, skew
 from bronzerudder.expert_maps.change import ChangePlan, ChangeResult, MapChanger
 from bronzerudder.expert_maps.leadership import Leader, LeaderRecord
@@ -16,18 +17,24 @@
 from bronzerudder.observability.event_log import EventLog
 from bronzerudder.platform.errors import StoreError
 
+RankLister = Callable[[], Awaitable[tuple[str, ...]]]
+
 CHECK_INTERVAL_S = 0.2
 MAX_POST_AGE_S = 2.0
 """Agents post about twice a second; an older post tells nothing of a rank's state now."""
-LEAST_GAIN = 0.12
-"""Part of a step's time that a change must save. Loading slows steps by 15 in 100 for some tenths
-of a second, which a smaller gain takes seconds to earn back."""
+LEAST_GAIN_S = 0.012
+"""Time of a step that a change must save. Loading slows steps by 15 in 100 for some tenths of a
+second and loads are dear; events that come a little sooner than in time help no caller."""
 LEAST_WEIGHT = 3_000.0
 """Choices to go by; fewer are noise."""
 CHANGE_PAUSE_S = 0.3
 """After a change, before the next: posts must show the new map and the load on it."""
-HELD_GRACE_S = 0.6
-"""A step held for longer than a change takes was left behind."""
+HELD_GRACE_S = 0.1
+"""A step that is held while this leader changes nothing was left behind."""
+ASK_AFTER_S = 1.0
+"""A rank whose agent was silent for two posts is asked itself, which is priced."""
+ASK_INTERVAL_S = 0.5
+LIST_INTERVAL_S = 5.0
 VERSIONS_PER_TERM = 100_000
 MAX_FAILURE_PAUSE_S = 4.0
 
@@ -41,11 +48,14 @@
         Sets of layers, and experts in each.
     bounds : Bounds
         What a rank can hold and load.
+    step_target_s : float
+        Time of a step below which events come in time with room to spare.
     """
 
     sets: int
     experts: int
     bounds: Bounds
+    step_target_s: float
 
 
 class _Told(NamedTuple):
@@ -58,34 +68,46 @@
 
     Parameters
     ----------
-    orders : RankOrders
-        Takes orders to ranks.
+    ranks : RankCalls
+        Speaks with ranks.
     own_address : str
         Rank beside this process.
+    list_ranks : callable
+        Reads the addresses of the ranks of the service.
     shape : ExpertShape
         Shape of the maps.
     record : LeaderRecord
         Says whether this process still leads.
     leader : Leader
         The claim by which it leads.
+    previous_rank : str
+        Rank beside the leader before, which that leader armed last; empty if there was none.
     log : EventLog
         Takes a line for each step of a change.
     """
 
     def __init__(
         self,
-        orders: RankOrders,
+        ranks: RankCalls,
         own_address: str,
+        list_ranks: RankLister,
         shape: ExpertShape,
         record: LeaderRecord,
         leader: Leader,
+        previous_rank: str,
         log: EventLog,
     ) -> None:
         self._shape = shape
         self._record = record
         self._leader = leader
+        self._previous_rank = previous_rank
         self._log = log
-        self._changer = MapChanger(orders, own_address, self._prepared_by, self._note)
+        self._ranks = ranks
+        self._list_ranks = list_ranks
+        self._known: tuple[str, ...] = ()
+        self._asked_at_s = 0.0
+        self._listed_at_s = 0.0
+        self._changer = MapChanger(ranks, own_address, self._prepared_by, self._note)
         self._told: dict[str, _Told] = {}
         self._places: dict[str, RankPlaces] = {}
         self._follower = ChoiceFollower(shape.sets, shape.experts)
@@ -125,9 +147,10 @@
         self._note("leading", term=self._leader.term)
         while True:
             await anyio.sleep(CHECK_INTERVAL_S)
+            await self._ask_missing()
             ranks = self._whole_group()
             if ranks is None:
-                self._held_since_s = None
+                await self._settle_without_previous()
                 continue
             if self._is_held_too_long(ranks):
                 if not await self._still_leads():
@@ -141,18 +164,49 @@
                 return
             await self._change(ranks, plan)
 
+    async def _ask_missing(self) -> None:
+        """Ask the ranks whose agents do not post; they may be frozen, cut off or not started."""
+        now_s = time.monotonic()
+        if now_s - self._asked_at_s < ASK_INTERVAL_S or not self._told:
+            return
+        self._asked_at_s = now_s
+        if not self._known or now_s - self._listed_at_s > LIST_INTERVAL_S:
+            self._listed_at_s = now_s
+            self._known = await self._list_ranks()
+        silent = [address for address in self._known if not self._is_fresh(address)]
+        async with anyio.create_task_group() as tasks:
+            for address in silent:
+                tasks.start_soon(self._ask, address)
+
+    async def _ask(self, address: str) -> None:
+        state = await self._ranks.state(address)
+        if isinstance(state, RankFailure):
+            self._note("rank not asked", address=address, reason=state.reason)
+            return
+        places = self._places.get(address)
+        if places is None or places.map_version != state.map_version:
+            found = await self._ranks.places(address)
+            places = None if isinstance(found, RankFailure) else found
+        self.take(RankPost(state, None, places))
+
+    def _is_fresh(self, address: str) -> bool:
+        told = self._told.get(address)
+        return told is not None and time.monotonic() - told.at_s < ASK_AFTER_S
+
     def _whole_group(self) -> list[RankState] | None:
         """All ranks of the group in order, or None while any is not known to be in it."""
-        oldest_s = time.monotonic() - MAX_POST_AGE_S
-        fresh = [told.state for told in self._told.values() if told.at_s >= oldest_s]
-        if not fresh:
-            return None
-        epoch = max(state.epoch for state in fresh)
-        ranks = {state.rank: state for state in fresh if state.epoch == epoch and state.is_open}
-        if len(ranks) != fresh[0].size or sorted(ranks) != list(range(len(ranks))):
+        ranks = self._open_ranks()
+        if not ranks or sorted(ranks) != list(range(next(iter(ranks.values())).size)):
             return None
         return [ranks[rank] for rank in range(len(ranks))]
 
+    def _open_ranks(self) -> dict[int, RankState]:
+        """Ranks that are known to be in the present epoch of the group."""
+        oldest_s = time.monotonic() - MAX_POST_AGE_S
+        fresh = [told.state for told in self._told.values() if told.at_s >= oldest_s]
+        epoch = max((state.epoch for state in fresh), default=-1)
+        return {state.rank: state for state in fresh if state.epoch == epoch and state.is_open}
+
     def _is_held_too_long(self, ranks: list[RankState]) -> bool:
         if all(state.held_step is None for state in ranks):
             self._held_since_s = None
@@ -173,12 +227,15 @@
             return None
         popularity = self._follower.popularity
         self._skew = skew(layout, popularity)
-        if self._skew < 1.0 + LEAST_GAIN:
+        step_s = 1.0 / self._steps_per_s
+        if step_s <= self._shape.step_target_s:
+            return None
+        if (1.0 - 1.0 / self._skew) * step_s < LEAST_GAIN_S:
             return None
         pairs = zip(layout, popularity, strict=True)
         improved = [improve_set(held, loads, self._shape.bounds) for held, loads in pairs]
         after = skew(improved, popularity)
-        if self._skew - after < LEAST_GAIN * self._skew:
+        if (1.0 - after / self._skew) * step_s < LEAST_GAIN_S:
             return None
         version = self._next_version()
         self._note(
@@ -186,6 +243,7 @@
             version=version,
             skew=round(self._skew, 3),
             skew_after=round(after, 3),
+            step_s=round(step_s, 4),
             choices=int(self._follower.weight),
             oldest_post_s=round(self._oldest_post_s(ranks), 2),
         )
@@ -244,6 +302,36 @@
         self._note("not leading any more", term=self._leader.term, present=found.term)
         return False
 
+    async def _settle_without_previous(self) -> None:
+        """Settle a change of the leader before while that leader's own rank does not answer."""
+        ranks = [state for _, state in sorted(self._open_ranks().items())]
+        if not ranks or len(ranks) != ranks[0].size - 1:
+            return
+        if any(state.address == self._previous_rank for state in ranks):
+            return
+        if self._previous_rank not in self._known or not self._is_held_too_long(ranks):
+            return
+        layout = self._layout([*ranks])
+        if layout is None or not await self._still_leads():
+            return
+        # The preparation only has to be valid, so the missing rank may stand anywhere in it.
+        missing = next(iter(set(range(ranks[0].size)) - {state.rank for state in ranks}))
+        used = self._experts_of_missing(layout)
+        for held, experts in zip(layout, used, strict=True):
+            held.insert(missing, experts)
+        settled = await self._changer.settle(ranks, self._next_version(), layout, True)
+        self._held_since_s = None
+        self._note("held step looked after without the last leader's rank", settled=settled)
+
+    def _experts_of_missing(self, layout: Layout) -> list[list[int]]:
+        """Experts that no other rank holds, by set; the missing rank must hold them."""
+        missing = []
+        for held in layout:
+            placed = {expert for experts in held for expert in experts}
+            alone = [expert for expert in range(self._shape.experts) if expert not in placed]
+            missing.append(alone or [0])
+        return missing
+
     def _next_version(self) -> int:
         self._versions += 1
         return self._leader.term * VERSIONS_PER_TERM + self._versions
--- a/src/bronzerudder/expert_maps/leadership.py
+++ b/src/bronzerudder/expert_maps/leadership.py
@@ -15,6 +15,7 @@
 class _Document(msgspec.Struct):
     address: str
     term: int
+    rank_address: str = ""
 
 
 class Leader(NamedTuple):
@@ -28,11 +29,14 @@
         Rises with every claim, so that two leaders never have the same.
     version : int
         Version of the record on the store.
+    rank_address : str
+        The rank beside it.
     """
 
     address: str
     term: int
     version: int
+    rank_address: str = ""
 
 
 NOBODY = Leader("", 0, ABSENT_VERSION)
@@ -60,17 +64,19 @@
             return NOBODY if stored.kind is StoreErrorKind.NOT_FOUND else stored
         return _decode(stored)
 
-    async def claim(self, known: Leader, address: str) -> Leader | StoreError:
+    async def claim(
+        self, known: Leader, address: str, rank_address: str
+    ) -> Leader | StoreError:
         """Lead from now on, unless the record has changed since it was read.
 
         A claim whose answer was lost is settled by reading the record: the term and the address
         together name one claim.
         """
         term = known.term + 1
-        value = msgspec.json.encode(_Document(address, term))
+        value = msgspec.json.encode(_Document(address, term, rank_address))
         written = await self._store.put(LEADER_KIND, self._group, value, known.version)
         if not isinstance(written, StoreError):
-            return Leader(address, term, written)
+            return Leader(address, term, written, rank_address)
         if written.kind is not StoreErrorKind.OUTCOME_UNKNOWN:
             return written
         found = await self.read()
@@ -86,4 +92,4 @@
         document = msgspec.json.decode(stored.value, type=_Document)
     except msgspec.DecodeError as error:
         return StoreError(StoreErrorKind.INVALID, f"leader record not understood: {error}")
-    return Leader(document.address, document.term, stored.version)
+    return Leader(document.address, document.term, stored.version, document.rank_address)
--- a/src/bronzerudder/platform/ranks.py
+++ b/src/bronzerudder/platform/ranks.py
@@ -11,9 +11,9 @@
     ArmedMap,
     Layout,
     OrderResult,
+    RankCalls,
     RankCounts,
     RankFailure,
-    RankOrders,
     RankPlaces,
     RankState,
 )
@@ -62,7 +62,7 @@
     map: _Map
 
 
-class RankClient(RankOrders):
+class RankClient(RankCalls):
     """Calls ranks over kept connections."""
 
     def __init__(self) -> None:
--- a/src/bronzerudder/processes/rank_agent.py
+++ b/src/bronzerudder/processes/rank_agent.py
@@ -20,7 +20,7 @@
 from bronzerudder.peers.messages import RankLoad
 from bronzerudder.peers.registry import GatewayRegistry
 from bronzerudder.platform import wire
-from bronzerudder.platform.configuration import decode_configuration
+from bronzerudder.platform.configuration import decode_backend_server, decode_configuration
 from bronzerudder.platform.errors import StoreError, StoreErrorKind
 from bronzerudder.platform.object_api import RemoteObjectStore
 from bronzerudder.platform.ranks import RankClient
@@ -28,6 +28,9 @@
 
 SETTINGS = RankAgentSettings
 FLUSH_INTERVAL_S = 0.5
+STEP_TARGET_SHARE = 0.5
+"""A step that takes half of the longest pause in time leaves as much for reading prompts."""
+DEFAULT_GAP_S = 0.1
 LOAD_INTERVAL_S = 0.3
 """A load that does not change is told again, as datagrams may be lost."""
 
@@ -79,6 +82,7 @@
             settings["peer_address"],
             self._store,
             self._read_shape,
+            self._list_ranks,
             self._tell_load,
             self._log,
             tasks,
@@ -126,7 +130,23 @@
             return StoreError(StoreErrorKind.INVALID, reason)
         engine = service.engine
         bounds = Bounds(engine.slots_per_rank, engine.loads_per_change)
-        return ExpertShape(engine.sets, engine.experts, bounds)
+        gaps = [route.gap_s for route in configuration.routes.values() if route.gap_s > 0]
+        step_target_s = STEP_TARGET_SHARE * min(gaps, default=DEFAULT_GAP_S)
+        return ExpertShape(engine.sets, engine.experts, bounds, step_target_s)
+
+    async def _list_ranks(self) -> tuple[str, ...]:
+        """Read the addresses of the backend servers of the service."""
+        listing = await self._store.list(wire.BACKEND_SERVER_KIND, stale=True)
+        if isinstance(listing, StoreError):
+            self._log.state("ranks not listed", reason=listing.reason)
+            return ()
+        addresses = []
+        for stored in listing.objects:
+            server = decode_backend_server(stored.name, stored.value)
+            if isinstance(server, StoreError) or server.service != self._settings["service"]:
+                continue
+            addresses.append(server.address)
+        return tuple(addresses)
 
     async def _flush_log(self) -> None:
         while True:
