Place experts by scenarios instead of by the average of what was chosen

Cause: a step is dominated by few prompts, each of one topic; the average was even (1.04) while steps had 2.3 to 2.6 times the mean, and each second's average asked for other loads. Ruled out by replaying recorded choices: other half lives of the average (1.5 to 10 s).

--- a/src/bronzerudder/expert_maps/agent.py
+++ b/src/bronzerudder/expert_maps/agent.py
@@ -10,7 +10,7 @@
 from anyio.abc import TaskGroup
 
 from bronzerudder.expert_maps.api import RankCounts, RankFailure, RankPlaces, RankState
-from bronzerudder.expert_maps.leader import ExpertShape, GroupLeader, RankLister
+from bronzerudder.expert_maps.leader import GroupLeader, RankLister
 from bronzerudder.expert_maps.leadership import NOBODY, Leader, LeaderRecord
 from bronzerudder.expert_maps.posts import (
     ACCEPTED,
@@ -20,6 +20,7 @@
     decode_post,
     encode_post,
 )
+from bronzerudder.expert_maps.shape import ExpertShape
 from bronzerudder.http1 import ClientPool, HttpError, Request, ResponseWriter
 from bronzerudder.observability.event_log import EventLog
 from bronzerudder.platform.api import ObjectStore
--- a/src/bronzerudder/expert_maps/api.py
+++ b/src/bronzerudder/expert_maps/api.py
@@ -104,7 +104,8 @@
     @abc.abstractmethod
     async def prepare(self, rank: RankState, version: int, layout: Layout) -> OrderResult:
         """Load what a map places on the rank; refused while armed and for versions not above all
-        that the rank has had, and it makes an earlier prepared map useless."""
+        that the rank has had, and it makes an earlier prepared map useless.
+        """
 
     @abc.abstractmethod
     async def arm(self, rank: RankState, version: int, step: int) -> OrderResult:
--- a/src/bronzerudder/expert_maps/change.py
+++ b/src/bronzerudder/expert_maps/change.py
@@ -207,9 +207,7 @@
         others = [rank for rank in ranks if rank.address != self._own_address]
         return others[version % len(others)] if others else ranks[0]
 
-    async def _prepare_all(
-        self, ranks: Sequence[RankState], version: int, layout: Layout
-    ) -> bool:
+    async def _prepare_all(self, ranks: Sequence[RankState], version: int, layout: Layout) -> bool:
         async def prepare(rank: RankState) -> bool:
             def give() -> Awaitable[OrderResult]:
                 return self._orders.prepare(rank, version, layout)
--- a/src/bronzerudder/expert_maps/leader.py
+++ b/src/bronzerudder/expert_maps/leader.py
@@ -9,11 +9,11 @@
 import anyio
 
 from bronzerudder.expert_maps.api import Layout, RankCalls, RankFailure, RankPlaces, RankState
-from bronzerudder.expert_maps.bounded import Bounds, improve_set, skew
 from bronzerudder.expert_maps.change import ChangePlan, ChangeResult, MapChanger
 from bronzerudder.expert_maps.leadership import Leader, LeaderRecord
-from bronzerudder.expert_maps.popularity import ChoiceFollower
 from bronzerudder.expert_maps.posts import RankPost
+from bronzerudder.expert_maps.scenarios import ScenarioRecorder
+from bronzerudder.expert_maps.shape import ExpertShape
 from bronzerudder.observability.event_log import EventLog
 from bronzerudder.platform.errors import StoreError
 
@@ -25,10 +25,12 @@
 LEAST_GAIN_S = 0.012
 """Time of a step that a change must save. Loading slows steps by 15 in 100 for some tenths of a
 second and loads are dear; events that come a little sooner than in time help no caller."""
-LEAST_WEIGHT = 3_000.0
-"""Choices to go by; fewer are noise."""
+LEAST_SCENARIOS = 12
+"""Scenarios to go by; fewer are noise."""
 CHANGE_PAUSE_S = 0.3
 """After a change, before the next: posts must show the new map and the load on it."""
+REPLAN_PAUSE_S = 1.0
+"""After a plan that was not worth its loads, as planning takes processor time."""
 HELD_GRACE_S = 0.1
 """A step that is held while this leader changes nothing was left behind."""
 ASK_AFTER_S = 1.0
@@ -39,25 +41,6 @@
 MAX_FAILURE_PAUSE_S = 4.0
 
 
-class ExpertShape(NamedTuple):
-    """Shape of a group's maps.
-
-    Parameters
-    ----------
-    sets, experts : int
-        Sets of layers, and experts in each.
-    bounds : Bounds
-        What a rank can hold and load.
-    step_target_s : float
-        Time of a step below which events come in time with room to spare.
-    """
-
-    sets: int
-    experts: int
-    bounds: Bounds
-    step_target_s: float
-
-
 class _Told(NamedTuple):
     state: RankState
     at_s: float
@@ -110,7 +93,7 @@
         self._changer = MapChanger(ranks, own_address, self._prepared_by, self._note)
         self._told: dict[str, _Told] = {}
         self._places: dict[str, RankPlaces] = {}
-        self._follower = ChoiceFollower(shape.sets, shape.experts)
+        self._scenarios = ScenarioRecorder(shape.sets, shape.experts)
         self._versions = 0
         self._held_since_s: float | None = None
         self._not_before_s = 0.0
@@ -138,7 +121,7 @@
         if post.places is not None:
             self._places[state.address] = post.places
         if post.counts is not None:
-            self._follower.observe(state.address, post.counts, now_s)
+            self._scenarios.observe(state.address, post.counts, now_s)
         if state.address == self._own_address:
             self._note_pace(state.step, now_s)
 
@@ -157,7 +140,7 @@
                     return
                 await self._settle(ranks)
                 continue
-            plan = self._plan(ranks)
+            plan = await self._plan(ranks)
             if plan is None:
                 continue
             if not await self._still_leads():
@@ -216,38 +199,42 @@
             self._held_since_s = now_s
         return now_s - self._held_since_s >= HELD_GRACE_S
 
-    def _plan(self, ranks: list[RankState]) -> ChangePlan | None:
+    async def _plan(self, ranks: list[RankState]) -> ChangePlan | None:
         """Decide whether a change is worth it now."""
-        if time.monotonic() < self._not_before_s or self._follower.weight < LEAST_WEIGHT:
+        now_s = time.monotonic()
+        step_s = 1.0 / self._steps_per_s
+        if now_s < self._not_before_s or step_s <= self._shape.step_target_s:
             return None
         if any(state.armed is not None for state in ranks):
             return None
+        choices = self._scenarios.largest(now_s)
         layout = self._layout(ranks)
-        if layout is None:
-            return None
-        popularity = self._follower.popularity
-        self._skew = skew(layout, popularity)
-        step_s = 1.0 / self._steps_per_s
-        if step_s <= self._shape.step_target_s:
+        if layout is None or len(choices) < LEAST_SCENARIOS:
             return None
+        # Imported here, as only the leader needs it and it takes memory.
+        from bronzerudder.expert_maps import planner
+
+        scenarios = planner.split_scenarios(choices, self._shape.sets)
+        self._skew = planner.layout_skew(layout, scenarios)
         if (1.0 - 1.0 / self._skew) * step_s < LEAST_GAIN_S:
             return None
-        pairs = zip(layout, popularity, strict=True)
-        improved = [improve_set(held, loads, self._shape.bounds) for held, loads in pairs]
-        after = skew(improved, popularity)
-        if (1.0 - after / self._skew) * step_s < LEAST_GAIN_S:
+        planned = await planner.plan_layout(layout, scenarios, self._shape.bounds)
+        if (1.0 - planned.skew_after / planned.skew) * step_s < LEAST_GAIN_S:
+            self._not_before_s = now_s + REPLAN_PAUSE_S
             return None
         version = self._next_version()
         self._note(
             "map change planned",
             version=version,
-            skew=round(self._skew, 3),
-            skew_after=round(after, 3),
+            skew=round(planned.skew, 3),
+            skew_after=round(planned.skew_after, 3),
             step_s=round(step_s, 4),
-            choices=int(self._follower.weight),
+            scenarios=len(choices),
+            planning_s=round(time.monotonic() - now_s, 3),
             oldest_post_s=round(self._oldest_post_s(ranks), 2),
         )
-        return ChangePlan(version, self._next_version(), improved, layout, self._steps_per_s)
+        fallback = self._next_version()
+        return ChangePlan(version, fallback, planned.layout, layout, self._steps_per_s)
 
     def _layout(self, ranks: list[RankState]) -> Layout | None:
         """Map in use, or None while it is not known of all ranks."""
--- a/src/bronzerudder/expert_maps/leadership.py
+++ b/src/bronzerudder/expert_maps/leadership.py
@@ -64,9 +64,7 @@
             return NOBODY if stored.kind is StoreErrorKind.NOT_FOUND else stored
         return _decode(stored)
 
-    async def claim(
-        self, known: Leader, address: str, rank_address: str
-    ) -> Leader | StoreError:
+    async def claim(self, known: Leader, address: str, rank_address: str) -> Leader | StoreError:
         """Lead from now on, unless the record has changed since it was read.
 
         A claim whose answer was lost is settled by reading the record: the term and the address
--- /dev/null
+++ b/src/bronzerudder/expert_maps/planner.py
@@ -0,0 +1,46 @@
+"""Plans the next map from what requests chose lately."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+import anyio
+import anyio.lowlevel
+import numpy as np
+
+from bronzerudder.expert_maps.api import Layout
+from bronzerudder.expert_maps.search import StepLoads, improve_set, measure
+from bronzerudder.expert_maps.shape import MapBounds
+
+
+class PlannedLayout(NamedTuple):
+    """A layout, and the skew before and after: largest over mean load of a step."""
+
+    layout: Layout
+    skew: float
+    skew_after: float
+
+
+def split_scenarios(choices: list[list[int]], sets: int) -> np.ndarray:
+    """Arrange scenarios in shape ``(sets, scenarios, experts)``."""
+    table = np.asarray(choices, dtype=np.float64)
+    return table.reshape(len(choices), sets, -1).transpose(1, 0, 2)
+
+
+def layout_skew(layout: Layout, scenarios: np.ndarray) -> float:
+    """Largest over mean load of a step, over all sets and scenarios."""
+    return _skew([measure(held, loads) for held, loads in zip(layout, scenarios, strict=True)])
+
+
+async def plan_layout(layout: Layout, scenarios: np.ndarray, bounds: MapBounds) -> PlannedLayout:
+    """Improve each set in turn; other tasks run between the sets."""
+    improved = []
+    for held, loads in zip(layout, scenarios, strict=True):
+        improved.append(improve_set(held, loads, bounds))
+        await anyio.lowlevel.checkpoint()
+    return PlannedLayout(improved, layout_skew(layout, scenarios), layout_skew(improved, scenarios))
+
+
+def _skew(loads: list[StepLoads]) -> float:
+    mean = sum(load.mean for load in loads)
+    return sum(load.largest for load in loads) / mean if mean > 0 else 1.0
--- a/src/bronzerudder/gateway/attempt.py
+++ b/src/bronzerudder/gateway/attempt.py
@@ -163,9 +163,7 @@
             # Does nothing once the connection was released.
             exchange.discard()
 
-    async def _run_on(
-        self, exchange: Exchange
-    ) -> WholeAnswer | StreamDelivered | AttemptFailure:
+    async def _run_on(self, exchange: Exchange) -> WholeAnswer | StreamDelivered | AttemptFailure:
         outgoing = self._outgoing
         self._sent = True
         self._sent_at_s = time.monotonic()
--- a/src/bronzerudder/gateway/forwarding.py
+++ b/src/bronzerudder/gateway/forwarding.py
@@ -5,8 +5,6 @@
 import time
 from typing import NamedTuple
 
-import anyio
-
 from bronzerudder.gateway.attempt import (
     Attempt,
     Outgoing,
@@ -166,9 +164,7 @@
                 continue
             if isinstance(result, WholeAnswer) and result.answer.status >= ERROR_STATUS:
                 self._last_answer = result
-                failure = AttemptFailure(
-                    FailureKind.ERROR_ANSWER, f"status {result.answer.status}"
-                )
+                failure = AttemptFailure(FailureKind.ERROR_ANSWER, f"status {result.answer.status}")
                 if not self._deny_retry(failure):
                     continue
             return result
@@ -191,9 +187,7 @@
             routed,
         )
 
-    async def _attempt(
-        self, placed: Placement
-    ) -> WholeAnswer | StreamDelivered | AttemptFailure:
+    async def _attempt(self, placed: Placement) -> WholeAnswer | StreamDelivered | AttemptFailure:
         candidate = placed.candidate
         service = self._pool.name
         progress = self._shared.progress.setdefault(service, ServiceProgress())
--- a/src/bronzerudder/gateway/handler.py
+++ b/src/bronzerudder/gateway/handler.py
@@ -236,7 +236,6 @@
         fields["gap_s"] = round(relay.longest_gap_s, 4)
 
 
-
 def _describe(result: WholeAnswer | AttemptFailure | Refusal | None) -> str:
     if result is None:
         return "out of time"
--- a/src/bronzerudder/gateway/services.py
+++ b/src/bronzerudder/gateway/services.py
@@ -16,7 +16,6 @@
 from bronzerudder.policy.retry import WindowBudget
 from bronzerudder.policy.routing import Candidate, FreeSlotRouting, OutlierBreaker
 
-
 UNKNOWN_GATEWAYS = 8
 """Gateways to share the retry budget with while their number is not known."""
 CLOSED_S = 0.6
@@ -51,9 +50,7 @@
         self._addresses: dict[str, str] = {}
         self._by_address: dict[str, str] = {}
         self._closed_until_s = 0.0
-        self.room = WaitingRoom(
-            FreeSlotRouting(random.Random()), self._usable_candidates
-        )
+        self.room = WaitingRoom(FreeSlotRouting(random.Random()), self._usable_candidates)
         self.budget = WindowBudget(retry.share, retry.extra / gateways, retry.window_s)
 
     @property
--- a/src/bronzerudder/platform/object_api.py
+++ b/src/bronzerudder/platform/object_api.py
@@ -179,9 +179,7 @@
         headers = list(self._host)
         if body:
             headers.append((b"content-type", b"application/json"))
-        answer = await self._pool.call(
-            self._address, method.encode(), path.encode(), headers, body
-        )
+        answer = await self._pool.call(self._address, method.encode(), path.encode(), headers, body)
         if isinstance(answer, HttpError):
             return _lost(method, answer)
         status, content = answer
--- a/src/bronzerudder/processes/rank_agent.py
+++ b/src/bronzerudder/processes/rank_agent.py
@@ -12,8 +12,7 @@
 from bronzerudder.cli.api import EXIT_OK
 from bronzerudder.expert_maps.agent import RankAgent
 from bronzerudder.expert_maps.api import RankState
-from bronzerudder.expert_maps.bounded import Bounds
-from bronzerudder.expert_maps.leader import ExpertShape
+from bronzerudder.expert_maps.shape import ExpertShape, MapBounds
 from bronzerudder.http1 import HttpServer, ServerLimits, listen
 from bronzerudder.observability.event_log import DEFAULT_LINES_PER_S, EventLog
 from bronzerudder.peers.datagrams import DatagramPort
@@ -129,7 +128,7 @@
             reason = f"service {self._settings['service']!r} has no engine with experts"
             return StoreError(StoreErrorKind.INVALID, reason)
         engine = service.engine
-        bounds = Bounds(engine.slots_per_rank, engine.loads_per_change)
+        bounds = MapBounds(engine.slots_per_rank, engine.loads_per_change)
         gaps = [route.gap_s for route in configuration.routes.values() if route.gap_s > 0]
         step_target_s = STEP_TARGET_SHARE * min(gaps, default=DEFAULT_GAP_S)
         return ExpertShape(engine.sets, engine.experts, bounds, step_target_s)
