--- a/src/bronzerudder/http1/server.py
+++ b/src/bronzerudder/http1/server.py
@@ -257,6 +257,9 @@
         if self._http.our_state is not h11.DONE or self._http.their_state is not h11.DONE:
             await self._linger()
             return False
+        if self._server._closing:
+            # The head may have gone out before this server was told to close.
+            return False
         self._http.start_next_cycle()
         return True
 
