--- a/src/bronzerudder/expert_maps/agent.py
+++ b/src/bronzerudder/expert_maps/agent.py
@@ -7,6 +7,7 @@
 from collections.abc import Awaitable, Callable
 
 import anyio
+from absl import logging
 from anyio.abc import TaskGroup
 
 from bronzerudder.expert_maps.api import RankCounts, RankFailure, RankPlaces, RankState
@@ -246,6 +247,9 @@
     async def _lead(self, leading: GroupLeader) -> None:
         try:
             await leading.run()
+        except Exception:
+            # The agent goes on without leading; another one, or a new claim, takes over.
+            logging.exception("leading failed")
         finally:
             if self._leading is leading:
                 self._leading = None
--- a/src/bronzerudder/expert_maps/api.py
+++ b/src/bronzerudder/expert_maps/api.py
@@ -48,6 +48,8 @@
         Step that waits for its release at this rank.
     requests : int
         Requests that run or wait.
+    pace : float
+        Time that its work takes, against what it usually takes.
     """
 
     address: str
@@ -63,6 +65,7 @@
     armed: ArmedMap | None
     held_step: int | None
     requests: int
+    pace: float = 1.0
 
 
 class RankCounts(msgspec.Struct, frozen=True):
--- a/src/bronzerudder/expert_maps/leader.py
+++ b/src/bronzerudder/expert_maps/leader.py
@@ -215,10 +215,11 @@
         from bronzerudder.expert_maps import planner
 
         scenarios = planner.split_scenarios(choices, self._shape.sets)
-        self._skew = planner.layout_skew(layout, scenarios)
+        paces = planner.rank_paces([state.pace for state in ranks])
+        self._skew = planner.layout_skew(layout, scenarios, paces)
         if (1.0 - 1.0 / self._skew) * step_s < LEAST_GAIN_S:
             return None
-        planned = await planner.plan_layout(layout, scenarios, self._shape.bounds)
+        planned = await planner.plan_layout(layout, scenarios, paces, self._shape.bounds)
         if (1.0 - planned.skew_after / planned.skew) * step_s < LEAST_GAIN_S:
             self._not_before_s = now_s + REPLAN_PAUSE_S
             return None
@@ -230,6 +231,7 @@
             skew_after=round(planned.skew_after, 3),
             step_s=round(step_s, 4),
             scenarios=len(choices),
+            slowest_pace=max(state.pace for state in ranks),
             planning_s=round(time.monotonic() - now_s, 3),
             oldest_post_s=round(self._oldest_post_s(ranks), 2),
         )
--- a/src/bronzerudder/expert_maps/planner.py
+++ b/src/bronzerudder/expert_maps/planner.py
@@ -12,6 +12,9 @@
 from bronzerudder.expert_maps.search import StepLoads, improve_set, measure
 from bronzerudder.expert_maps.shape import MapBounds
 
+LEAST_PACE = 0.1
+"""Guards against reports that make no sense."""
+
 
 class PlannedLayout(NamedTuple):
     """A layout, and the skew before and after: largest over mean load of a step."""
@@ -27,18 +30,31 @@
     return table.reshape(len(choices), sets, -1).transpose(1, 0, 2)
 
 
-def layout_skew(layout: Layout, scenarios: np.ndarray) -> float:
+def rank_paces(paces: list[float]) -> np.ndarray:
+    """Times that ranks take for a load of one, relative to the fastest."""
+    table = np.asarray(paces, dtype=np.float64)
+    return table / max(table.min(), LEAST_PACE)
+
+
+def layout_skew(layout: Layout, scenarios: np.ndarray, paces: np.ndarray) -> float:
     """Largest over mean load of a step, over all sets and scenarios."""
-    return _skew([measure(held, loads) for held, loads in zip(layout, scenarios, strict=True)])
+    pairs = zip(layout, scenarios, strict=True)
+    return _skew([measure(held, loads, paces) for held, loads in pairs])
 
 
-async def plan_layout(layout: Layout, scenarios: np.ndarray, bounds: MapBounds) -> PlannedLayout:
+async def plan_layout(
+    layout: Layout, scenarios: np.ndarray, paces: np.ndarray, bounds: MapBounds
+) -> PlannedLayout:
     """Improve each set in turn; other tasks run between the sets."""
     improved = []
     for held, loads in zip(layout, scenarios, strict=True):
-        improved.append(improve_set(held, loads, bounds))
+        improved.append(improve_set(held, loads, paces, bounds))
         await anyio.lowlevel.checkpoint()
-    return PlannedLayout(improved, layout_skew(layout, scenarios), layout_skew(improved, scenarios))
+    return PlannedLayout(
+        improved,
+        layout_skew(layout, scenarios, paces),
+        layout_skew(improved, scenarios, paces),
+    )
 
 
 def _skew(loads: list[StepLoads]) -> float:
--- a/src/bronzerudder/expert_maps/search.py
+++ b/src/bronzerudder/expert_maps/search.py
@@ -55,7 +55,7 @@
     swaps: bool
 
 
-def measure(ranks: Sequence[Sequence[int]], scenarios: np.ndarray) -> StepLoads:
+def measure(ranks: Sequence[Sequence[int]], scenarios: np.ndarray, paces: np.ndarray) -> StepLoads:
     """Measure a placement of one set.
 
     Parameters
@@ -64,13 +64,18 @@
         Experts that each rank holds; ranks that hold an expert share its load evenly.
     scenarios : numpy.ndarray
         Shape ``(scenarios, experts)``: load of each expert.
+    paces : numpy.ndarray
+        Shape ``(ranks,)``: time that a rank takes for a load of one.
     """
-    loads = _rank_loads(ranks, scenarios)
+    loads = _rank_loads(ranks, scenarios, paces)
     return StepLoads(float(loads.max(axis=1).sum()), float(loads.mean(axis=1).sum()))
 
 
 def improve_set(
-    ranks: Sequence[Sequence[int]], scenarios: np.ndarray, bounds: MapBounds
+    ranks: Sequence[Sequence[int]],
+    scenarios: np.ndarray,
+    paces: np.ndarray,
+    bounds: MapBounds,
 ) -> list[list[int]]:
     """Shorten the steps as far as one change of map allows.
 
@@ -80,6 +85,8 @@
         Experts that each rank holds now.
     scenarios : numpy.ndarray
         Shape ``(scenarios, experts)``: load of each expert.
+    paces : numpy.ndarray
+        Shape ``(ranks,)``: time that a rank takes for a load of one.
     bounds : MapBounds
         What a rank can take.
 
@@ -88,25 +95,31 @@
     list
         Experts that each rank is to hold, in the order of ``ranks``.
     """
-    search = _Search(ranks, scenarios, bounds)
+    search = _Search(ranks, scenarios, paces, bounds)
     for _ in range(MAX_STEPS):
         if not search.step():
             break
     return search.result()
 
 
-def _rank_loads(ranks: Sequence[Sequence[int]], scenarios: np.ndarray) -> np.ndarray:
+def _rank_loads(
+    ranks: Sequence[Sequence[int]], scenarios: np.ndarray, paces: np.ndarray
+) -> np.ndarray:
     """Loads in shape ``(scenarios, ranks)``."""
     shares = np.zeros((scenarios.shape[1], len(ranks)))
     for rank, experts in enumerate(ranks):
         shares[list(experts), rank] = 1.0
     shares /= shares.sum(axis=1, keepdims=True)
-    return scenarios @ shares
+    return (scenarios @ shares) * paces
 
 
 class _Search:
     def __init__(
-        self, ranks: Sequence[Sequence[int]], scenarios: np.ndarray, bounds: MapBounds
+        self,
+        ranks: Sequence[Sequence[int]],
+        scenarios: np.ndarray,
+        paces: np.ndarray,
+        bounds: MapBounds,
     ) -> None:
         self._before = [list(experts) for experts in ranks]
         self._held = [set(experts) for experts in ranks]
@@ -116,7 +129,8 @@
         for rank, experts in enumerate(self._held):
             for expert in experts:
                 self._holders[expert].add(rank)
-        self._loads = _rank_loads(self._before, self._scenarios)
+        self._paces = paces.tolist()
+        self._loads = _rank_loads(self._before, self._scenarios, paces)
         self._cost = float(self._loads.max(axis=1).sum())
 
     def result(self) -> list[list[int]]:
@@ -148,7 +162,7 @@
         cold = np.argsort(heat + MEAN_WEIGHT * self._loads.sum(axis=0)).tolist()
         for hot in np.argsort(-heat)[:HOT_RANKS].tolist():
             chosen = largest == hot
-            if not chosen.any():
+            if not chosen.any() or not self._held[hot]:
                 continue
             loads = self._scenarios[chosen].sum(axis=0)
             shares = {item: loads[item] / len(self._holders[item]) for item in self._held[hot]}
@@ -197,9 +211,9 @@
         old = load / len(before)
         new = load / len(after)
         for rank in before:
-            loads[:, rank] -= old
+            loads[:, rank] -= old * self._paces[rank]
         for rank in after:
-            loads[:, rank] += new
+            loads[:, rank] += new * self._paces[rank]
 
     def _apply(self, move: _Move) -> None:
         self._give(move.to, move.expert)
--- a/src/bronzerudder/gateway/services.py
+++ b/src/bronzerudder/gateway/services.py
@@ -192,6 +192,7 @@
                 continue
             pool.note_group(message.is_open)
             pool.observe_load(instance_id, message.requests)
+            pool.candidates[instance_id].pace = message.pace
 
     def avoid(self, instance_id: str, reason: str) -> None:
         """Stop using a backend server until its entry changes."""
--- a/src/bronzerudder/peers/messages.py
+++ b/src/bronzerudder/peers/messages.py
@@ -16,11 +16,14 @@
         Requests that run or wait there, of all gateways.
     is_open : bool
         Whether its group runs.
+    pace : float
+        Time that its work takes, against what it usually takes.
     """
 
     address: str
     requests: int
     is_open: bool
+    pace: float = 1.0
 
 
 class CrashSeen(msgspec.Struct, frozen=True, tag="crash"):
--- a/src/bronzerudder/platform/ranks.py
+++ b/src/bronzerudder/platform/ranks.py
@@ -46,6 +46,7 @@
     born: int = 0
     waiting: int = 0
     running: int = 0
+    pace: float = 1.0
 
 
 class _Picked(msgspec.Struct):
@@ -94,6 +95,7 @@
             report.armed,
             report.held,
             report.running + report.waiting,
+            report.pace,
         )
 
     async def counts(self, address: str) -> RankCounts | RankFailure:
--- a/src/bronzerudder/policy/routing/candidate.py
+++ b/src/bronzerudder/policy/routing/candidate.py
@@ -103,6 +103,7 @@
         self.breaker = breaker or Breaker()
         self.connected = True
         self.leaving = False
+        self.pace = 1.0
         self.report = LoadReport()
         self._own_requests = 0
         self._own_tokens = 0
--- a/src/bronzerudder/policy/routing/free_slots.py
+++ b/src/bronzerudder/policy/routing/free_slots.py
@@ -18,6 +18,8 @@
 REPORT_TIME_CONSTANT_S = 1.0
 """A report on other entries' requests loses weight in the time that an answer usually takes."""
 BUSY_RETRY_AFTER_S = 0.1
+SLOW_FACTOR = 1.5
+"""Paces of sound backend servers differ by less."""
 
 
 class FreeSlotRouting(RoutingPolicy):
@@ -42,6 +44,7 @@
         available = select_available(candidates, request, now_s)
         if isinstance(available, NoCandidate):
             return available
+        available = _drop_slow(available)
         best: Candidate | None = None
         best_cost = (math.inf, math.inf, math.inf)
         for candidate in available:
@@ -58,6 +61,16 @@
         return NoCandidate(NoCandidateKind.ALL_BUSY, reason, BUSY_RETRY_AFTER_S)
 
 
+def _drop_slow(available: list[Candidate]) -> list[Candidate]:
+    """Leave out candidates that are much slower than the fastest.
+
+    In a group in lock-step all ranks wait for the slowest one, so its own requests are the first to
+    be taken from it.
+    """
+    limit = SLOW_FACTOR * min(candidate.pace for candidate in available)
+    return [candidate for candidate in available if candidate.pace <= limit]
+
+
 def slots_in_use(candidate: Candidate, now_s: float) -> float:
     """Estimate the slots in use from own requests and the last report."""
     others = candidate.others_requests
--- a/src/bronzerudder/processes/gateway.py
+++ b/src/bronzerudder/processes/gateway.py
@@ -12,6 +12,7 @@
 from prometheus_client import CollectorRegistry
 
 from bronzerudder.cli.api import EXIT_OK
+from bronzerudder.concurrency import supervise
 from bronzerudder.gateway.admin import MetricsHandler, ReadinessHandler
 from bronzerudder.gateway.clock import StandstillDetector
 from bronzerudder.gateway.configuration import ConfigurationHolder
@@ -120,15 +121,16 @@
         metrics = MetricsHandler(self._registry, self._refresh_metrics)
         ready_server = HttpServer(readiness, ServerLimits)
         metrics_server = HttpServer(metrics, ServerLimits)
-        self._tasks.start_soon(self._configuration_follower.run)
-        self._tasks.start_soon(self._directory_follower.run)
+        follow = self._configuration_follower.run
+        self._tasks.start_soon(supervise, "configuration", follow)
+        self._tasks.start_soon(supervise, "directory", self._directory_follower.run)
         self._tasks.start_soon(self._server.serve, listen(settings["caller_address"]))
         self._tasks.start_soon(ready_server.serve, listen(settings["ready_address"]))
         self._tasks.start_soon(metrics_server.serve, listen(settings["metrics_address"]))
         self._tasks.start_soon(self._registry_of_gateways.enter, settings["peer_address"])
-        self._tasks.start_soon(self._registry_of_gateways.run)
-        self._tasks.start_soon(self._peers.run, self._take_message)
-        self._tasks.start_soon(self._keep_house)
+        self._tasks.start_soon(supervise, "list of gateways", self._registry_of_gateways.run)
+        self._tasks.start_soon(supervise, "peers", self._take_messages)
+        self._tasks.start_soon(supervise, "housekeeping", self._keep_house)
         self._log.state("started", process=os.getpid(), store=settings["store_address"])
 
     async def drain(self) -> None:
@@ -155,6 +157,9 @@
         """Write the last lines of the log."""
         self._log.flush()
 
+    async def _take_messages(self) -> None:
+        await self._peers.run(self._take_message)
+
     def _take_message(self, message: Message) -> None:
         if isinstance(message, RankLoad):
             self._services.take_load(message)
--- a/src/bronzerudder/processes/rank_agent.py
+++ b/src/bronzerudder/processes/rank_agent.py
@@ -10,6 +10,7 @@
 import anyio
 
 from bronzerudder.cli.api import EXIT_OK
+from bronzerudder.concurrency import supervise
 from bronzerudder.expert_maps.agent import RankAgent
 from bronzerudder.expert_maps.api import RankState
 from bronzerudder.expert_maps.shape import ExpertShape, MapBounds
@@ -91,9 +92,9 @@
         """Take posts, and look after the rank."""
         server = HttpServer(self._agent.handle, ServerLimits)
         self._tasks.start_soon(server.serve, listen(self._settings["peer_address"]))
-        self._tasks.start_soon(self._agent.run)
-        self._tasks.start_soon(self._gateways.run)
-        self._tasks.start_soon(self._flush_log)
+        self._tasks.start_soon(supervise, "agent", self._agent.run)
+        self._tasks.start_soon(supervise, "list of gateways", self._gateways.run)
+        self._tasks.start_soon(supervise, "log", self._flush_log)
         self._log.state("started", process=os.getpid(), rank=self._settings["rank_address"])
 
     def note_reload(self) -> None:
@@ -107,7 +108,7 @@
 
     def _tell_load(self, state: RankState) -> None:
         """Tell the gateways the load of the rank: when it changes, and from time to time."""
-        load = RankLoad(state.address, state.requests, state.is_open)
+        load = RankLoad(state.address, state.requests, state.is_open, state.pace)
         now_s = time.monotonic()
         if load == self._told_load and now_s - self._told_at_s < LOAD_INTERVAL_S:
             return
