--- a/src/bronzerudder/gateway/attempt.py
+++ b/src/bronzerudder/gateway/attempt.py
@@ -125,8 +125,8 @@
         Takes the events of a stream; None for plain requests.
     progress : ServiceProgress
         Of the service.
-    on_first_event : callable
-        Called when a stream has its first event.
+    on_event : callable
+        Called for each event of a stream with whether it is the first.
     """
 
     def __init__(
@@ -135,9 +135,9 @@
         outgoing: Outgoing,
         relay: StreamRelay | None,
         progress: ServiceProgress,
-        on_first_event: Callable[[], object],
+        on_event: Callable[[bool], None],
     ) -> None:
-        self._on_first_event = on_first_event
+        self._on_event = on_event
         self._connections = connections
         self._outgoing = outgoing
         self._relay = relay
@@ -262,9 +262,10 @@
 
     def _note_event(self, now_s: float) -> None:
         self._progress.record(now_s)
-        if not self._has_event:
+        is_first = not self._has_event
+        self._on_event(is_first)
+        if is_first:
             self._has_event = True
-            self._on_first_event()
             self._progress.record_first(now_s - self._sent_at_s)
 
     async def _bounded(self, read):  # noqa: ANN001, ANN202
--- a/src/bronzerudder/gateway/forwarding.py
+++ b/src/bronzerudder/gateway/forwarding.py
@@ -192,9 +192,13 @@
         service = self._pool.name
         progress = self._shared.progress.setdefault(service, ServiceProgress())
         outgoing = self._compose(candidate)
-        attempt = Attempt(
-            self._shared.connections, outgoing, self._relay, progress, self._note_running
-        )
+
+        def note_event(is_first: bool) -> None:
+            placed.count_answer_part()
+            if is_first:
+                self._note_running()
+
+        attempt = Attempt(self._shared.connections, outgoing, self._relay, progress, note_event)
         sent_at_s = time.monotonic()
         # Counted before the send, so that a cancelled attempt counts as possibly run.
         self._may_have_run += 1
--- a/src/bronzerudder/policy/routing/candidate.py
+++ b/src/bronzerudder/policy/routing/candidate.py
@@ -56,13 +56,14 @@
     def __init__(self, candidate: Candidate, tokens: int, prompt_tokens: int) -> None:
         self.candidate = candidate
         self._left = tokens
+        candidate._own_prompt_tokens += prompt_tokens
         self._prompt_left = prompt_tokens
         self._ended = False
 
     def count_answer_part(self) -> None:
         """Count a token of the answer as done, and with the first one the prompt."""
         self.progress(self._prompt_left + 1)
-        self._prompt_left = 0
+        self._end_prompt()
 
     def progress(self, tokens: int) -> None:
         """Count `tokens` as done; more than was estimated counts as nothing."""
@@ -70,11 +71,16 @@
         self._left -= done
         self.candidate._settle(0, done)
 
+    def _end_prompt(self) -> None:
+        self.candidate._own_prompt_tokens -= self._prompt_left
+        self._prompt_left = 0
+
     def finish(self) -> None:
         """Count the request as ended; further calls do nothing."""
         if self._ended:
             return
         self._ended = True
+        self._end_prompt()
         self.candidate._settle(1, self._left)
         self._left = 0
 
@@ -107,6 +113,7 @@
         self.report = LoadReport()
         self._own_requests = 0
         self._own_tokens = 0
+        self._own_prompt_tokens = 0
         self._others_tokens = 0
         self._others_requests = 0
         self._reported_at_s = 0.0
@@ -121,6 +128,11 @@
         """Tokens of the requests sent by this entry and not yet finished."""
         return self._own_tokens
 
+    @property
+    def own_prompt_tokens(self) -> int:
+        """Prompt tokens of the requests sent by this entry whose answer has not begun."""
+        return self._own_prompt_tokens
+
     @property
     def others_tokens(self) -> int:
         """Tokens of the requests of other entries, when last reported."""
--- a/src/bronzerudder/policy/routing/free_slots.py
+++ b/src/bronzerudder/policy/routing/free_slots.py
@@ -18,6 +18,9 @@
 REPORT_TIME_CONSTANT_S = 1.0
 """A report on other entries' requests loses weight in the time that an answer usually takes."""
 BUSY_RETRY_AFTER_S = 0.1
+TOKENS_OF_A_SLOT = 400.0
+"""Prompt tokens that lengthen steps about as much as a request that is writing does; a rank that
+reads several prompts at once makes all ranks of its group wait."""
 SLOW_FACTOR = 1.5
 """Paces of sound backend servers differ by less."""
 
@@ -51,8 +54,8 @@
             used = slots_in_use(candidate, now_s)
             if candidate.slots and used > candidate.slots - 1:
                 continue
-            share = round(used) / max(1, candidate.slots)
-            cost = (share, candidate.own_tokens, self._generator.random())
+            prompts = candidate.own_prompt_tokens / TOKENS_OF_A_SLOT
+            cost = (round(used) + prompts, candidate.own_tokens, self._generator.random())
             if cost < best_cost:
                 best, best_cost = candidate, cost
         if best is not None:
