--- a/src/bronzerudder/expert_maps/api.py
+++ b/src/bronzerudder/expert_maps/api.py
@@ -106,8 +106,10 @@
 
     @abc.abstractmethod
     async def prepare(self, rank: RankState, version: int, layout: Layout) -> OrderResult:
-        """Load what a map places on the rank; refused while armed and for versions not above all
-        that the rank has had, and it makes an earlier prepared map useless.
+        """Load what a map places on the rank.
+
+        Refused while the rank is armed, and for versions that are not above all that it has had.
+        A map that was prepared earlier can't be armed any more.
         """
 
     @abc.abstractmethod
--- a/src/bronzerudder/expert_maps/change.py
+++ b/src/bronzerudder/expert_maps/change.py
@@ -225,9 +225,10 @@
     async def _await_loads(self, ranks: Sequence[RankState], version: int) -> bool:
         wanted = {rank.address for rank in ranks}
         with anyio.move_on_after(LOAD_TIMEOUT_S):
-            while not wanted <= self._prepared_by(version):
+            while True:
+                if wanted <= self._prepared_by(version):
+                    return True
                 await anyio.sleep(LOAD_CHECK_INTERVAL_S)
-            return True
         return False
 
     async def _hold(self, holder: RankState, steps_per_s: float) -> int | None:
--- a/src/bronzerudder/expert_maps/planner.py
+++ b/src/bronzerudder/expert_maps/planner.py
@@ -31,7 +31,7 @@
 
 
 def rank_paces(paces: list[float]) -> np.ndarray:
-    """Times that ranks take for a load of one, relative to the fastest."""
+    """Return the times that ranks take for a load of one, relative to the fastest."""
     table = np.asarray(paces, dtype=np.float64)
     return table / max(table.min(), LEAST_PACE)
 
--- a/src/bronzerudder/expert_maps/search.py
+++ b/src/bronzerudder/expert_maps/search.py
@@ -105,7 +105,7 @@
 def _rank_loads(
     ranks: Sequence[Sequence[int]], scenarios: np.ndarray, paces: np.ndarray
 ) -> np.ndarray:
-    """Loads in shape ``(scenarios, ranks)``."""
+    """Return loads in shape ``(scenarios, ranks)``."""
     shares = np.zeros((scenarios.shape[1], len(ranks)))
     for rank, experts in enumerate(ranks):
         shares[list(experts), rank] = 1.0
--- a/src/bronzerudder/gateway/follower.py
+++ b/src/bronzerudder/gateway/follower.py
@@ -15,7 +15,7 @@
 WATCH_S = 8.0
 """Length of a watch; the store counts each. Keep-alive probes find a dead one sooner."""
 FIRST_RETRY_S = 0.05
-MAX_RETRY_S = 0.6
+MAX_RETRY_S = 0.4
 """Longest pause between calls to a store that is away; it must be found again within a second."""
 RETRY_GROWTH = 2.0
 
--- a/src/bronzerudder/gateway/forwarding.py
+++ b/src/bronzerudder/gateway/forwarding.py
@@ -12,6 +12,7 @@
     StreamDelivered,
     WholeAnswer,
 )
+from bronzerudder.gateway.crash_watch import CrashWatch
 from bronzerudder.gateway.errors import AttemptFailure, FailureKind, Refusal, RefusalKind
 from bronzerudder.gateway.metrics import GatewayMetrics
 from bronzerudder.gateway.patience import ON_TIME_SHARE, start_by_s
@@ -52,6 +53,8 @@
         Configuration that it is handled by.
     arrived_at_s, ends_at_s : float
         Monotonic times of its arrival and of the end of its time.
+    fingerprint : str
+        Names the request when it comes again.
     """
 
     request: Request
@@ -62,6 +65,7 @@
     version: int
     arrived_at_s: float
     ends_at_s: float
+    fingerprint: str
 
 
 class Outcome(NamedTuple):
@@ -88,6 +92,7 @@
     services: ServiceTable
     connections: ClientPool
     progress: dict[str, ServiceProgress]
+    crashes: CrashWatch
     metrics: GatewayMetrics
     log: EventLog
 
@@ -202,8 +207,9 @@
         sent_at_s = time.monotonic()
         # Counted before the send, so that a cancelled attempt counts as possibly run.
         self._may_have_run += 1
-        result = await attempt.run()
-        self._observe(candidate, attempt, result)
+        with self._shared.crashes.running(candidate.name, self._job.fingerprint):
+            result = await attempt.run()
+            self._observe(candidate, attempt, result)
         if isinstance(result, AttemptFailure) and result.has_not_run:
             self._may_have_run -= 1
             self._rejections += 1
@@ -270,6 +276,8 @@
         if blamed != candidate.name:
             services.suspect(blamed, result.reason, certain=True)
             return
+        if result.kind is FailureKind.BROKEN:
+            self._shared.crashes.note_break(candidate.name)
         certain = result.has_not_run
         services.suspect(candidate.name, result.reason, certain)
 
@@ -297,6 +305,8 @@
     def _deny_retry(self, failure: AttemptFailure) -> str:
         """Return why the request is not sent again, or an empty string."""
         self._last_failure = failure
+        if self._shared.crashes.is_quarantined(self._job.fingerprint) is not None:
+            return "it crashes backend servers"
         route = self._job.route
         now_s = time.monotonic()
         if not failure.has_not_run:
--- a/src/bronzerudder/gateway/handler.py
+++ b/src/bronzerudder/gateway/handler.py
@@ -10,6 +10,7 @@
 
 from bronzerudder.gateway.attempt import StreamDelivered, WholeAnswer
 from bronzerudder.gateway.configuration import ConfigurationHolder
+from bronzerudder.gateway.crash_watch import fingerprint_of
 from bronzerudder.gateway.errors import AttemptFailure, FailureKind, Refusal, RefusalKind
 from bronzerudder.gateway.forwarding import Forwarding, Job, Outcome, Surroundings
 from bronzerudder.gateway.tables import Configuration, Route, Workspace
@@ -25,6 +26,8 @@
 STATUS_UNKNOWN = 502
 STATUS_OUT_OF_TIME = 504
 MIN_RETRY_AFTER_S = 0.05
+STARTUP_WAIT_S = 1.2
+"""Wait for a first configuration; most callers stay for 2 s without an answer."""
 
 ConfirmCurrent = Callable[[], Awaitable[bool]]
 
@@ -61,6 +64,10 @@
         """Serve one request."""
         arrived_at_s = time.monotonic()
         caller = decode_request(request)
+        if self._configuration.current is None:
+            # A cold start reads it in milliseconds once the store answers.
+            with anyio.move_on_after(STARTUP_WAIT_S):
+                await self._configuration.wait_known()
         admitted = await self._admit(request, caller, arrived_at_s)
         if isinstance(admitted, Refusal):
             outcome = await self._refuse(caller, writer, admitted)
@@ -82,6 +89,11 @@
         if isinstance(found, Refusal):
             return found
         configuration, route, workspace = found
+        fingerprint = fingerprint_of(request, caller.key)
+        verdict = self._shared.crashes.is_quarantined(fingerprint)
+        if verdict is not None:
+            reason = f"it was running at {len(verdict.crash_ids)} crashes of backend servers"
+            return Refusal(RefusalKind.QUARANTINED, reason, verdict.retry_after_s)
         time_s = route.timeout_s
         if caller.deadline_s is not None:
             time_s = min(time_s, caller.deadline_s)
@@ -97,6 +109,7 @@
             configuration.version,
             arrived_at_s,
             arrived_at_s + time_s,
+            fingerprint,
         )
 
     def _match(
--- a/src/bronzerudder/http1/client.py
+++ b/src/bronzerudder/http1/client.py
@@ -47,7 +47,9 @@
     `discard` at any other end. After an error the connection is closed.
     """
 
-    def __init__(self, pool: ClientPool, address: str, connection: Connection, reused: bool):
+    def __init__(
+        self, pool: ClientPool, address: str, connection: Connection, reused: bool
+    ) -> None:
         self._pool = pool
         self._address = address
         self._connection = connection
@@ -158,16 +160,20 @@
         self._connection.close()
 
     async def _next_event(self) -> h11.Event | HttpError:
+        ended = False
         while True:
             try:
                 event = self._http.next_event()
             except h11.RemoteProtocolError as error:
+                if ended:
+                    return self._fail(HttpErrorKind.BROKEN, "connection closed by the peer")
                 return self._fail(HttpErrorKind.MALFORMED, str(error))
             if event is not h11.NEED_DATA:
                 return event
             data = await self._connection.receive()
             if isinstance(data, TransportError):
                 return self._fail(HttpErrorKind.BROKEN, data.reason)
+            ended = not data
             self._http.receive_data(data)
 
     def _fail(self, kind: HttpErrorKind, reason: str) -> HttpError:
--- a/src/bronzerudder/http1/server.py
+++ b/src/bronzerudder/http1/server.py
@@ -104,6 +104,11 @@
         parts.append(self._http.send(h11.EndOfMessage()))
         await self._write(b"".join(part for part in parts if part))
 
+    def abort(self) -> None:
+        """Reset the connection, so that the answer can't look complete."""
+        self._failed = True
+        self._connection.reset()
+
     async def _send(self, event: h11.Event) -> None:
         await self._write(self._http.send(event) or b"")
 
--- a/src/bronzerudder/platform/configuration.py
+++ b/src/bronzerudder/platform/configuration.py
@@ -109,13 +109,13 @@
     """Decode one version of the configuration."""
     try:
         document = msgspec.json.decode(value, type=_Configuration)
-        routes = {(route.host, route.path_prefix): _route(route) for route in document.routes}
+        routes = [_route(route) for route in document.routes]
     except (msgspec.DecodeError, KeyError, ValueError) as error:
         return StoreError(StoreErrorKind.INVALID, f"configuration not understood: {error!r}")
     limits = document.limits
     return Configuration(
         document.version,
-        routes,
+        {(route.host, route.prefix): route for route in routes},
         {service.name: _service(service) for service in document.services},
         _workspaces(document.tenants),
         ServerLimits(
--- a/src/bronzerudder/policy/routing/free_slots.py
+++ b/src/bronzerudder/policy/routing/free_slots.py
@@ -46,7 +46,11 @@
         """Pick a candidate with a free slot."""
         available = select_available(candidates, request, now_s)
         if isinstance(available, NoCandidate):
-            return available
+            suspected = _suspected(candidates, request)
+            if not suspected:
+                return available
+            # All are suspected, so the suspicion says more of the requests than of them.
+            available = suspected
         available = _drop_slow(available)
         best: Candidate | None = None
         best_cost = (math.inf, math.inf, math.inf)
@@ -64,6 +68,15 @@
         return NoCandidate(NoCandidateKind.ALL_BUSY, reason, BUSY_RETRY_AFTER_S)
 
 
+def _suspected(candidates: Sequence[Candidate], request: RoutedRequest) -> list[Candidate]:
+    """Return those that only an open breaker keeps from taking the request."""
+    return [
+        candidate
+        for candidate in candidates
+        if candidate.connected and not candidate.leaving and candidate.name not in request.excluded
+    ]
+
+
 def _drop_slow(available: list[Candidate]) -> list[Candidate]:
     """Leave out candidates that are much slower than the fastest.
 
--- a/src/bronzerudder/processes/gateway.py
+++ b/src/bronzerudder/processes/gateway.py
@@ -16,6 +16,7 @@
 from bronzerudder.gateway.admin import MetricsHandler, ReadinessHandler
 from bronzerudder.gateway.clock import StandstillDetector
 from bronzerudder.gateway.configuration import ConfigurationHolder
+from bronzerudder.gateway.crash_watch import CrashWatch
 from bronzerudder.gateway.directory import BackendDirectory
 from bronzerudder.gateway.follower import WATCH_S, KindFollower
 from bronzerudder.gateway.forwarding import Surroundings
@@ -25,7 +26,7 @@
 from bronzerudder.http1 import ClientPool, HttpServer, ServerLimits, listen
 from bronzerudder.observability.event_log import DEFAULT_LINES_PER_S, EventLog
 from bronzerudder.peers.datagrams import DatagramPort
-from bronzerudder.peers.messages import Message, RankLoad
+from bronzerudder.peers.messages import CrashSeen, Message, RankLoad
 from bronzerudder.peers.registry import GatewayRegistry
 from bronzerudder.platform import wire
 from bronzerudder.platform.configuration import decode_backend_server, decode_configuration
@@ -105,7 +106,10 @@
         self._directory_follower = KindFollower(
             self._store, wire.BACKEND_SERVER_KIND, self._directory, self._log
         )
-        shared = Surroundings(self._services, self._connections, {}, self._metrics, self._log)
+        self._crashes = CrashWatch(settings["gateway_id"], self._tell_crash, self._log)
+        shared = Surroundings(
+            self._services, self._connections, {}, self._crashes, self._metrics, self._log
+        )
         handler = GatewayHandler(
             shared, self._configuration, self._confirm_current, random.Random()
         )
@@ -143,7 +147,9 @@
         await anyio.sleep(OUT_OF_ROTATION_S)
         self._server.stop_accepting()
         self._log.state("closed to new connections", busy=self._server.busy)
-        while self._server.busy and time.monotonic() < end_s:
+        while time.monotonic() < end_s:
+            if not self._server.busy:
+                break
             await anyio.sleep(DRAIN_CHECK_INTERVAL_S)
         with anyio.move_on_after(STOP_MARGIN_S / 2):
             await self._registry_of_gateways.leave(self._settings["peer_address"])
@@ -163,6 +169,13 @@
     def _take_message(self, message: Message) -> None:
         if isinstance(message, RankLoad):
             self._services.take_load(message)
+            return
+        self._crashes.take(message)
+
+    def _tell_crash(self, crash: CrashSeen) -> None:
+        own = self._settings["peer_address"]
+        others = [address for address in self._registry_of_gateways.addresses if address != own]
+        self._peers.send(crash, others)
 
     def _limits(self) -> ServerLimits:
         current = self._configuration.current
@@ -219,6 +232,7 @@
             self._directory.drop_missing()
             self._services.set_gateways(len(self._registry_of_gateways.addresses))
             self._connections.sweep()
+            self._crashes.tell_again()
             self._log.flush()
 
     def _refresh_metrics(self) -> None:
--- /dev/null
+++ b/src/bronzerudder/standin/fleet/store.py
@@ -0,0 +1,158 @@
+"""A stand-in for the platform's metadata store."""
+
+from __future__ import annotations
+
+import urllib.parse
+from typing import Any
+
+import anyio
+import msgspec
+
+from bronzerudder.http1 import HttpServer, Request, ResponseWriter, ServerLimits
+from bronzerudder.platform import wire
+
+MS_PER_S = 1000.0
+DEFAULT_PAGE = 500
+CUT = 0
+"""In place of a status: the connection is closed without an answer."""
+
+
+class StandinStore:
+    """Holds objects in memory.
+
+    Attributes
+    ----------
+    page : int
+        Objects of a listing's page.
+    refuse_with : int
+        Status with which every call is refused; 0 serves them.
+    lose_answers : bool
+        Whether writes are carried out and their connection closed without an answer.
+    silent : bool
+        Whether calls are never answered.
+    calls : list of str
+        Method and path of every call.
+    """
+
+    def __init__(self) -> None:
+        self.page = DEFAULT_PAGE
+        self.refuse_with = 0
+        self.lose_answers = False
+        self.silent = False
+        self.calls: list[str] = []
+        self.server = HttpServer(self._handle, ServerLimits)
+        self._objects: dict[str, dict[str, dict[str, Any]]] = {}
+        self._events: list[tuple[str, int, dict[str, Any], bool]] = []
+        self._revision = 1
+        self._forgotten = 0
+        self._histories = 0
+        self._changed = anyio.Event()
+
+    def put(self, kind: str, name: str, spec: Any) -> int:
+        """Write an object as the operator or a backend server does."""
+        self._revision += 1
+        item = {"metadata": {"name": name, "revision": self._revision}, "spec": spec}
+        self._objects.setdefault(kind, {})[name] = item
+        self._note(kind, item, deleted=False)
+        return self._revision
+
+    def remove(self, kind: str, name: str) -> None:
+        """Remove an object."""
+        item = self._objects.get(kind, {}).pop(name, None)
+        if item is not None:
+            self._revision += 1
+            self._note(kind, item, deleted=True)
+
+    def names(self, kind: str) -> list[str]:
+        """Names of the objects of a kind."""
+        return sorted(self._objects.get(kind, {}))
+
+    def forget_history(self) -> None:
+        """Forget all changes so far; waiting watches are cut, and older ones refused."""
+        self._histories += 1
+        self._events.clear()
+        self._forgotten = self._revision
+        self._wake()
+
+    def _note(self, kind: str, item: dict[str, Any], deleted: bool) -> None:
+        self._events.append((kind, self._revision, item, deleted))
+        self._wake()
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = anyio.Event()
+
+    async def _handle(self, request: Request, writer: ResponseWriter) -> None:
+        path, _, query = request.target.decode().partition("?")
+        self.calls.append(f"{request.method.decode()} {request.target.decode()}")
+        if self.silent:
+            await anyio.sleep_forever()
+        if self.refuse_with:
+            await writer.respond(self.refuse_with, [], b"")
+            return
+        options = dict(urllib.parse.parse_qsl(query))
+        kind, _, name = path.removeprefix(wire.OBJECTS_PATH).partition("/")
+        kind, name = urllib.parse.unquote(kind), urllib.parse.unquote(name)
+        if request.method == b"GET":
+            status, body = await self._read(kind, name, options)
+            if not status:
+                return
+        else:
+            status, body = self._write(request, kind, name, options)
+            if self.lose_answers:
+                return
+        await writer.respond(status, [], msgspec.json.encode(body))
+
+    async def _read(self, kind: str, name: str, options: dict[str, str]) -> tuple[int, Any]:
+        if name:
+            found = self._objects.get(kind, {}).get(name)
+            return (200, found) if found is not None else (404, None)
+        if "watch" in options:
+            return await self._watch(kind, int(options["watch"]), int(options["wait_ms"]))
+        after = options.get("after", "")
+        names = [item for item in self.names(kind) if item > after]
+        items = [self._objects[kind][item] for item in names[: self.page]]
+        more = len(names) > self.page
+        return 200, {"items": items, "has_more": more, "at": self._revision}
+
+    async def _watch(self, kind: str, after: int, wait_ms: int) -> tuple[int, Any]:
+        history = self._histories
+        with anyio.move_on_after(wait_ms / MS_PER_S):
+            while True:
+                if history != self._histories:
+                    return CUT, None
+                if after < self._forgotten:
+                    return 410, None
+                if any(event[0] == kind and event[1] > after for event in self._events):
+                    break
+                await self._changed.wait()
+        events = [
+            {"object": item, "deleted": deleted}
+            for event_kind, revision, item, deleted in self._events
+            if event_kind == kind and revision > after
+        ]
+        return 200, {"events": events, "at": self._revision}
+
+    def _write(
+        self, request: Request, kind: str, name: str, options: dict[str, str]
+    ) -> tuple[int, Any]:
+        if request.method == b"DELETE":
+            found = self._objects.get(kind, {}).get(name)
+            if found is None:
+                return 404, None
+            if str(found["metadata"]["revision"]) != options.get("revision"):
+                return 409, found
+            self.remove(kind, name)
+            return 200, found
+        document = msgspec.json.decode(request.body)
+        metadata = document["metadata"]
+        found = self._objects.get(kind, {}).get(metadata["name"])
+        if request.method == b"POST" and found is not None:
+            return 409, found
+        if request.method == b"PUT":
+            if found is None:
+                return 404, None
+            if metadata.get("revision", 0) != found["metadata"]["revision"]:
+                return 409, found
+        self.put(kind, metadata["name"], document["spec"])
+        return 200, self._objects[kind][metadata["name"]]
--- /dev/null
+++ b/tests/expert_maps/test_change.py
@@ -0,0 +1,147 @@
+"""Explores changes of map: no step runs on two maps, and no step stays held.
+
+The seeds cover orders that get no answer and are carried out seconds later, answers that are lost,
+and leaders that stand still at each of their orders, whose successors then settle and change too.
+"""
+
+from __future__ import annotations
+
+import unittest
+from unittest import mock
+
+import anyio
+
+from bronzerudder.expert_maps import change
+from bronzerudder.expert_maps.change import ChangePlan, ChangeResult, MapChanger
+from tests.expert_maps.simulated_group import (
+    SimulatedGroup,
+    SimulatedOrders,
+    VirtualTime,
+    run_virtual,
+    seeded,
+)
+
+SIZE = 4
+QUIET_SEEDS = 5
+FAULT_SEEDS = 60
+TAKE_OVER_S = 1.2
+END_S = 60.0
+
+
+def plan(term, number=0):
+    version = term * 1000 + 2 * number + 1
+    return ChangePlan(version, version + 1, [[[term, number]]], [[[0]]], 1 / 0.05)
+
+
+class ChangeTest(unittest.TestCase):
+    def setUp(self):
+        patcher = mock.patch.object(change, "time", VirtualTime)
+        patcher.start()
+        self.addCleanup(patcher.stop)
+
+    def changer(self, orders, group, own):
+        return MapChanger(orders, own, group.prepared_by, lambda event, **fields: None)
+
+    def test_all_ranks_change_and_nothing_waits_on_a_usual_day(self):
+        for seed in range(QUIET_SEEDS):
+            group = SimulatedGroup(SIZE, seeded(seed))
+
+            async def play(group=group):
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(group.run)
+                    orders = SimulatedOrders(group, tasks, own="rank-0")
+                    changer = self.changer(orders, group, "rank-0")
+                    result = await changer.change(group.states(), plan(1))
+                    await anyio.sleep(2.0)
+                    tasks.cancel_scope.cancel()
+                return result
+
+            self.assertIs(run_virtual(play), ChangeResult.CHANGED)
+            self.assertEqual({rank.map[0] for rank in group.ranks}, {1001})
+            self.assertEqual((group.mixed, group.stood_s), ([], 0.0))
+
+    def play_faults(self, seed, late, lost, freeze_after):
+        """One leader changes, and stands still after some order; another takes over."""
+        group = SimulatedGroup(SIZE, seeded(seed), late, lost)
+
+        async def lead_first(tasks):
+            orders = SimulatedOrders(group, tasks, own="rank-0")
+            if freeze_after:
+                orders.freeze_after = (freeze_after, 8.0)
+            changer = self.changer(orders, group, "rank-0")
+            for number in range(3):
+                await changer.change(group.states(), plan(1, number))
+                await anyio.sleep(0.5)
+
+        async def lead_second(tasks):
+            while not group.blocked_until_s:
+                await anyio.sleep(0.1)
+            await anyio.sleep(TAKE_OVER_S)
+            orders = SimulatedOrders(group, tasks, own="rank-1")
+            changer = self.changer(orders, group, "rank-1")
+            for number in range(20, 200):
+                states = group.states()
+                blocked = orders._is_blocked("rank-0")
+                if any(state.held_step is not None for state in states):
+                    reachable = states[1:] if blocked else states
+                    await changer.settle(reachable, 2000 + number, [[[0]]], without_last=blocked)
+                elif not blocked:
+                    await changer.change(states, plan(2, number))
+                await anyio.sleep(0.4)
+
+        async def play():
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(group.run)
+                tasks.start_soon(lead_first, tasks)
+                tasks.start_soon(lead_second, tasks)
+                await anyio.sleep(END_S)
+                before = group.step
+                await anyio.sleep(3.0)
+                advanced = group.step - before
+                tasks.cancel_scope.cancel()
+            return advanced
+
+        advanced = run_virtual(play)
+        self.assertEqual(group.mixed, [], f"seed {seed}, frozen after order {freeze_after}")
+        return advanced, group
+
+    def test_late_and_lost_orders_never_mix_maps(self):
+        for seed in range(FAULT_SEEDS):
+            self.play_faults(seed, late=0.35, lost=0.1, freeze_after=0)
+
+    def test_a_leader_that_stands_still_at_any_order_never_mixes_maps(self):
+        for seed in range(FAULT_SEEDS):
+            self.play_faults(seed, late=0.0, lost=0.0, freeze_after=1 + seed % 24)
+
+    def test_a_leader_that_stands_still_among_late_orders_never_mixes_maps(self):
+        for seed in range(FAULT_SEEDS):
+            self.play_faults(seed, late=0.2, lost=0.1, freeze_after=1 + seed % 30)
+
+    def test_a_change_that_does_not_wait_for_all_ranks_is_found_out(self):
+        async def arm_some(self, ranks, version, step):
+            for rank in ranks[:1]:
+                await self._orders.arm(rank, version, step)
+            return True
+
+        with mock.patch.object(MapChanger, "_arm_all", arm_some), self.assertRaises(AssertionError):
+            self.play_faults(0, late=0.0, lost=0.0, freeze_after=0)
+
+    def test_a_settlement_that_does_not_void_the_change_is_found_out(self):
+        async def release_only(self, ranks, version, layout, without_last=False):
+            states = await self._read_states(ranks)
+            return states is not None and await self._release_all(states)
+
+        with mock.patch.object(MapChanger, "settle", release_only):
+            with self.assertRaises(AssertionError):
+                for freeze_after in range(1, 24):
+                    self.play_faults(freeze_after, 0.0, 0.0, freeze_after)
+
+    def test_a_step_does_not_stay_held_once_the_leader_stands_still(self):
+        for freeze_after in range(1, 20):
+            advanced, group = self.play_faults(freeze_after, 0.0, 0.0, freeze_after)
+            self.assertGreater(advanced, 0, freeze_after)
+            self.assertLess(group.stood_s, 10.0, freeze_after)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/expert_maps/test_search.py
@@ -0,0 +1,70 @@
+"""Tests of the search for loads that make steps shorter."""
+
+from __future__ import annotations
+
+import unittest
+
+import numpy as np
+
+from bronzerudder.expert_maps.planner import layout_skew, rank_paces, split_scenarios
+from bronzerudder.expert_maps.search import improve_set, measure
+from bronzerudder.expert_maps.shape import MapBounds
+
+RANKS = 16
+EXPERTS = 64
+BOUNDS = MapBounds(5, 2)
+EVEN = np.ones(RANKS)
+
+
+def first_layout():
+    return [
+        [expert for expert in range(EXPERTS) if expert % RANKS == rank] for rank in range(RANKS)
+    ]
+
+
+def make_scenarios(seed, topics=9, count=60):
+    generator = np.random.default_rng(seed)
+    shares = generator.pareto(1.1, (topics, EXPERTS)) + 0.05
+    chosen = shares[generator.integers(topics, size=count)]
+    return chosen * generator.uniform(100, 1000, (count, 1))
+
+
+class SearchTest(unittest.TestCase):
+    def test_steps_become_much_shorter_within_the_bounds(self):
+        for seed in range(5):
+            scenarios = make_scenarios(seed)
+            before = first_layout()
+            after = improve_set(before, scenarios, EVEN, BOUNDS)
+            gain = (
+                measure(after, scenarios, EVEN).largest / measure(before, scenarios, EVEN).largest
+            )
+            self.assertLess(gain, 0.75, seed)
+            for held, old in zip(after, before, strict=True):
+                self.assertLessEqual(len(held), BOUNDS.places)
+                self.assertLessEqual(len(set(held) - set(old)), BOUNDS.loads)
+                self.assertEqual(len(held), len(set(held)))
+            self.assertEqual({expert for held in after for expert in held}, set(range(EXPERTS)))
+
+    def test_an_even_set_is_left_alone(self):
+        scenarios = np.ones((20, EXPERTS))
+        self.assertEqual(improve_set(first_layout(), scenarios, EVEN, BOUNDS), first_layout())
+
+    def test_a_slow_rank_loses_load(self):
+        scenarios = make_scenarios(1)
+        paces = rank_paces([1.0] * (RANKS - 1) + [8.0])
+        after = improve_set(first_layout(), scenarios, paces, BOUNDS)
+        plain = improve_set(first_layout(), scenarios, EVEN, BOUNDS)
+        slow = measure(after, scenarios, paces).largest
+        self.assertLess(slow, 0.6 * measure(plain, scenarios, paces).largest)
+
+    def test_scenarios_are_split_by_set(self):
+        table = split_scenarios([[1, 2, 3, 4], [5, 6, 7, 8]], 2)
+        self.assertEqual(table.tolist(), [[[1, 2], [5, 6]], [[3, 4], [7, 8]]])
+
+    def test_skew_of_an_even_layout_is_one(self):
+        layout = [first_layout()]
+        self.assertAlmostEqual(layout_skew(layout, np.ones((1, 3, EXPERTS)), EVEN), 1.0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/gateway/harness.py
@@ -0,0 +1,162 @@
+"""A gateway's handler before stand-ins of backend servers, in one process."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import random
+
+import anyio
+import msgspec
+from prometheus_client import CollectorRegistry
+
+from bronzerudder.gateway.configuration import ConfigurationHolder
+from bronzerudder.gateway.crash_watch import CrashWatch
+from bronzerudder.gateway.forwarding import Surroundings
+from bronzerudder.gateway.handler import GatewayHandler
+from bronzerudder.gateway.metrics import GatewayMetrics
+from bronzerudder.gateway.services import RetryTerms, ServiceTable
+from bronzerudder.gateway.tables import BackendServer
+from bronzerudder.http1 import ClientPool, HttpServer, ServerLimits, listen
+from bronzerudder.observability.event_log import EventLog
+from bronzerudder.platform.configuration import decode_configuration
+from bronzerudder.standin.fleet import StandinWorker
+
+TIMEOUT_S = 5.0
+
+
+def make_route(name: str, kind: str, **changes) -> dict:
+    """Make a route whose path is its name."""
+    return {
+        "name": name,
+        "host": "h.example",
+        "path_prefix": f"/{name}/",
+        "kind": kind,
+        "timeout_ms": 1500,
+        "target_latency_ms": 150,
+        "target_gap_ms": 100,
+        "priority": 1,
+        "service": "s",
+        "max_attempts": 2,
+        **changes,
+    }
+
+
+def make_configuration(version: int = 1, **changes) -> bytes:
+    """Make a configuration with a route of each kind."""
+    document = {
+        "version": version,
+        "routes": [
+            make_route("read", "idempotent"),
+            make_route("book", "non_idempotent", max_attempts=1),
+            make_route("stream", "streaming", resumable=True),
+            make_route("once", "streaming", resumable=False),
+            make_route("open", "idempotent", public=True),
+        ],
+        "services": [{"name": "s"}],
+        "tenants": [{"name": "workspace", "api_keys": ["key"]}],
+        **changes,
+    }
+    return msgspec.json.encode(document)
+
+
+def quiet_log() -> EventLog:
+    """Make a log that nobody reads."""
+    return EventLog({}, os.open(os.devnull, os.O_WRONLY))
+
+
+class GatewayHarness:
+    """One handler and its stand-ins; `start` in asyncSetUp, `stop` as a cleanup."""
+
+    def __init__(self, workers: int = 2, retry: RetryTerms | None = None) -> None:
+        self.workers = [StandinWorker(f"i-{number}") for number in range(workers)]
+        self.log = quiet_log()
+        self.configuration = ConfigurationHolder(
+            "main", decode_configuration, self._apply, self.log
+        )
+        self.is_current = True
+        self.told: list = []
+        self._retry = retry or RetryTerms(0.2, 100.0, 10.0)
+        self._running: list[asyncio.Task] = []
+        self._listeners = []
+        self.addresses: dict[str, str] = {}
+
+    async def start(self) -> None:
+        """Serve everything."""
+        self.connections = ClientPool()
+        self._room_tasks = anyio.create_task_group()
+        self._stop = anyio.Event()
+        ready = anyio.Event()
+        self._running.append(asyncio.create_task(self._hold_tasks(ready)))
+        await ready.wait()
+        self.services = ServiceTable(self._retry, self.connections, self.log, self._room_tasks)
+        self.services.set_gateways(1)
+        for worker in self.workers:
+            self.add(worker)
+        self.metrics = GatewayMetrics(CollectorRegistry())
+        self.crashes = CrashWatch("g", self.told.append, self.log)
+        shared = Surroundings(
+            self.services, self.connections, {}, self.crashes, self.metrics, self.log
+        )
+        handler = GatewayHandler(shared, self.configuration, self._confirm, random.Random(1))
+        self.server = HttpServer(handler, ServerLimits)
+        self.address = self._serve(self.server)
+        self.configuration.take_value(make_configuration())
+
+    async def stop(self) -> None:
+        """End everything."""
+        self._stop.set()
+        for task in self._running:
+            task.cancel()
+        await asyncio.gather(*self._running, return_exceptions=True)
+        for listener in self._listeners:
+            listener.close()
+
+    def add(self, worker: StandinWorker, service: str = "s") -> None:
+        """List a worker as a backend server."""
+        address = self._serve(worker.server)
+        self.addresses[worker.instance_id] = address
+        self.services.put(BackendServer(worker.instance_id, service, address, "z", 6, False))
+
+    async def ask(self, path: str, request_id: str = "r1", **headers):
+        """Send a request and return its status, headers and body; None where it was cut."""
+        method = headers.pop("method", b"GET")
+        body = headers.pop("body", b"")
+        sent = [
+            (b"host", b"h.example"),
+            (b"attempt-id", request_id.encode()),
+            (b"x-api-key", headers.pop("key", "key").encode()),
+        ]
+        for name, value in headers.items():
+            sent.append((name.replace("_", "-").encode(), value.encode()))
+        exchange = await ClientPool().open(self.address)
+        with anyio.fail_after(TIMEOUT_S):
+            await exchange.send(method, path.encode(), sent, body)
+            head = await exchange.read_head()
+            received = await exchange.read_rest()
+        exchange.discard()
+        cut = not isinstance(received, bytes)
+        return head.status, dict(head.headers), None if cut else received
+
+    def runs(self) -> int:
+        """Requests that all workers began to run."""
+        return sum(len(worker.runs) for worker in self.workers)
+
+    def _apply(self) -> None:
+        current = self.configuration.current
+        self.services.describe(current.services)
+
+    async def _confirm(self) -> bool:
+        return self.is_current
+
+    def _serve(self, server: HttpServer) -> str:
+        listener = listen("127.0.0.1:0")
+        self._listeners.append(listener)
+        self._running.append(asyncio.create_task(server.serve(listener)))
+        return f"127.0.0.1:{listener.getsockname()[1]}"
+
+    async def _hold_tasks(self, ready: anyio.Event) -> None:
+        async with self._room_tasks:
+            ready.set()
+            await self._stop.wait()
+            self._room_tasks.cancel_scope.cancel()
--- /dev/null
+++ b/tests/gateway/test_directory.py
@@ -0,0 +1,96 @@
+"""Tests of the list of backend servers."""
+
+from __future__ import annotations
+
+import unittest
+from unittest import mock
+
+import msgspec
+
+from bronzerudder.gateway import directory
+from bronzerudder.gateway.directory import BackendDirectory
+from bronzerudder.platform import Change, Listing, StoredObject
+from bronzerudder.platform.configuration import decode_backend_server
+from tests.gateway.harness import quiet_log
+
+
+def entry(address="10.0.0.1:80", state="ready") -> bytes:
+    return msgspec.json.encode({"service": "s", "address": address, "state": state, "slots": 6})
+
+
+def listing(**entries) -> Listing:
+    stored = []
+    for version, (name, value) in enumerate(entries.items(), start=1):
+        stored.append(StoredObject("servers", name, version, value))
+    return Listing(tuple(stored), 100)
+
+
+class BackendDirectoryTest(unittest.TestCase):
+    def setUp(self):
+        self.seen = []
+        self.gone = []
+        self.directory = BackendDirectory(
+            decode_backend_server, self.seen.append, self.gone.append, quiet_log()
+        )
+        patcher = mock.patch.object(directory.time, "monotonic", lambda: self.now_s)
+        self.now_s = 100.0
+        patcher.start()
+        self.addCleanup(patcher.stop)
+
+    def change(self, name, value, version=50, after_outage=False):
+        self.directory.take_change(Change("servers", name, version, value), after_outage)
+
+    def test_a_removed_entry_is_gone_at_once_while_the_store_is_sound(self):
+        self.directory.take_listing(listing(a=entry()), False)
+        self.change("a", None)
+        self.assertEqual(self.gone, ["a"])
+
+    def test_an_entry_that_lapsed_during_an_outage_has_two_seconds_to_return(self):
+        self.directory.take_listing(listing(a=entry(), b=entry("10.0.0.2:80")), False)
+        self.directory.take_listing(listing(b=entry("10.0.0.2:80")), True)
+        self.directory.drop_missing()
+        self.assertEqual(self.gone, [])
+        self.now_s += 2.1
+        self.directory.drop_missing()
+        self.assertEqual(self.gone, ["a"])
+
+    def test_an_entry_that_returned_stays(self):
+        self.directory.take_listing(listing(a=entry()), False)
+        self.directory.take_listing(listing(), True)
+        self.now_s += 1.0
+        self.change("a", entry())
+        self.now_s += 5.0
+        self.directory.drop_missing()
+        self.assertEqual(self.gone, [])
+
+    def test_a_leaving_one_has_no_grace(self):
+        self.directory.take_listing(listing(a=entry(state="draining")), False)
+        self.directory.take_listing(listing(), True)
+        self.assertEqual(self.gone, ["a"])
+
+    def test_a_leaving_one_is_told_at_once(self):
+        self.directory.take_listing(listing(a=entry()), False)
+        self.change("a", entry(state="draining"))
+        self.assertTrue(self.seen[-1].leaving)
+
+    def test_the_newest_entry_of_an_address_is_the_one_in_use(self):
+        self.directory.take_listing(listing(old=entry(), new=entry()), False)
+        self.assertEqual(list(self.directory.servers), ["new"])
+        self.change("old", entry(), version=1)
+        self.assertEqual(list(self.directory.servers), ["new"])
+
+    def test_the_order_of_a_listing_does_not_decide_which_is_newest(self):
+        stored = (
+            StoredObject("servers", "a-new", 9, entry()),
+            StoredObject("servers", "b-old", 3, entry()),
+        )
+        self.directory.take_listing(Listing(stored, 100), False)
+        self.assertEqual(list(self.directory.servers), ["a-new"])
+
+    def test_an_entry_that_is_not_understood_names_none_and_the_others_hold(self):
+        self.directory.take_listing(listing(a=b"\xff", b=entry()), False)
+        self.assertEqual(list(self.directory.servers), ["b"])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/gateway/test_follower.py
@@ -0,0 +1,85 @@
+"""Tests of following a kind on the store through its failures."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+import anyio
+
+from bronzerudder.gateway.follower import KindFollower, KindListener
+from bronzerudder.http1 import listen
+from bronzerudder.platform.object_api import RemoteObjectStore
+from bronzerudder.standin.fleet import StandinStore
+from tests.gateway.harness import quiet_log
+
+TIMEOUT_S = 6.0
+
+
+class Names(KindListener):
+    def __init__(self):
+        self.names = {}
+        self.outages = 0
+
+    def take_listing(self, listing, after_outage):
+        self.outages += after_outage
+        self.names = {stored.name: stored.value for stored in listing.objects}
+
+    def take_change(self, change, after_outage):
+        self.outages += after_outage
+        if change.value is None:
+            self.names.pop(change.name, None)
+            return
+        self.names[change.name] = change.value
+
+
+class KindFollowerTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.standin = StandinStore()
+        listener = listen("127.0.0.1:0")
+        store = RemoteObjectStore(f"127.0.0.1:{listener.getsockname()[1]}")
+        self.names = Names()
+        self.follower = KindFollower(store, "kind", self.names, quiet_log())
+        for work in (self.standin.server.serve(listener), self.follower.run()):
+            self.addCleanup(asyncio.create_task(work).cancel)
+        self.addCleanup(listener.close)
+
+    async def wait_for(self, names):
+        with anyio.fail_after(TIMEOUT_S):
+            while self.names.names != names:
+                await anyio.sleep(0.01)
+
+    async def test_changes_are_followed(self):
+        self.standin.put("kind", "a", 1)
+        await self.wait_for({"a": b"1"})
+        self.standin.put("kind", "a", 2)
+        self.standin.put("kind", "b", 3)
+        await self.wait_for({"a": b"2", "b": b"3"})
+        self.standin.remove("kind", "a")
+        await self.wait_for({"b": b"3"})
+
+    async def test_an_outage_is_ridden_out_and_told(self):
+        self.standin.put("kind", "a", 1)
+        await self.wait_for({"a": b"1"})
+        self.standin.refuse_with = 503
+        self.standin.forget_history()
+        with anyio.fail_after(TIMEOUT_S):
+            while not self.follower.lost:
+                await anyio.sleep(0.01)
+        self.standin.put("kind", "b", 2)
+        self.assertEqual(self.names.names, {"a": b"1"})
+        self.standin.refuse_with = 0
+        await self.wait_for({"a": b"1", "b": b"2"})
+        self.assertEqual(self.names.outages, 1)
+
+    async def test_after_lost_history_the_whole_kind_is_read_again(self):
+        self.standin.put("kind", "a", 1)
+        await self.wait_for({"a": b"1"})
+        self.standin._objects["kind"].pop("a")
+        self.standin.put("kind", "b", 2)
+        self.standin.forget_history()
+        await self.wait_for({"b": b"2"})
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/http1/test_client.py
@@ -0,0 +1,139 @@
+"""Tests of the HTTP client."""
+
+from __future__ import annotations
+
+import unittest
+
+import anyio
+
+from bronzerudder.http1 import ClientPool, Connection, HttpError, HttpErrorKind, listen
+from bronzerudder.http1.sockets import accept
+
+TIMEOUT_S = 5.0
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nKeep-Alive: timeout=5\r\n\r\nok"
+HOST = [(b"host", b"h")]
+
+
+class Peer:
+    """A server that sends scripted bytes; as an async context manager."""
+
+    def __init__(self, *answers: bytes, close: bool = False):
+        self._answers = list(answers)
+        self._close = close
+        self.accepted = 0
+
+    async def __aenter__(self):
+        self._listener = listen("127.0.0.1:0")
+        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+        self._tasks = anyio.create_task_group()
+        await self._tasks.__aenter__()
+        self._tasks.start_soon(self._serve)
+        return self
+
+    async def __aexit__(self, *error):
+        self._tasks.cancel_scope.cancel()
+        await self._tasks.__aexit__(*error)
+        self._listener.close()
+
+    async def _serve(self):
+        while True:
+            connection = await accept(self._listener)
+            self.accepted += 1
+            self._tasks.start_soon(self._answer, connection)
+
+    async def _answer(self, connection: Connection):
+        while True:
+            data = await connection.receive()
+            if not isinstance(data, bytes) or not data:
+                return
+            if self._answers:
+                await connection.send(self._answers.pop(0))
+            if self._close:
+                connection.close()
+                return
+
+
+class ClientPoolTest(unittest.IsolatedAsyncioTestCase):
+    async def call(self, pool, address):
+        with anyio.fail_after(TIMEOUT_S):
+            return await pool.call(address, b"GET", b"/", HOST)
+
+    async def test_a_connection_is_used_again(self):
+        async with Peer(OK, OK) as peer:
+            pool = ClientPool()
+            for _ in range(2):
+                self.assertEqual(await self.call(pool, peer.address), (200, b"ok"))
+            self.assertEqual(peer.accepted, 1)
+
+    async def test_a_connection_is_not_used_close_to_its_announced_end(self):
+        answer = OK.replace(b"timeout=5", b"timeout=1")
+        async with Peer(answer, answer) as peer:
+            pool = ClientPool()
+            await self.call(pool, peer.address)
+            await self.call(pool, peer.address)
+            self.assertEqual(peer.accepted, 2)
+
+    async def test_a_connection_that_the_peer_closed_is_not_used(self):
+        async with Peer(OK, OK, close=True) as peer:
+            pool = ClientPool()
+            for _ in range(2):
+                self.assertEqual(await self.call(pool, peer.address), (200, b"ok"))
+                await anyio.sleep(0.05)
+            self.assertEqual(peer.accepted, 2)
+
+    async def test_bytes_beyond_an_answer_end_its_connection(self):
+        async with Peer(OK + b"HTTP/1.1 200 OK\r\n\r\n", OK) as peer:
+            pool = ClientPool()
+            await self.call(pool, peer.address)
+            self.assertEqual(await self.call(pool, peer.address), (200, b"ok"))
+            self.assertEqual(peer.accepted, 2)
+
+    async def test_a_refused_connection_proves_that_nothing_was_sent(self):
+        async with Peer() as peer:
+            address = peer.address
+        answer = await self.call(ClientPool(), address)
+        self.assertIsInstance(answer, HttpError)
+        self.assertIs(answer.kind, HttpErrorKind.NOT_SENT)
+
+    async def test_a_close_after_the_request_proves_nothing(self):
+        async with Peer(close=True) as peer:
+            answer = await self.call(ClientPool(), peer.address)
+        self.assertIs(answer.kind, HttpErrorKind.BROKEN)
+
+    async def test_a_close_inside_the_answer_is_an_error(self):
+        async with Peer(OK[:-1], close=True) as peer:
+            answer = await self.call(ClientPool(), peer.address)
+        self.assertIsInstance(answer, HttpError)
+
+    async def test_an_answer_without_a_length_ends_with_its_connection(self):
+        async with Peer(b"HTTP/1.1 200 OK\r\n\r\nall", close=True) as peer:
+            self.assertEqual(await self.call(ClientPool(), peer.address), (200, b"all"))
+
+    async def test_bytes_that_are_no_answer_are_an_error(self):
+        async with Peer(b"\xff\xfe\r\n\r\n") as peer:
+            answer = await self.call(ClientPool(), peer.address)
+        self.assertIs(answer.kind, HttpErrorKind.MALFORMED)
+
+    async def test_a_late_answer_can_be_read_past(self):
+        late = OK.replace(b"ok", b"no")
+        async with Peer(late + OK) as peer:
+            exchange = await ClientPool().open(peer.address)
+            await exchange.send(b"POST", b"/", HOST, b"body")
+            await exchange.read_head()
+            with anyio.fail_after(TIMEOUT_S):
+                self.assertIsNone(await exchange.skip())
+                await exchange.read_head()
+                self.assertEqual(await exchange.read_rest(), b"ok")
+            exchange.release()
+
+    async def test_idle_connections_that_the_peer_closed_are_swept(self):
+        async with Peer(OK, close=True) as peer:
+            pool = ClientPool()
+            await self.call(pool, peer.address)
+            await anyio.sleep(0.05)
+            pool.sweep()
+            self.assertEqual(pool._idle[peer.address], [])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/http1/test_server.py
@@ -0,0 +1,221 @@
+"""Tests of the HTTP server."""
+
+from __future__ import annotations
+
+import unittest
+
+import anyio
+
+from bronzerudder.http1 import Connection, HttpServer, ServerLimits, connect, listen
+
+TIMEOUT_S = 5.0
+LIMITS = ServerLimits(header_bytes=2_048, body_bytes=1_000, header_s=0.2, idle_s=0.4)
+GET = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
+
+
+async def echo(request, writer):
+    await writer.respond(200, [], request.target + b" " + request.body)
+
+
+class Served:
+    """A server on a free port, as an async context manager."""
+
+    def __init__(self, handler=echo, limits=LIMITS):
+        self.rejected = []
+        note = lambda status, reason: self.rejected.append((status, reason))  # noqa: E731
+        self.server = HttpServer(handler, lambda: limits, note)
+
+    async def __aenter__(self):
+        self._listener = listen("127.0.0.1:0")
+        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+        self._tasks = anyio.create_task_group()
+        await self._tasks.__aenter__()
+        self._tasks.start_soon(self.server.serve, self._listener)
+        return self
+
+    async def __aexit__(self, *error):
+        self._tasks.cancel_scope.cancel()
+        await self._tasks.__aexit__(*error)
+        self._listener.close()
+
+    async def open(self) -> Connection:
+        connection = await connect(self.address, TIMEOUT_S)
+        assert isinstance(connection, Connection), connection
+        return connection
+
+
+async def read_until_closed(connection: Connection) -> bytes:
+    received = b""
+    with anyio.fail_after(TIMEOUT_S):
+        while True:
+            data = await connection.receive()
+            if not isinstance(data, bytes) or not data:
+                return received
+            received += data
+
+
+async def read_answer(connection: Connection, ending: bytes) -> bytes:
+    received = b""
+    with anyio.fail_after(TIMEOUT_S):
+        while not received.endswith(ending):
+            data = await connection.receive()
+            if not isinstance(data, bytes) or not data:
+                return received
+            received += data
+    return received
+
+
+class RequestTest(unittest.IsolatedAsyncioTestCase):
+    async def ask(self, data: bytes, handler=echo) -> tuple[bytes, list]:
+        async with Served(handler) as served:
+            connection = await served.open()
+            await connection.send(data)
+            answer = await read_until_closed(connection)
+            return answer, served.rejected
+
+    async def test_requests_follow_each_other_on_a_connection(self):
+        async with Served() as served:
+            connection = await served.open()
+            for path in (b"/a", b"/b"):
+                await connection.send(GET.replace(b"/a", path))
+                answer = await read_answer(connection, path + b" ")
+                self.assertIn(b"200", answer)
+
+    async def test_body_in_chunks_is_read_whole(self):
+        head = b"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n"
+        head += b"Connection: close\r\n\r\n"
+        answer, _ = await self.ask(head + b"2\r\nab\r\n1\r\nc\r\n0\r\n\r\n")
+        self.assertTrue(answer.endswith(b"/a abc"), answer)
+
+    async def test_two_framings_are_refused_and_the_connection_closed(self):
+        head = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+        head += b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+        answer, rejected = await self.ask(head + GET)
+        self.assertTrue(answer.startswith(b"HTTP/1.1 400"), answer)
+        self.assertEqual(answer.count(b"HTTP/1.1"), 1)
+        self.assertEqual(len(rejected), 1)
+
+    async def test_two_lengths_are_refused(self):
+        head = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd"
+        answer, _ = await self.ask(head)
+        self.assertTrue(answer.startswith(b"HTTP/1.1 400"), answer)
+
+    async def test_bytes_that_are_no_request_are_refused(self):
+        answer, rejected = await self.ask(b"\xff\xff\xff\r\n\r\n")
+        self.assertTrue(answer.startswith(b"HTTP/1.1 400"), answer)
+        self.assertEqual(rejected[0][0], 400)
+
+    async def test_a_body_over_the_limit_is_refused(self):
+        head = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 1001\r\n\r\n"
+        answer, _ = await self.ask(head + b"x" * 1001)
+        self.assertTrue(answer.startswith(b"HTTP/1.1 413"), answer)
+
+    async def test_a_chunked_body_over_the_limit_is_refused(self):
+        head = b"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+        answer, _ = await self.ask(head + b"3e9\r\n" + b"x" * 1001 + b"\r\n0\r\n\r\n")
+        self.assertTrue(answer.startswith(b"HTTP/1.1 413"), answer)
+
+    async def test_headers_over_the_limit_are_refused(self):
+        answer, _ = await self.ask(b"GET /a HTTP/1.1\r\nHost: h\r\nX: " + b"x" * 4_000)
+        self.assertTrue(answer.startswith(b"HTTP/1.1 431"), answer)
+
+    async def test_a_head_that_does_not_end_in_time_is_refused(self):
+        answer, _ = await self.ask(b"GET /a HTTP/1.1\r\nHost:")
+        self.assertTrue(answer.startswith(b"HTTP/1.1 408"), answer)
+
+    async def test_an_idle_connection_is_closed_without_a_word(self):
+        answer, rejected = await self.ask(b"")
+        self.assertEqual((answer, rejected), (b"", []))
+
+    async def test_a_failing_handler_gives_500_and_the_server_lives_on(self):
+        async def fail(request, writer):
+            raise ValueError("handler")
+
+        async with Served(fail) as served:
+            for _ in range(2):
+                connection = await served.open()
+                await connection.send(GET)
+                answer = await read_answer(connection, b"error\n")
+                self.assertTrue(answer.startswith(b"HTTP/1.1 500"), answer)
+
+
+class AnswerTest(unittest.IsolatedAsyncioTestCase):
+    async def test_an_answer_that_was_not_finished_shows_as_cut(self):
+        async def stop_halfway(request, writer):
+            await writer.start(200, [])
+            await writer.write(b"half")
+
+        async with Served(stop_halfway) as served:
+            connection = await served.open()
+            await connection.send(GET)
+            answer = await read_until_closed(connection)
+        self.assertIn(b"half", answer)
+        self.assertNotIn(b"0\r\n\r\n", answer)
+
+    async def test_a_handler_is_cancelled_when_its_caller_leaves(self):
+        cancelled = anyio.Event()
+
+        async def wait(request, writer):
+            try:
+                await anyio.sleep_forever()
+            finally:
+                cancelled.set()
+
+        async with Served(wait) as served:
+            connection = await served.open()
+            await connection.send(GET)
+            await anyio.sleep(0.05)
+            connection.close()
+            with anyio.fail_after(TIMEOUT_S):
+                await cancelled.wait()
+
+
+class DrainTest(unittest.IsolatedAsyncioTestCase):
+    async def test_an_answer_tells_the_caller_to_close(self):
+        async with Served() as served:
+            served.server.close_after_answers()
+            connection = await served.open()
+            await connection.send(GET)
+            answer = await read_until_closed(connection)
+        self.assertIn(b"connection: close", answer.lower())
+
+    async def test_a_connection_ends_after_an_answer_begun_before_draining(self):
+        go_on = anyio.Event()
+
+        async def slow(request, writer):
+            await writer.start(200, [])
+            await go_on.wait()
+            await writer.finish()
+
+        async with Served(slow) as served:
+            connection = await served.open()
+            await connection.send(GET)
+            await anyio.sleep(0.05)
+            served.server.close_after_answers()
+            go_on.set()
+            answer = await read_until_closed(connection)
+        self.assertTrue(answer.endswith(b"0\r\n\r\n"), answer)
+
+    async def test_idle_connections_and_new_ones_end_while_answers_go_on(self):
+        go_on = anyio.Event()
+
+        async def slow(request, writer):
+            await go_on.wait()
+            await writer.respond(200, [], b"done")
+
+        async with Served(slow) as served:
+            idle, busy = await served.open(), await served.open()
+            await busy.send(GET)
+            await anyio.sleep(0.05)
+            served.server.close_after_answers()
+            served.server.stop_accepting()
+            self.assertEqual(await read_until_closed(idle), b"")
+            self.assertEqual(served.server.busy, 1)
+            refused = await connect(served.address, TIMEOUT_S)
+            self.assertNotIsInstance(refused, Connection)
+            go_on.set()
+            self.assertTrue((await read_until_closed(busy)).endswith(b"done"))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/platform/test_object_api.py
@@ -0,0 +1,110 @@
+"""Tests of the store client against the stand-in for the platform's store."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+import anyio
+
+from bronzerudder.http1 import listen
+from bronzerudder.platform import ABSENT_VERSION, ChangeBatch, StoreError, StoreErrorKind
+from bronzerudder.platform.object_api import RemoteObjectStore
+from bronzerudder.standin.fleet import StandinStore
+
+TIMEOUT_S = 5.0
+
+
+class RemoteObjectStoreTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.standin = StandinStore()
+        listener = listen("127.0.0.1:0")
+        self.store = RemoteObjectStore(f"127.0.0.1:{listener.getsockname()[1]}")
+        task = asyncio.create_task(self.standin.server.serve(listener))
+        self.addCleanup(listener.close)
+        self.addCleanup(task.cancel)
+
+    async def test_writes_are_conditional(self):
+        first = await self.store.put("kind", "a b/c", b'{"n":1}', ABSENT_VERSION)
+        self.assertIsInstance(first, int)
+        again = await self.store.put("kind", "a b/c", b'{"n":2}', ABSENT_VERSION)
+        self.assertIs(again.kind, StoreErrorKind.CONFLICT)
+        second = await self.store.put("kind", "a b/c", b'{"n":2}', first)
+        self.assertGreater(second, first)
+        stale = await self.store.put("kind", "a b/c", b'{"n":3}', first)
+        self.assertIs(stale.kind, StoreErrorKind.CONFLICT)
+        stored = await self.store.get("kind", "a b/c")
+        self.assertEqual((stored.value, stored.version), (b'{"n":2}', second))
+
+    async def test_deletes_are_conditional(self):
+        version = await self.store.put("kind", "a", b"1", ABSENT_VERSION)
+        refused = await self.store.delete("kind", "a", version - 1)
+        self.assertIs(refused.kind, StoreErrorKind.CONFLICT)
+        self.assertNotIsInstance(await self.store.delete("kind", "a", version), StoreError)
+        missing = await self.store.get("kind", "a")
+        self.assertIs(missing.kind, StoreErrorKind.NOT_FOUND)
+
+    async def test_a_list_is_read_page_by_page(self):
+        self.standin.page = 2
+        for name in "abcde":
+            self.standin.put("kind", name, name)
+        listing = await self.store.list("kind")
+        self.assertEqual([stored.name for stored in listing.objects], list("abcde"))
+
+    async def test_a_stale_list_says_so(self):
+        await self.store.list("kind", stale=True)
+        self.assertIn("stale_ok=1", self.standin.calls[-1])
+
+    async def test_a_watch_tells_of_writes_and_deletions(self):
+        start = self.standin.put("kind", "a", 1)
+        self.standin.put("other", "x", 1)
+        with anyio.fail_after(TIMEOUT_S):
+            async with anyio.create_task_group() as tasks:
+
+                async def change():
+                    await anyio.sleep(0.05)
+                    self.standin.put("kind", "a", 2)
+                    self.standin.remove("kind", "a")
+
+                tasks.start_soon(change)
+                batch = await self.store.watch("kind", start, 3.0)
+                if len(batch.changes) == 1:
+                    rest = await self.store.watch("kind", batch.version, 3.0)
+                    batch = ChangeBatch(batch.changes + rest.changes, rest.version)
+        self.assertEqual([change.value for change in batch.changes], [b"2", None])
+
+    async def test_a_watch_without_changes_is_empty(self):
+        start = self.standin.put("kind", "a", 1)
+        batch = await self.store.watch("kind", start, 0.05)
+        self.assertEqual((batch.changes, batch.truncated), ((), False))
+
+    async def test_lost_history_is_told_from_other_failures(self):
+        start = self.standin.put("kind", "a", 1)
+        self.standin.put("kind", "a", 2)
+        self.standin.forget_history()
+        batch = await self.store.watch("kind", start, 1.0)
+        self.assertTrue(batch.truncated)
+
+    async def test_refusals_had_no_effect(self):
+        for status in (429, 503):
+            self.standin.refuse_with = status
+            written = await self.store.put("kind", "a", b"1", ABSENT_VERSION)
+            self.assertIs(written.kind, StoreErrorKind.UNAVAILABLE)
+
+    async def test_a_lost_answer_leaves_a_write_unknown(self):
+        self.standin.lose_answers = True
+        written = await self.store.put("kind", "a", b"1", ABSENT_VERSION)
+        self.assertIs(written.kind, StoreErrorKind.OUTCOME_UNKNOWN)
+        self.assertEqual(self.standin.names("kind"), ["a"])
+
+    async def test_a_store_that_does_not_answer_is_given_up(self):
+        self.standin.silent = True
+        with anyio.fail_after(TIMEOUT_S):
+            read = await self.store.get("kind", "a")
+            written = await self.store.put("kind", "a", b"1", ABSENT_VERSION)
+        self.assertIs(read.kind, StoreErrorKind.UNAVAILABLE)
+        self.assertIs(written.kind, StoreErrorKind.OUTCOME_UNKNOWN)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/platform/test_requests.py
@@ -0,0 +1,83 @@
+"""Tests of translating the headers of requests and answers."""
+
+from __future__ import annotations
+
+import unittest
+
+from bronzerudder.http1 import Request, ResponseHead
+from bronzerudder.platform.requests import decode_answer, decode_request, encode_request
+
+HEADERS = (
+    (b"host", b"Shop.example:8080"),
+    (b"attempt-id", b"r1"),
+    (b"deadline-ms", b"2500"),
+    (b"token-usage", b"1460,80"),
+    (b"x-api-key", b"secret"),
+    (b"tenant", b"forged"),
+    (b"connection", b"x-hop"),
+    (b"x-hop", b"1"),
+    (b"prompt-prefix", b"5c:800"),
+    (b"content-length", b"0"),
+)
+REQUEST = Request(b"POST", b"/a/b?q=1", HEADERS, b"")
+
+
+class RequestTest(unittest.TestCase):
+    def test_headers_are_decoded(self):
+        caller = decode_request(REQUEST)
+        self.assertEqual((caller.host, caller.path, caller.key), ("shop.example", "/a/b", "secret"))
+        self.assertEqual((caller.deadline_s, caller.request_id), (2.5, "r1"))
+        self.assertEqual((caller.prompt_tokens, caller.answer_tokens), (1460, 80))
+
+    def test_nonsense_is_passed_over(self):
+        headers = ((b"deadline-ms", b"soon"), (b"token-usage", b"x"), (b"length-hint", b"-3"))
+        caller = decode_request(Request(b"GET", b"/", headers, b""))
+        self.assertEqual(
+            (caller.deadline_s, caller.prompt_tokens, caller.answer_tokens), (None, 0, 0)
+        )
+
+    def test_the_key_and_what_concerns_one_connection_stay_behind(self):
+        sent = encode_request(REQUEST, "i-1", 1.5, "w", 2, "")
+        names = [name for name, _ in sent]
+        for name in (b"x-api-key", b"connection", b"x-hop", b"content-length"):
+            self.assertNotIn(name, names)
+        self.assertIn((b"prompt-prefix", b"5c:800"), sent)
+
+    def test_the_system_sets_its_own_headers(self):
+        sent = encode_request(REQUEST, "i-1", 1.5, "w", 12, "7")
+        self.assertEqual([value for name, value in sent if name == b"tenant"], [b"w"])
+        self.assertEqual([value for name, value in sent if name == b"deadline-ms"], [b"1500"])
+        self.assertIn((b"expect-instance", b"i-1"), sent)
+        self.assertIn((b"request-priority", b"9"), sent)
+        self.assertIn((b"last-event-id", b"7"), sent)
+
+    def test_a_forged_workspace_is_dropped_where_none_is_known(self):
+        sent = encode_request(REQUEST, "i-1", 1.5, "", None, "")
+        self.assertNotIn(b"tenant", [name for name, _ in sent])
+
+
+class AnswerTest(unittest.TestCase):
+    def test_an_answer_is_decoded(self):
+        headers = (
+            (b"attempt-id", b"r1"),
+            (b"response-signature", b"s"),
+            (b"server-load", b"3,1,6"),
+        )
+        answer = decode_answer(ResponseHead(200, headers))
+        self.assertTrue(answer.signed)
+        self.assertFalse(answer.not_executed)
+        self.assertEqual(tuple(answer.load), (3, 1, 6))
+
+    def test_only_two_things_prove_that_a_request_has_not_run(self):
+        self.assertTrue(decode_answer(ResponseHead(503, ((b"not-executed", b"1"),))).not_executed)
+        self.assertTrue(decode_answer(ResponseHead(421, ())).not_executed)
+        for status in (408, 429, 503, 500):
+            self.assertFalse(decode_answer(ResponseHead(status, ())).not_executed)
+
+    def test_framing_is_not_passed_on(self):
+        headers = ((b"transfer-encoding", b"chunked"), (b"keep-alive", b"timeout=5"), (b"x", b"y"))
+        self.assertEqual(decode_answer(ResponseHead(200, headers)).headers, [(b"x", b"y")])
+
+
+if __name__ == "__main__":
+    unittest.main()
