--- a/src/bronzerudder/cli/commands/check.py
+++ b/src/bronzerudder/cli/commands/check.py
@@ -14,7 +14,15 @@
 SETTINGS_BY_ROLE = {
     "entry": ("bronzerudder.settings.entry", "EntrySettings"),
     "agent": ("bronzerudder.settings.agent", "AgentSettings"),
+    "gateway": ("bronzerudder.settings.gateway", "GatewaySettings"),
+    "rank-agent": ("bronzerudder.settings.rank_agent", "RankAgentSettings"),
 }
+ROLE_BY_FIELD = {
+    "gateway_id": "gateway",
+    "rank_address": "rank-agent",
+    "agent_id": "agent",
+}
+"""Fields that tell whose settings a document is, the more telling ones first."""
 
 
 class _Check(Invocation):
@@ -31,13 +39,18 @@
         document = read_document(self._settings, expected)
         if isinstance(document, SettingsError):
             return self._report(f"{self._settings}: {document}")
-        print(f"{self._settings}: valid settings of an {role}")
+        article = "an" if role[0] in "aeiou" else "a"
+        print(f"{self._settings}: valid settings of {article} {role}")
         return EXIT_OK
 
     def _guess_role(self) -> str:
         document = read_document(self._settings, dict[str, Any])
-        is_agent = isinstance(document, dict) and "agent_id" in document
-        return "agent" if is_agent else "entry"
+        if not isinstance(document, dict):
+            return "entry"
+        for field, role in ROLE_BY_FIELD.items():
+            if field in document:
+                return role
+        return "entry"
 
     def _report(self, problem: str) -> int:
         print(problem, file=sys.stderr)
@@ -51,8 +64,9 @@
     Parameters
     ----------
     settings : str
-        Path of the JSON settings of an entry or an agent.
+        Path of the JSON settings.
     role : str
-        ``entry`` or ``agent``; told from the file where it is left out.
+        ``entry``, ``agent``, ``gateway`` or ``rank-agent``; told from the file where it is left
+        out.
     """
     return _Check(str(settings), str(role))
--- /dev/null
+++ b/src/bronzerudder/cli/commands/explain.py
@@ -0,0 +1,46 @@
+"""``bronzerudder explain``."""
+
+from __future__ import annotations
+
+import pathlib
+import sys
+
+from bronzerudder.cli.api import EXIT_FAILED, EXIT_OK, EXIT_USAGE, Invocation
+from bronzerudder.cli.registry import command
+
+
+class _Explain(Invocation):
+    def __init__(self, request_id: str, files: tuple[str, ...]) -> None:
+        self._request_id = request_id
+        self._files = files
+
+    def _run(self) -> int:
+        from bronzerudder.operators.explain import explain, read_lines
+
+        logs = []
+        for file in self._files:
+            try:
+                logs.append(read_lines(pathlib.Path(file).read_bytes()))
+            except OSError as error:
+                print(f"{file}: {error.strerror}", file=sys.stderr)
+                return EXIT_USAGE
+        told = explain(self._request_id, logs)
+        if not told:
+            print(f"no line of request {self._request_id!r} in {len(logs)} files", file=sys.stderr)
+            return EXIT_FAILED
+        print("\n".join(told))
+        return EXIT_OK
+
+
+@command("explain")
+def explain(request_id: str, *files: str) -> Invocation:
+    """Show what was decided about a request, from the logs of several processes.
+
+    Parameters
+    ----------
+    request_id : str
+        The request's id.
+    files : str
+        Logs of the processes.
+    """
+    return _Explain(str(request_id), tuple(str(file) for file in files))
