Prepare maps on eight ranks at once, in one byte a place

Cause: on the grown site 72 preparations at once shared a link of 4 Mbit/s and none was answered in time (every change not-prepared after 2 s).

--- a/src/bronzerudder/expert_maps/agent.py
+++ b/src/bronzerudder/expert_maps/agent.py
@@ -44,6 +44,9 @@
 """Posts in a row that fail before another leader is looked for; one may just be lost."""
 CLAIM_SPREAD_S = 0.4
 """Agents that miss the leader claim at different times, so that most find a new one."""
+FIRST_RANK = 0
+FIRST_CLAIM_S = 1.0
+"""Time for the agent of the first rank to claim a group that nobody leads."""
 STORE_PAUSE_S = 0.5
 
 ShapeReader = Callable[[], Awaitable[ExpertShape | StoreError]]
@@ -98,6 +101,7 @@
         self._leader: Leader | None = None
         self._leading: GroupLeader | None = None
         self._failed_posts = 0
+        self._waited_for_first = False
         self._posted_at_s = 0.0
         self._counted_at_s = 0.0
         self._taker = ScenarioTaker()
@@ -237,6 +241,11 @@
         if is_new and found.address != self._own_address:
             self._follow(found)
             return
+        if found == NOBODY and state.rank != FIRST_RANK and not self._waited_for_first:
+            # At a start all agents look at once; one of them is enough to claim.
+            self._waited_for_first = True
+            await anyio.sleep(FIRST_CLAIM_S * random.uniform(0.5, 1.0))
+            return
         if found != NOBODY and found.address != self._own_address and state.held_step is None:
             await anyio.sleep(CLAIM_SPREAD_S * random.random())
         await self._claim(found)
--- a/src/bronzerudder/expert_maps/change.py
+++ b/src/bronzerudder/expert_maps/change.py
@@ -39,8 +39,8 @@
     RankState,
 )
 
-PREPARE_TIMEOUT_S = 1.5
-"""Time for all ranks to take the order to load."""
+PREPARE_TIMEOUT_S = 3.0
+"""Time for all ranks to take the order to load, over the narrowest links."""
 LOAD_TIMEOUT_S = 4.0
 """Time for all ranks to load; a few experts take a fraction of a second."""
 LOAD_CHECK_INTERVAL_S = 0.05
--- a/src/bronzerudder/expert_maps/posts.py
+++ b/src/bronzerudder/expert_maps/posts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import array
 from typing import TypeVar
 
 import msgspec
@@ -14,7 +15,10 @@
 ACCEPTED = 200
 NOT_LEADER = 409
 
+MAX_BYTE = 255
+
 _Body = TypeVar("_Body")
+_TYPE_BY_WIDTH = {1: "B", 2: "H"}
 
 
 class RankPost(msgspec.Struct, frozen=True):
@@ -36,12 +40,14 @@
 
 
 class PackedLayout(msgspec.Struct, frozen=True, array_like=True):
-    """A layout in two bytes a place.
+    """A layout in one or two bytes a place.
 
     Parameters
     ----------
     sets, ranks : int
         Shape.
+    width : int
+        Bytes of an expert's number.
     sizes : bytes
         Experts that each rank holds, by set and rank.
     experts : bytes
@@ -50,6 +56,7 @@
 
     sets: int
     ranks: int
+    width: int
     sizes: bytes
     experts: bytes
 
@@ -94,19 +101,16 @@
 
 def pack_layout(layout: Layout) -> PackedLayout:
     """Pack a layout."""
-    sizes = bytearray()
-    experts = bytearray()
-    for held in layout:
-        for numbers in held:
-            sizes.append(len(numbers))
-            for number in numbers:
-                experts += number.to_bytes(2, "little")
-    return PackedLayout(len(layout), len(layout[0]), bytes(sizes), bytes(experts))
+    sizes = [len(numbers) for held in layout for numbers in held]
+    experts = [number for held in layout for numbers in held for number in numbers]
+    width = 1 if max(experts) <= MAX_BYTE else 2
+    packed = array.array(_TYPE_BY_WIDTH[width], experts).tobytes()
+    return PackedLayout(len(layout), len(layout[0]), width, bytes(sizes), packed)
 
 
 def unpack_layout(packed: PackedLayout) -> Layout:
     """Unpack a layout."""
-    numbers = memoryview(packed.experts).cast("H").tolist()
+    numbers = array.array(_TYPE_BY_WIDTH[packed.width], packed.experts).tolist()
     layout: Layout = []
     at = 0
     for index in range(packed.sets):
--- a/src/bronzerudder/expert_maps/relay.py
+++ b/src/bronzerudder/expert_maps/relay.py
@@ -31,6 +31,10 @@
 
 RELAY_TIMEOUT_S = 0.15
 """Two hops on one site and the rank's answer take some milliseconds."""
+PREPARE_TIMEOUT_S = 0.6
+"""A map of some kilobytes to each of many ranks fills a narrow link for some tenths of a second."""
+PREPARES_AT_ONCE = 8
+"""More of them would only share the leader's link, and none be answered in time."""
 REFUSED = 409
 UNKNOWN = 504
 
@@ -58,6 +62,7 @@
         self._direct = direct
         self._port = port
         self._pool = ClientPool(RELAY_TIMEOUT_S)
+        self._prepares = anyio.Semaphore(PREPARES_AT_ONCE)
 
     async def state(self, address: str) -> RankState | RankFailure:
         """Ask a rank for its state."""
@@ -74,7 +79,10 @@
     async def prepare(self, rank: RankState, version: int, layout: Layout) -> OrderResult:
         """Load what a map places on the rank."""
         order = RankOrder(rank, "prepare", version, layout=pack_layout(layout))
-        return await self._give(order, lambda: self._direct.prepare(rank, version, layout))
+        async with self._prepares:
+            return await self._give(
+                order, lambda: self._direct.prepare(rank, version, layout), PREPARE_TIMEOUT_S
+            )
 
     async def arm(self, rank: RankState, version: int, step: int) -> OrderResult:
         """Switch to the prepared map when a step begins."""
@@ -97,11 +105,14 @@
         return await self._give(order, lambda: self._direct.release(rank, step))
 
     async def _give(
-        self, order: RankOrder, give_directly: Callable[[], Awaitable[OrderResult]]
+        self,
+        order: RankOrder,
+        give_directly: Callable[[], Awaitable[OrderResult]],
+        timeout_s: float = RELAY_TIMEOUT_S,
     ) -> OrderResult:
         address = f"{order.state.address.rpartition(':')[0]}:{self._port}"
         headers = [(b"host", address.encode())]
-        with anyio.move_on_after(RELAY_TIMEOUT_S):
+        with anyio.move_on_after(timeout_s):
             answer = await self._pool.call(
                 address, b"POST", ORDER_PATH, headers, encode_body(order)
             )
