--- a/src/bronzerudder/cli/commands/gateway.py
+++ b/src/bronzerudder/cli/commands/gateway.py
@@ -16,4 +16,4 @@
     settings : str
         Path of its JSON settings.
     """
-    return ProcessInvocation(settings, "bronzerudder.processes.gateway")
+    return ProcessInvocation(settings, "bronzerudder.processes.gateway", reloads=True)
--- a/src/bronzerudder/cli/process.py
+++ b/src/bronzerudder/cli/process.py
@@ -10,6 +10,7 @@
 from bronzerudder.cli.api import EXIT_USAGE, Invocation
 from bronzerudder.cli.documents import read_document
 from bronzerudder.settings import SettingsError
+from bronzerudder.settings.file import SettingsFile
 
 
 class ProcessInvocation(Invocation):
@@ -22,10 +23,13 @@
     module : str
         Module that has the settings' type as ``SETTINGS`` and the coroutine function ``run``;
         imported only when the command runs, so that each process loads what its role needs.
+    reloads : bool
+        Whether ``run`` takes the `SettingsFile` as well, to follow its changes.
     """
 
-    def __init__(self, settings: str, module: str) -> None:
+    def __init__(self, settings: str, module: str, reloads: bool = False) -> None:
         self._settings = settings
+        self._reloads = reloads
         self._module = module
 
     def _run(self) -> int:
@@ -34,4 +38,6 @@
         if isinstance(document, SettingsError):
             print(f"{self._settings}: {document}", file=sys.stderr)
             return EXIT_USAGE
-        return anyio.run(module.run, document)
+        if not self._reloads:
+            return anyio.run(module.run, document)
+        return anyio.run(module.run, document, SettingsFile(str(self._settings), module.SETTINGS))
--- a/src/bronzerudder/gateway/services.py
+++ b/src/bronzerudder/gateway/services.py
@@ -44,7 +44,6 @@
 
     def __init__(self, name: str, retry: RetryTerms, gateways: int) -> None:
         self._name = name
-        self._retry = retry
         self._candidates: dict[str, Candidate] = {}
         self._addresses: dict[str, str] = {}
         self._by_address: dict[str, str] = {}
@@ -68,9 +67,9 @@
         """Backend servers by id."""
         return self._candidates
 
-    def share_budget(self, gateways: int) -> None:
-        """Divide the fixed part of the retry budget anew."""
-        self.budget.set_extra(self._retry.extra / gateways)
+    def share_budget(self, retry: RetryTerms, gateways: int) -> None:
+        """Divide the retry budget anew."""
+        self.budget.set_terms(retry.share, retry.extra / gateways, retry.window_s)
 
     @property
     def in_lockstep(self) -> bool:
@@ -183,7 +182,13 @@
             return
         self._gateways = gateways
         for pool in self._pools.values():
-            pool.share_budget(self._gateways)
+            pool.share_budget(self._retry, self._gateways)
+
+    def set_retry(self, retry: RetryTerms) -> None:
+        """Change the retry budget of every service."""
+        self._retry = retry
+        for pool in self._pools.values():
+            pool.share_budget(retry, self._gateways)
 
     def put(self, server: BackendServer) -> None:
         """Add or change a backend server."""
--- a/src/bronzerudder/platform/object_api.py
+++ b/src/bronzerudder/platform/object_api.py
@@ -80,6 +80,11 @@
         self._host = [(b"host", address.encode())]
         self._calls = 0
 
+    def set_address(self, address: str) -> None:
+        """Use the store at another address from the next call on."""
+        self._address = address
+        self._host = [(b"host", address.encode())]
+
     @property
     def calls(self) -> int:
         """Calls made so far, watches included."""
--- a/src/bronzerudder/policy/retry/window.py
+++ b/src/bronzerudder/policy/retry/window.py
@@ -35,9 +35,11 @@
         self._fresh: collections.deque[float] = collections.deque()
         self._retries: collections.deque[float] = collections.deque()
 
-    def set_extra(self, extra: float) -> None:
-        """Change the fixed number, as gateways come and go."""
+    def set_terms(self, share: float, extra: float, window_s: float) -> None:
+        """Change the terms, as settings change and gateways come and go."""
+        self._share = share
         self._extra = extra
+        self._window_s = window_s
 
     def left(self, now_s: float) -> float:
         """Retries that may be made now."""
--- a/src/bronzerudder/processes/gateway.py
+++ b/src/bronzerudder/processes/gateway.py
@@ -32,6 +32,8 @@
 from bronzerudder.platform.configuration import decode_backend_server, decode_configuration
 from bronzerudder.platform.errors import StoreError
 from bronzerudder.platform.object_api import RemoteObjectStore
+from bronzerudder.settings import SettingsError
+from bronzerudder.settings.file import SettingsFile
 from bronzerudder.settings.gateway import GatewaySettings
 
 SETTINGS = GatewaySettings
@@ -41,16 +43,25 @@
 STOP_MARGIN_S = 0.3
 """Left of the grace time for closing; SIGKILL follows at its end."""
 DRAIN_CHECK_INTERVAL_S = 0.02
+FIXED_SETTINGS = (
+    "gateway_id",
+    "failure_domain",
+    "caller_address",
+    "ready_address",
+    "metrics_address",
+    "peer_address",
+)
+"""Settings that take a restart to change."""
 FRESH_S = 2 * WATCH_S
 """A store that has not answered for two watches may have newer versions."""
 CONFIRM_TIMEOUT_S = 0.3
 """A denial is held up for no longer than this to read the newest configuration."""
 
 
-async def run(settings: GatewaySettings) -> int:
+async def run(settings: GatewaySettings, file: SettingsFile) -> int:
     """Serve callers until told to stop and drained."""
     async with anyio.create_task_group() as tasks:
-        process = GatewayProcess(settings, tasks)
+        process = GatewayProcess(settings, file, tasks)
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
             process.start()
             async for received in signals:
@@ -71,12 +82,17 @@
     ----------
     settings : GatewaySettings
         Its settings.
+    file : SettingsFile
+        Where they were read; followed for changes.
     tasks : TaskGroup
         Runs everything.
     """
 
-    def __init__(self, settings: GatewaySettings, tasks: anyio.abc.TaskGroup) -> None:
+    def __init__(
+        self, settings: GatewaySettings, file: SettingsFile, tasks: anyio.abc.TaskGroup
+    ) -> None:
         self._settings = settings
+        self._file = file
         self._tasks = tasks
         self._leaving = False
         self._stood_still = False
@@ -91,8 +107,7 @@
         self._metrics = GatewayMetrics(self._registry)
         self._store = RemoteObjectStore(settings["store_address"])
         self._connections = ClientPool()
-        budget = settings["retry_budget"]
-        retry = RetryTerms(budget["share"], budget["extra"], budget["window_s"])
+        retry = _retry_terms(settings)
         self._services = ServiceTable(retry, self._connections, self._log, tasks)
         self._configuration = ConfigurationHolder(
             wire.CONFIGURATION_NAME, decode_configuration, self._note_configuration, self._log
@@ -156,8 +171,18 @@
         self._log.state("stopped", busy=self._server.busy)
 
     def reload(self) -> None:
-        """Note a reload; addresses and identity can not change while the process runs."""
-        self._log.state("reload requested")
+        """Take over what has changed in the settings file and can change in a running process."""
+        changed = self._file.read_change()
+        if changed is None:
+            return
+        if isinstance(changed, SettingsError):
+            self._log.state("settings rejected, the last ones stay in force", reason=str(changed))
+            return
+        fixed = [name for name in FIXED_SETTINGS if changed[name] != self._settings[name]]
+        self._settings = changed
+        self._services.set_retry(_retry_terms(changed))
+        self._store.set_address(changed["store_address"])
+        self._log.state("settings reloaded", store=changed["store_address"], need_restart=fixed)
 
     def close(self) -> None:
         """Write the last lines of the log."""
@@ -229,6 +254,7 @@
             lag_s = time.monotonic() - before_s - HOUSEKEEPING_INTERVAL_S
             self._metrics.loop_lag_s.observe(max(0.0, lag_s))
             self._note_standstill()
+            self.reload()
             self._directory.drop_missing()
             self._services.set_gateways(len(self._registry_of_gateways.addresses))
             self._connections.sweep()
@@ -240,3 +266,8 @@
         self._metrics.store_calls.set(self._store.calls)
         self._metrics.connections_opened.set(self._connections.opened)
         self._metrics.log_lines_dropped.set(self._log.dropped)
+
+
+def _retry_terms(settings: GatewaySettings) -> RetryTerms:
+    budget = settings["retry_budget"]
+    return RetryTerms(budget["share"], budget["extra"], budget["window_s"])
--- a/tests/processes/test_gateway.py
+++ b/tests/processes/test_gateway.py
@@ -130,6 +130,23 @@
         pool = ClientPool()
         return await pool.call(self.addresses["caller_address"], b"GET", b"/stream/", headers)
 
+    async def test_settings_are_reloaded_with_and_without_a_signal(self):
+        process = await self.start()
+        path = self.directory / "gateway.json"
+        settings = json.loads(path.read_text())
+        settings["retry_budget"]["extra"] = 10
+        path.write_text(json.dumps(settings))
+        await self.wait_for_event("settings reloaded")
+        path.write_text("{}")
+        process.send_signal(signal.SIGHUP)
+        await self.wait_for_event("settings rejected, the last ones stay in force")
+        self.assertEqual((await self.ask(b"/read/", "r"))[0], 200)
+
+    async def wait_for_event(self, event):
+        with anyio.fail_after(TIMEOUT_S):
+            while event not in self.log.read_text():
+                await anyio.sleep(0.05)
+
     async def test_three_kinds_of_failure_are_explained_from_the_log(self):
         await self.start()
         self.worker.script = [Behaviour.CUT]
