--- a/bench/demo.py
+++ b/bench/demo.py
@@ -9,6 +9,7 @@
 from bench.harness import Deployment, Shape
 from bench.harness.deployment import BOOKING_POOL, CHAT_POOL, build_pool
 from bench.harness.load import call_service, expected_text, open_client, stream_completion
+from bench.platform_demo import PlatformDemo
 
 STREAM_TOKENS = 40
 STEP_TIME_S = 0.05
@@ -49,6 +50,8 @@
         anyio.run(_show_stream, deployment, transcript)
         anyio.run(_show_booking, deployment, transcript)
         anyio.run(_show_death, deployment, transcript)
+    transcript.note("starting a gateway on stand-ins of the users' platform")
+    anyio.run(PlatformDemo(transcript.check).run)
     print("every outcome was right" if not transcript.failed else "some outcome was WRONG")
     return 1 if transcript.failed else 0
 
--- /dev/null
+++ b/bench/platform_demo.py
@@ -0,0 +1,152 @@
+"""Shows a gateway on stand-ins of the users' platform."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import pathlib
+import subprocess
+import sys
+import tempfile
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+
+from bronzerudder.http1 import ClientPool, HttpError, HttpServer, listen
+from bronzerudder.platform import wire
+from bronzerudder.standin.fleet import Behaviour, StandinStore, StandinWorker
+from bronzerudder.standin.fleet.worker import EVENTS
+
+START_TIMEOUT_S = 15.0
+CHECK_INTERVAL_S = 0.05
+HOST = "shop.example"
+KEY = "demo-key"
+ADDRESSES = ("caller_address", "ready_address", "metrics_address", "peer_address")
+
+Check = Callable[[str, bool], None]
+
+
+def build_configuration() -> dict[str, Any]:
+    """Build a configuration with a plain route and a stream."""
+    common = {"host": HOST, "timeout_ms": 4000, "service": "replies", "max_attempts": 2}
+    routes = [
+        {"name": "look-up", "path_prefix": "/read/", "kind": "idempotent", **common},
+        {
+            "name": "reply",
+            "path_prefix": "/stream/",
+            "kind": "streaming",
+            "resumable": True,
+            **common,
+        },
+    ]
+    tenants = [{"name": "school", "api_keys": [KEY]}]
+    return {"version": 1, "routes": routes, "services": [{"name": "replies"}], "tenants": tenants}
+
+
+class PlatformDemo:
+    """A store, two backend servers and a gateway.
+
+    Parameters
+    ----------
+    check : callable
+        Takes a text and whether it is right.
+    """
+
+    def __init__(self, check: Check) -> None:
+        self._check = check
+        self._tasks: list[asyncio.Task[None]] = []
+        self._store = StandinStore()
+        self._workers = [StandinWorker("i-1"), StandinWorker("i-2")]
+        self._addresses = {name: _free_address() for name in ADDRESSES}
+
+    async def run(self) -> None:
+        """Start everything, show the outcomes, and end everything."""
+        store_address = self._serve(self._store.server)
+        self._store.put(wire.CONFIGURATION_KIND, wire.CONFIGURATION_NAME, build_configuration())
+        for worker in self._workers:
+            entry = {
+                "service": "replies",
+                "address": self._serve(worker.server),
+                "state": "ready",
+                "slots": 4,
+            }
+            self._store.put(wire.BACKEND_SERVER_KIND, worker.instance_id, entry)
+        with tempfile.TemporaryDirectory() as directory:
+            process = self._start_gateway(pathlib.Path(directory), store_address)
+            try:
+                await self._wait_ready()
+                await self._show()
+            finally:
+                process.terminate()
+                process.wait()
+        for task in self._tasks:
+            task.cancel()
+
+    def _serve(self, server: HttpServer) -> str:
+        listener = listen("127.0.0.1:0")
+        self._tasks.append(asyncio.create_task(server.serve(listener)))
+        return f"127.0.0.1:{listener.getsockname()[1]}"
+
+    def _start_gateway(
+        self, directory: pathlib.Path, store_address: str
+    ) -> subprocess.Popen[bytes]:
+        settings = {
+            "gateway_id": "gateway-1",
+            "failure_domain": "a",
+            "store_address": store_address,
+            "grace_s": 4.0,
+            "retry_budget": {"share": 0.2, "extra": 20, "window_s": 10},
+            **self._addresses,
+        }
+        path = directory / "gateway.json"
+        path.write_text(json.dumps(settings), encoding="utf-8")
+        command = [sys.executable, "-m", "bronzerudder", "gateway", str(path)]
+        return subprocess.Popen(command, stdout=subprocess.DEVNULL)
+
+    async def _wait_ready(self) -> None:
+        address = self._addresses["ready_address"]
+        with anyio.fail_after(START_TIMEOUT_S):
+            while True:
+                answer = await ClientPool().call(address, b"GET", wire.READY_PATH, _HOST_HEADER)
+                if not isinstance(answer, HttpError) and answer[0] == 200:
+                    return
+                await anyio.sleep(CHECK_INTERVAL_S)
+
+    async def _show(self) -> None:
+        status, body = await self._ask(b"/read/a", KEY)
+        self._check(f"look-up: {status} {body.decode()!r}", status == 200)
+        self._workers[0].usual = Behaviour.CUT
+        status, body = await self._ask(b"/stream/a", KEY)
+        events = body.count(b"id: ")
+        self._check(
+            f"stream, cut by one backend server: {status}, {events} events", events == EVENTS
+        )
+        status, body = await self._ask(b"/read/a", "wrong")
+        self._check(f"wrong key: {status} {body.decode().strip()!r}", status == 401)
+        for worker in self._workers:
+            self._store.remove(wire.BACKEND_SERVER_KIND, worker.instance_id)
+        await anyio.sleep(0.3)
+        status, body = await self._ask(b"/read/a", KEY)
+        self._check(f"no backend server: {status} {body.decode().strip()!r}", status == 503)
+
+    async def _ask(self, path: bytes, key: str) -> tuple[int, bytes]:
+        headers = [
+            *_HOST_HEADER,
+            (wire.API_KEY, key.encode()),
+            (wire.REQUEST_ID, b"demo"),
+            (wire.DEADLINE_MS, b"2000"),
+        ]
+        address = self._addresses["caller_address"]
+        answer = await ClientPool().call(address, b"GET", path, headers)
+        return (0, answer.reason.encode()) if isinstance(answer, HttpError) else answer
+
+
+_HOST_HEADER = [(b"host", HOST.encode())]
+
+
+def _free_address() -> str:
+    listener = listen("127.0.0.1:0")
+    port = listener.getsockname()[1]
+    listener.close()
+    return f"127.0.0.1:{port}"
--- a/src/bronzerudder/gateway/configuration.py
+++ b/src/bronzerudder/gateway/configuration.py
@@ -4,8 +4,6 @@
 
 from collections.abc import Callable
 
-import anyio
-
 from bronzerudder.gateway.follower import KindListener
 from bronzerudder.gateway.tables import Configuration
 from bronzerudder.observability.event_log import EventLog
@@ -38,11 +36,6 @@
         self._on_change = on_change
         self._log = log
         self._current: Configuration | None = None
-        self._known = anyio.Event()
-
-    async def wait_known(self) -> None:
-        """Wait until a configuration was read."""
-        await self._known.wait()
 
     @property
     def current(self) -> Configuration | None:
@@ -74,7 +67,6 @@
         if decoded.version <= known:
             return
         self._current = decoded
-        self._known.set()
         self._log.state(
             "configuration in force",
             version=decoded.version,
--- a/src/bronzerudder/gateway/follower.py
+++ b/src/bronzerudder/gateway/follower.py
@@ -5,6 +5,7 @@
 import abc
 import random
 import time
+from collections.abc import Callable
 
 import anyio
 
@@ -51,11 +52,19 @@
         Takes in what is read.
     log : EventLog
         Says when the store was lost and regained.
+    on_known : callable
+        Called after each time that the whole kind was read.
     """
 
     def __init__(
-        self, store: ObjectStore, kind: str, listener: KindListener, log: EventLog
+        self,
+        store: ObjectStore,
+        kind: str,
+        listener: KindListener,
+        log: EventLog,
+        on_known: Callable[[], None] = lambda: None,
     ) -> None:
+        self._on_known = on_known
         self._store = store
         self._kind = kind
         self._listener = listener
@@ -89,6 +98,7 @@
                 continue
             after_outage = self._note_contact()
             self._listener.take_listing(listing, after_outage)
+            self._on_known()
             await self._watch_from(listing.version)
 
     async def _watch_from(self, version: int) -> None:
--- a/src/bronzerudder/gateway/forwarding.py
+++ b/src/bronzerudder/gateway/forwarding.py
@@ -127,6 +127,7 @@
         self._last_failure: AttemptFailure | None = None
         self._last_answer: WholeAnswer | None = None
         self._queue_s = 0.0
+        self._last_instance = ""
 
     @property
     def relay(self) -> StreamRelay | None:
@@ -138,6 +139,16 @@
         """Attempts made so far."""
         return self._may_have_run + self._rejections
 
+    @property
+    def service(self) -> str:
+        """Service that the request goes to."""
+        return self._pool.name
+
+    @property
+    def last_instance(self) -> str:
+        """Backend server that the request was last sent to; empty before the first."""
+        return self._last_instance
+
     @property
     def may_have_run(self) -> bool:
         """Whether any backend server may have run the request."""
@@ -169,6 +180,7 @@
                 continue
             if isinstance(result, WholeAnswer) and result.answer.status >= ERROR_STATUS:
                 self._last_answer = result
+                self._tried.add(placed.candidate.name)
                 failure = AttemptFailure(FailureKind.ERROR_ANSWER, f"status {result.answer.status}")
                 if not self._deny_retry(failure):
                     continue
@@ -194,6 +206,7 @@
 
     async def _attempt(self, placed: Placement) -> WholeAnswer | StreamDelivered | AttemptFailure:
         candidate = placed.candidate
+        self._last_instance = candidate.name
         service = self._pool.name
         progress = self._shared.progress.setdefault(service, ServiceProgress())
         outgoing = self._compose(candidate)
--- a/src/bronzerudder/gateway/handler.py
+++ b/src/bronzerudder/gateway/handler.py
@@ -27,7 +27,7 @@
 STATUS_OUT_OF_TIME = 504
 MIN_RETRY_AFTER_S = 0.05
 STARTUP_WAIT_S = 1.2
-"""Wait for a first configuration; most callers stay for 2 s without an answer."""
+"""Wait for the first configuration and list; most callers stay for 2 s without an answer."""
 
 ConfirmCurrent = Callable[[], Awaitable[bool]]
 
@@ -46,6 +46,8 @@
         whether it is.
     generator : random.Random
         Splits the requests of a route among its services.
+    started : Event
+        Set once the configuration and the list of backend servers were read.
     """
 
     def __init__(
@@ -54,7 +56,9 @@
         configuration: ConfigurationHolder,
         confirm_current: ConfirmCurrent,
         generator: random.Random,
+        started: anyio.Event,
     ) -> None:
+        self._started = started
         self._shared = shared
         self._configuration = configuration
         self._confirm_current = confirm_current
@@ -64,10 +68,10 @@
         """Serve one request."""
         arrived_at_s = time.monotonic()
         caller = decode_request(request)
-        if self._configuration.current is None:
-            # A cold start reads it in milliseconds once the store answers.
+        if not self._started.is_set():
+            # A cold start reads what it needs in milliseconds once the store answers.
             with anyio.move_on_after(STARTUP_WAIT_S):
-                await self._configuration.wait_known()
+                await self._started.wait()
         admitted = await self._admit(request, caller, arrived_at_s)
         if isinstance(admitted, Refusal):
             outcome = await self._refuse(caller, writer, admitted)
@@ -227,6 +231,8 @@
         if job is not None and forwarding is not None:
             metrics.queue_s.observe(forwarding.queue_s)
             fields.update(
+                service=forwarding.service,
+                instance=forwarding.last_instance,
                 workspace=job.workspace,
                 priority=job.priority,
                 configuration=job.version,
--- a/src/bronzerudder/gateway/waiting_room.py
+++ b/src/bronzerudder/gateway/waiting_room.py
@@ -220,6 +220,9 @@
             if now_s + self.estimated_wait_s(0) > ticket.give_up_at_s:
                 return self._overloaded(now_s, ticket, missing.reason)
             return None
+        if not self._all_candidates():
+            reason = "no backend server of the service is listed"
+            return Refusal(RefusalKind.NO_BACKEND_SERVER, reason, missing.retry_after_s)
         if missing.kind is NoCandidateKind.ALL_EXCLUDED:
             return Refusal(RefusalKind.NO_BACKEND_SERVER, missing.reason, missing.retry_after_s)
         if now_s + missing.retry_after_s > ticket.give_up_at_s:
--- a/src/bronzerudder/processes/gateway.py
+++ b/src/bronzerudder/processes/gateway.py
@@ -116,17 +116,26 @@
             decode_backend_server, self._services.put, self._services.drop, self._log
         )
         self._configuration_follower = KindFollower(
-            self._store, wire.CONFIGURATION_KIND, self._configuration, self._log
+            self._store,
+            wire.CONFIGURATION_KIND,
+            self._configuration,
+            self._log,
+            self._note_known,
         )
         self._directory_follower = KindFollower(
-            self._store, wire.BACKEND_SERVER_KIND, self._directory, self._log
+            self._store,
+            wire.BACKEND_SERVER_KIND,
+            self._directory,
+            self._log,
+            self._note_known,
         )
+        self._started = anyio.Event()
         self._crashes = CrashWatch(settings["gateway_id"], self._tell_crash, self._log)
         shared = Surroundings(
             self._services, self._connections, {}, self._crashes, self._metrics, self._log
         )
         handler = GatewayHandler(
-            shared, self._configuration, self._confirm_current, random.Random()
+            shared, self._configuration, self._confirm_current, random.Random(), self._started
         )
         self._server = HttpServer(handler, self._limits, self._note_rejected)
         self._standstill = StandstillDetector()
@@ -206,11 +215,16 @@
         current = self._configuration.current
         return ServerLimits() if current is None else current.limits
 
+    def _note_known(self) -> None:
+        if not self._find_unready_reason():
+            self._started.set()
+
     def _note_configuration(self) -> None:
         current = self._configuration.current
         if current is not None:
             self._metrics.configuration_version.set(current.version)
             self._services.describe(current.services)
+            self._note_known()
 
     def _note_rejected(self, status: int, reason: str) -> None:
         self._metrics.requests.labels("", str(status), "not-run").inc()
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -98,7 +98,11 @@
         shared = Surroundings(
             self.services, self.connections, {}, self.crashes, self.metrics, self.log
         )
-        handler = GatewayHandler(shared, self.configuration, self._confirm, random.Random(1))
+        started = anyio.Event()
+        started.set()
+        handler = GatewayHandler(
+            shared, self.configuration, self._confirm, random.Random(1), started
+        )
         self.server = HttpServer(handler, ServerLimits)
         self.address = self._serve(self.server)
         self.configuration.take_value(make_configuration())
--- a/tests/gateway/test_handler.py
+++ b/tests/gateway/test_handler.py
@@ -106,7 +106,9 @@
         for behaviour in (Behaviour.RESET, Behaviour.CUT, Behaviour.UNSIGNED, Behaviour.BARE_503):
             self.always(behaviour)
             before = self.gateway.runs()
-            status, headers, _ = await self.gateway.ask("/book/", behaviour.value, method=b"POST")
+            # Another target each time, as a request that broke two attempts is fenced off.
+            path = f"/book/{behaviour.value}"
+            status, headers, _ = await self.gateway.ask(path, behaviour.value, method=b"POST")
             self.assertEqual(status, 502, behaviour)
             self.assertNotIn(b"response-signature", headers)
             self.assertEqual(self.gateway.runs() - before, 1, behaviour)
@@ -154,8 +156,10 @@
     async def test_without_a_backend_server_a_request_is_refused(self):
         for worker in self.gateway.workers:
             self.gateway.services.drop(worker.instance_id)
-        status, headers, _ = await self.gateway.ask("/read/", deadline_ms="400")
+        with anyio.fail_after(0.5):
+            status, headers, body = await self.gateway.ask("/stream/", deadline_ms="5000")
         self.assertEqual(status, 503)
+        self.assertIn(b"no-backend-server", body)
         self.assertIn(b"retry-after", headers)
 
     async def test_work_ends_when_the_caller_leaves(self):
--- a/tests/processes/test_gateway.py
+++ b/tests/processes/test_gateway.py
@@ -130,6 +130,15 @@
         pool = ClientPool()
         return await pool.call(self.addresses["caller_address"], b"GET", b"/stream/", headers)
 
+    async def test_a_configuration_that_comes_after_the_start_is_served_at_once(self):
+        self.store.remove("config", "main")
+        starting = asyncio.create_task(self.start())
+        await anyio.sleep(2.0)
+        self.store.put("config", "main", msgspec.json.decode(make_configuration()))
+        await starting
+        with anyio.fail_after(1.0):
+            self.assertEqual((await self.ask(b"/read/", "r"))[0], 200)
+
     async def test_settings_are_reloaded_with_and_without_a_signal(self):
         process = await self.start()
         path = self.directory / "gateway.json"
