--- a/src/bronzerudder/gateway/follower.py
+++ b/src/bronzerudder/gateway/follower.py
@@ -13,8 +13,9 @@
 from bronzerudder.platform.api import Change, Listing, ObjectStore
 from bronzerudder.platform.errors import StoreError
 
-WATCH_S = 8.0
-"""Length of a watch; the store counts each. Keep-alive probes find a dead one sooner."""
+WATCH_S = 3.0
+"""Length of a watch. The store counts each, but one that it has silently dropped is only found at
+its end, and changes must be in force 5 s after the store is sound again."""
 FIRST_RETRY_S = 0.05
 MAX_RETRY_S = 0.4
 """Longest pause between calls to a store that is away; it must be found again within a second."""
--- a/src/bronzerudder/standin/fleet/store.py
+++ b/src/bronzerudder/standin/fleet/store.py
@@ -83,6 +83,11 @@
         self._events.append((kind, self._revision, item, deleted))
         self._wake()
 
+    def drop_watches(self) -> None:
+        """Leave the waiting watches without an answer for good."""
+        self.silent = True
+        self._wake()
+
     def _wake(self) -> None:
         self._changed.set()
         self._changed = anyio.Event()
@@ -122,15 +127,21 @@
 
     async def _watch(self, kind: str, after: int, wait_ms: int) -> tuple[int, Any]:
         history = self._histories
+        dropped = False
         with anyio.move_on_after(wait_ms / MS_PER_S):
             while True:
                 if history != self._histories:
                     return CUT, None
                 if after < self._forgotten:
                     return 410, None
+                if self.silent:
+                    dropped = True
+                    break
                 if any(event[0] == kind and event[1] > after for event in self._events):
                     break
                 await self._changed.wait()
+        if dropped:
+            await anyio.sleep_forever()
         events = [
             {"object": item, "deleted": deleted}
             for event_kind, revision, item, deleted in self._events
--- a/tests/gateway/test_follower.py
+++ b/tests/gateway/test_follower.py
@@ -90,6 +90,18 @@
             self.standin.forget_history()
             await self.wait_for({"a": b"3"})
 
+    async def test_a_watch_that_the_store_silently_dropped_is_made_up_for_in_time(self):
+        # Found in the logs of the recorded incident inc-faac, at front-kgl-b-1 from 8.5 s on.
+        self.standin.put("kind", "a", 1)
+        await self.wait_for({"a": b"1"})
+        await anyio.sleep(0.1)
+        self.standin.drop_watches()
+        await anyio.sleep(0.1)
+        self.standin.silent = False
+        self.standin.put("kind", "a", 2)
+        with anyio.fail_after(5.0):
+            await self.wait_for({"a": b"2"})
+
     async def test_after_lost_history_the_whole_kind_is_read_again(self):
         self.standin.put("kind", "a", 1)
         await self.wait_for({"a": b"1"})
