--- a/src/bronzerudder/execution/attempt.py
+++ b/src/bronzerudder/execution/attempt.py
@@ -209,7 +209,7 @@
         self._detached_at = now
 
     def withdraw(self) -> None:
-        """Tell whoever runs it that nobody wants the answer."""
+        """Cancel the attempt because the caller disconnected."""
         self._withdrawn.set()
         self._notify_room()
 
--- a/src/bronzerudder/execution/runner.py
+++ b/src/bronzerudder/execution/runner.py
@@ -27,7 +27,7 @@
 
 
 class AttemptBooks(NamedTuple):
-    """What is kept of all attempts, shared with whoever admits them."""
+    """State of all attempts, shared with the admission queue."""
 
     table: AttemptTable
     gate: AdmissionGate
--- a/src/bronzerudder/expert_maps/change.py
+++ b/src/bronzerudder/expert_maps/change.py
@@ -17,7 +17,7 @@
 never will be.
 
 Whoever takes over first looks whether all ranks are armed alike (case 1). If not, it prepares a
-higher version on a rank that is not armed: from then on the change can't be completed by whoever
+higher version on a rank that is not armed: from then on the change can't be completed by the leader that
 began it, and arming may be taken back on the others. Versions are unique, as they begin with the
 term of the leader, so an order of an earlier leader can't be mistaken for one of the present one.
 """
--- a/src/bronzerudder/platform/object_api.py
+++ b/src/bronzerudder/platform/object_api.py
@@ -22,7 +22,7 @@
 from bronzerudder.platform.errors import StoreError, StoreErrorKind
 
 CALL_TIMEOUT_S = 1.0
-"""The store answers in milliseconds; slower is an outage for whoever waits."""
+"""The store answers in milliseconds; a slower call is treated as an outage."""
 WATCH_MARGIN_S = 1.0
 """Time past the end of a watch after which its connection counts as dead."""
 MS_PER_S = 1000.0
--- a/src/bronzerudder/standin/__init__.py
+++ b/src/bronzerudder/standin/__init__.py
@@ -1,1 +1,1 @@
-"""Small stand-ins for the platform and the backend servers, for tests, the demo and the bench."""
+"""Stand-ins for the platform and the backend servers, for tests, the demo and the bench."""
--- a/src/bronzerudder/web/listener.py
+++ b/src/bronzerudder/web/listener.py
@@ -26,5 +26,5 @@
 
 
 def announce_listening(address: str, **more: str) -> None:
-    """Print the line by which whoever started this process learns its addresses."""
+    """Print the addresses of this process for the process that started it."""
     print(json.dumps({"event": "listening", "address": address, **more}), flush=True)
