--- a/src/bronzerudder/expert_maps/change.py
+++ b/src/bronzerudder/expert_maps/change.py
@@ -16,10 +16,10 @@
 without it: as long as any other rank can be made unable to arm, the leader's rank is not armed and
 never will be.
 
-Whoever takes over first looks whether all ranks are armed alike (case 1). If not, it prepares a
-higher version on a rank that is not armed: from then on the change can't be completed by the leader that
-began it, and arming may be taken back on the others. Versions are unique, as they begin with the
-term of the leader, so an order of an earlier leader can't be mistaken for one of the present one.
+A successor first looks whether all ranks are armed alike (case 1). If not, it prepares a higher
+version on a rank that is not armed: from then on the leader that began the change can't complete
+it, and arming may be taken back on the others. Versions are unique, as they begin with the term of
+the leader, so an order of an earlier leader can't be mistaken for one of the present one.
 """
 
 from __future__ import annotations
