--- a/src/bronzerudder/gateway/follower.py
+++ b/src/bronzerudder/gateway/follower.py
@@ -102,12 +102,16 @@
             await self._watch_from(listing.version)
 
     async def _watch_from(self, version: int) -> None:
-        """Watch until the history that is needed is gone."""
+        """Watch until the history that is needed is gone, or a watch fails.
+
+        After a failure the whole kind is read again: a store that drops its history may have told
+        an earlier watch of a version without the changes up to it.
+        """
         while True:
             batch = await self._store.watch(self._kind, version, WATCH_S)
             if isinstance(batch, StoreError):
                 await self._wait_after(batch)
-                continue
+                return
             after_outage = self._note_contact()
             if batch.truncated:
                 self._log.state("history lost", kind=self._kind, version=version)
--- a/src/bronzerudder/standin/fleet/store.py
+++ b/src/bronzerudder/standin/fleet/store.py
@@ -30,6 +30,8 @@
         Whether writes are carried out and their connection closed without an answer.
     silent : bool
         Whether calls are never answered.
+    deaf : bool
+        Whether watches hear of no change, though the version that they return moves on.
     calls : list of str
         Method and path of every call.
     """
@@ -39,6 +41,7 @@
         self.refuse_with = 0
         self.lose_answers = False
         self.silent = False
+        self.deaf = False
         self.calls: list[str] = []
         self.server = HttpServer(self._handle, ServerLimits)
         self._objects: dict[str, dict[str, dict[str, Any]]] = {}
@@ -75,6 +78,8 @@
         self._wake()
 
     def _note(self, kind: str, item: dict[str, Any], deleted: bool) -> None:
+        if self.deaf:
+            return
         self._events.append((kind, self._revision, item, deleted))
         self._wake()
 
--- a/tests/gateway/test_follower.py
+++ b/tests/gateway/test_follower.py
@@ -4,9 +4,11 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 import anyio
 
+from bronzerudder.gateway import follower
 from bronzerudder.gateway.follower import KindFollower, KindListener
 from bronzerudder.http1 import listen
 from bronzerudder.platform.object_api import RemoteObjectStore
@@ -72,6 +74,22 @@
         await self.wait_for({"a": b"1", "b": b"2"})
         self.assertEqual(self.names.outages, 1)
 
+    async def test_a_change_that_watches_did_not_hear_of_is_found_once_they_are_cut(self):
+        # Found by fleetbench hunt on inanga-hq: scale-1 --seed 19490480289 (CONFIG).
+        self.standin.put("kind", "a", 1)
+        await self.wait_for({"a": b"1"})
+        with mock.patch.object(follower, "WATCH_S", 0.1):
+            self.standin.put("kind", "a", 2)
+            await self.wait_for({"a": b"2"})
+            await anyio.sleep(0.05)
+            self.standin.deaf = True
+            self.standin.put("kind", "a", 3)
+            await anyio.sleep(0.3)
+            self.assertEqual(self.names.names, {"a": b"2"})
+            self.standin.deaf = False
+            self.standin.forget_history()
+            await self.wait_for({"a": b"3"})
+
     async def test_after_lost_history_the_whole_kind_is_read_again(self):
         self.standin.put("kind", "a", 1)
         await self.wait_for({"a": b"1"})
