Settle without the last leader's rank only if it cannot be armed by an earlier one

Cause: a leader that went on without the silent rank of the leader before it assumed that only that leader could have armed it. After two losses in a row it may still be armed by the first. Ruled out: a flag on the store that a term has settled (one more write, unavailable in an outage); a reachable rank that is armed for the previous leader's map shows the same.

--- a/src/bronzerudder/expert_maps/change.py
+++ b/src/bronzerudder/expert_maps/change.py
@@ -14,7 +14,9 @@
 The rank beside the leader is armed last, once all others have accepted. A leader's machine that
 stands still or is cut off takes its rank's interface with it, and the order lets a successor go on
 without it: as long as any other rank can be made unable to arm, the leader's rank is not armed and
-never will be.
+never will be. That holds only for armings of that very leader: the rank may still be armed by an
+earlier one whose change nobody has settled. A map of the previous leader that another rank is armed
+for rules this out, as that leader had every rank accept its preparation before it armed any.
 
 A successor first looks whether all ranks are armed alike (case 1). If not, it prepares a higher
 version on a rank that is not armed: from then on the leader that began the change can't complete
@@ -155,7 +157,7 @@
         ranks: Sequence[RankState],
         version: int,
         layout: Layout,
-        without_last: bool = False,
+        without_last: range | None = None,
     ) -> bool:
         """End what an unfinished change left behind: armed ranks and held steps.
 
@@ -163,12 +165,13 @@
         ----------
         ranks : sequence of RankState
             All ranks of the group.
-        without_last : bool
-            The rank that the previous leader armed last is not among them, as it does not answer.
         version : int
             Above all versions that any rank has had.
         layout : list
             Layout in use.
+        without_last : range or None
+            Versions of the previous leader, if the rank beside it is not among `ranks`, as it does
+            not answer; None if all ranks are there.
 
         Returns
         -------
@@ -180,16 +183,25 @@
         states = await self._read_states(ranks)
         if states is None:
             return False
+        if without_last is not None and not _is_armed_for(states, without_last):
+            self._note("the rank that does not answer may be armed by an earlier leader")
+            return False
         armings = {state.armed for state in states}
         if len(armings) == 1 and None not in armings:
-            if without_last:
+            if without_last is not None:
                 self._note("all reachable ranks are armed; the last one must answer first")
                 return False
             self._note("inherited map is armed by all ranks", armed=str(armings.pop()))
             return await self._release_all(states)
+        if not await self._void(states, version, layout):
+            return False
+        return await self._release_all(states)
+
+    async def _void(self, states: Sequence[RankState], version: int, layout: Layout) -> bool:
+        """Make an unfinished change impossible to complete, and take back its armings."""
         free = [state for state in states if state.armed is None]
         if not free:
-            self._note("ranks are armed for different maps", armed=str(armings))
+            self._note("ranks are armed for different maps")
             return False
         if not await self._prepare_all(free, version, layout):
             return False
@@ -198,9 +210,7 @@
                 continue
             if not await self._disarm(state, state.armed.version):
                 return False
-        if not await self._prepare_all(states, version, layout):
-            return False
-        return await self._release_all(states)
+        return await self._prepare_all(states, version, layout)
 
     def _choose_holder(self, ranks: Sequence[RankState], version: int) -> RankState:
         """Choose a rank on another machine than this process, so that a successor reaches it."""
@@ -301,6 +311,10 @@
             await anyio.sleep(RETRY_INTERVAL_S)
 
 
+def _is_armed_for(states: Sequence[RankState], versions: range) -> bool:
+    return any(state.armed is not None and state.armed.version in versions for state in states)
+
+
 async def _all(
     function: Callable[[RankState], Awaitable[bool]], ranks: Sequence[RankState]
 ) -> bool:
--- a/src/bronzerudder/expert_maps/leader.py
+++ b/src/bronzerudder/expert_maps/leader.py
@@ -319,7 +319,9 @@
         used = self._experts_of_missing(layout)
         for held, experts in zip(layout, used, strict=True):
             held.insert(missing, experts)
-        settled = await self._changer.settle(ranks, self._next_version(), layout, True)
+        term = self._leader.term
+        previous = range((term - 1) * VERSIONS_PER_TERM, term * VERSIONS_PER_TERM)
+        settled = await self._changer.settle(ranks, self._next_version(), layout, previous)
         self._held_since_s = None
         self._note("held step looked after without the last leader's rank", settled=settled)
 
--- a/tests/expert_maps/test_change.py
+++ b/tests/expert_maps/test_change.py
@@ -26,10 +26,13 @@
 FAULT_SEEDS = 60
 TAKE_OVER_S = 1.2
 END_S = 60.0
+VERSIONS_PER_TERM = 1000
+FIRST_VERSIONS = range(VERSIONS_PER_TERM, 2 * VERSIONS_PER_TERM)
+SECOND_VERSIONS = range(2 * VERSIONS_PER_TERM, 3 * VERSIONS_PER_TERM)
 
 
 def plan(term, number=0):
-    version = term * 1000 + 2 * number + 1
+    version = term * VERSIONS_PER_TERM + 2 * number + 1
     return ChangePlan(version, version + 1, [[[term, number]]], [[[0]]], 1 / 0.05)
 
 
@@ -84,7 +87,8 @@
                 blocked = orders._is_blocked("rank-0")
                 if any(state.held_step is not None for state in states):
                     reachable = states[1:] if blocked else states
-                    await changer.settle(reachable, 2000 + number, [[[0]]], without_last=blocked)
+                    without = FIRST_VERSIONS if blocked else None
+                    await changer.settle(reachable, 2000 + number, [[[0]]], without)
                 elif not blocked:
                     await changer.change(states, plan(2, number))
                 await anyio.sleep(0.4)
@@ -117,6 +121,75 @@
         for seed in range(FAULT_SEEDS):
             self.play_faults(seed, late=0.2, lost=0.1, freeze_after=1 + seed % 30)
 
+    def play_two_losses(self, seed):
+        """Two leaders stand still in turn, the second while it settles what the first left."""
+        group = SimulatedGroup(SIZE, seeded(seed))
+        generator = group.generator
+        first_stops, second_stops = generator.randint(5, 14), generator.randint(1, 9)
+
+        async def lead_first(tasks):
+            orders = SimulatedOrders(group, tasks, own="rank-0")
+            orders.freeze_after = (first_stops, 3.0)
+            await self.changer(orders, group, "rank-0").change(group.states(), plan(1))
+
+        async def succeed(tasks, own, term, stops_after):
+            orders = SimulatedOrders(group, tasks, own=own)
+            if stops_after:
+                orders.freeze_after = (stops_after, 8.0)
+            changer = self.changer(orders, group, own)
+            previous = range((term - 1) * VERSIONS_PER_TERM, term * VERSIONS_PER_TERM)
+            for number in range(20):
+                states = group.states()
+                reachable = [state for state in states if not orders._is_blocked(state.address)]
+                if any(state.held_step is not None for state in reachable):
+                    without = previous if len(reachable) < len(states) else None
+                    version = term * VERSIONS_PER_TERM + number
+                    await changer.settle(reachable, version, [[[0]]], without)
+                await anyio.sleep(0.3)
+
+        async def play():
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(group.run)
+                tasks.start_soon(lead_first, tasks)
+                await anyio.sleep(TAKE_OVER_S)
+                tasks.start_soon(succeed, tasks, "rank-1", 2, second_stops)
+                await anyio.sleep(3.0)
+                tasks.start_soon(succeed, tasks, "rank-2", 3, 0)
+                await anyio.sleep(END_S)
+                tasks.cancel_scope.cancel()
+
+        run_virtual(play)
+        self.assertEqual(group.mixed, [], f"seed {seed}")
+
+    def test_two_leaders_that_stand_still_in_turn_never_mix_maps(self):
+        for seed in range(FAULT_SEEDS):
+            self.play_two_losses(seed)
+
+    def test_a_silent_rank_that_an_earlier_leader_armed_keeps_the_step_held(self):
+        group = SimulatedGroup(SIZE, seeded(0))
+        step = 30
+        for rank in group.ranks[1:]:
+            rank.highest, rank.armed = 1001, (1001, step, (1001, "new"))
+        group.ranks[2].held = step
+        group.blocked_until_s["rank-1"] = 10.0
+
+        async def play():
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(group.run)
+                orders = SimulatedOrders(group, tasks, own="rank-3")
+                changer = self.changer(orders, group, "rank-3")
+                reachable = [group.state(group.ranks[number]) for number in (0, 2, 3)]
+                settled = await changer.settle(reachable, 3001, [[[0]]], SECOND_VERSIONS)
+                self.assertFalse(settled)
+                await anyio.sleep(10.0)
+                self.assertTrue(await changer.settle(group.states(), 3002, [[[0]]]))
+                await anyio.sleep(2.0)
+                tasks.cancel_scope.cancel()
+
+        run_virtual(play)
+        self.assertEqual(group.mixed, [])
+        self.assertGreater(group.step, step)
+
     def test_a_change_that_does_not_wait_for_all_ranks_is_found_out(self):
         async def arm_some(self, ranks, version, step):
             for rank in ranks[:1]:
@@ -127,7 +200,7 @@
             self.play_faults(0, late=0.0, lost=0.0, freeze_after=0)
 
     def test_a_settlement_that_does_not_void_the_change_is_found_out(self):
-        async def release_only(self, ranks, version, layout, without_last=False):
+        async def release_only(self, ranks, version, layout, without_last=None):
             states = await self._read_states(ranks)
             return states is not None and await self._release_all(states)
 
