Serve metrics of rank agents, and test them as processes before stand-in ranks

Cause: metrics_address of a rank agent was read and not served; no test ran an agent as a process, as no stand-in spoke a rank's interface. Ruled out: importing the metrics library at start (memory beside each rank is priced); counts are plain numbers and the library is imported at the first question. Before: connection refused at the metrics address. Conclusion: the rank semantics of the tests' simulated group moved to standin/fleet, so that both use one copy.

--- /dev/null
+++ b/bench/harness/fleet.py
@@ -0,0 +1,247 @@
+"""Gateways and rank agents as processes, before stand-ins of the users' platform in this one."""
+
+from __future__ import annotations
+
+import asyncio
+import pathlib
+import random
+import time
+from typing import Any, NamedTuple
+
+import anyio
+
+from bench.harness.process import ManagedProcess
+from bronzerudder.http1 import ClientPool, HttpError, HttpServer, listen
+from bronzerudder.platform import wire
+from bronzerudder.standin.fleet import (
+    LockstepGroup,
+    StandinRank,
+    StandinStore,
+    StandinWorker,
+)
+
+HOST = "h.example"
+KEYS = {"school-a": "key-a", "school-b": "key-b"}
+MODEL = "replies"
+PLAIN = "bookings"
+SLOTS = 6
+SETS = 2
+EXPERTS = 16
+STEP_S = 0.08
+READY_TIMEOUT_S = 20.0
+READ_TIMEOUT_S = 2.0
+CHECK_INTERVAL_S = 0.05
+_HOST_HEADER = [(b"host", HOST.encode())]
+
+
+class FleetShape(NamedTuple):
+    """Size of a fleet."""
+
+    gateways: int = 1
+    ranks: int = 3
+    plain: int = 2
+    grace_s: float = 6.0
+
+
+def make_route(name: str, kind: str, service: str, **changes: Any) -> dict[str, Any]:
+    """Make a route whose path is its name."""
+    return {
+        "name": name,
+        "host": HOST,
+        "path_prefix": f"/{name}/",
+        "kind": kind,
+        "timeout_ms": 4000,
+        "target_latency_ms": 300,
+        "target_gap_ms": 100,
+        "priority": 1,
+        "service": service,
+        "max_attempts": 2,
+        **changes,
+    }
+
+
+def make_configuration(
+    version: int, routes: list[dict[str, Any]] | None = None, keys: dict[str, str] | None = None
+) -> dict[str, Any]:
+    """Make a configuration with a route of each kind, and some of its own."""
+    engine = {"step_ms": 5.0, "sets": SETS, "experts": EXPERTS, "placements": 8, "spare": 2}
+    return {
+        "version": version,
+        "routes": [
+            make_route("read", "idempotent", PLAIN),
+            make_route("book", "non_idempotent", PLAIN, max_attempts=1),
+            make_route("stream", "streaming", MODEL, resumable=True),
+            make_route("once", "streaming", MODEL, max_attempts=1),
+            *(routes or []),
+        ],
+        "services": [{"name": PLAIN}, {"name": MODEL, "engine": engine}],
+        "tenants": [
+            {"name": name, "api_keys": [key]} for name, key in (keys or KEYS).items() if key
+        ],
+    }
+
+
+def free_port(host: str) -> int:
+    """Return a port that is free on a loopback address now."""
+    listener = listen(f"{host}:0")
+    port = listener.getsockname()[1]
+    listener.close()
+    return port
+
+
+class Fleet:
+    """The processes, and the stand-ins that they talk to.
+
+    Parameters
+    ----------
+    directory : pathlib.Path
+        Takes settings and logs.
+    shape : FleetShape
+        Size.
+    generator : random.Random
+        Draws what requests choose.
+
+    Attributes
+    ----------
+    store, workers, plain, group, ranks
+        The stand-ins; `workers` run the model's requests, one beside each rank.
+    """
+
+    def __init__(
+        self, directory: pathlib.Path, shape: FleetShape, generator: random.Random
+    ) -> None:
+        self._directory = directory
+        self._shape = shape
+        self._generator = generator
+        self._tasks: list[asyncio.Task[Any]] = []
+        self._processes: list[ManagedProcess] = []
+        self.store = StandinStore()
+        self.workers = [StandinWorker(f"m-{number}") for number in range(shape.ranks)]
+        self.plain = [StandinWorker(f"p-{number}") for number in range(shape.plain)]
+        self._peer_port = free_port("127.0.0.1")
+        hosts = [f"127.0.1.{number + 1}" for number in range(shape.ranks)]
+        rank_port = free_port(hosts[0]) if hosts else 0
+        self._rank_hosts = hosts
+        self.group = LockstepGroup(
+            [f"{host}:{rank_port}" for host in hosts], int(time.time() * 1000)
+        )
+        self.ranks = [
+            StandinRank(self.group, rank, worker, (SETS, EXPERTS))
+            for rank, worker in zip(self.group.ranks, self.workers, strict=True)
+        ]
+        self.store_address = ""
+
+    @property
+    def processes(self) -> list[ManagedProcess]:
+        """All processes that were started."""
+        return self._processes
+
+    def serve_stand_ins(self) -> None:
+        """Serve the store, backend servers and ranks, and list them."""
+        self.store_address = self.serve(self.store.server)
+        self.store.put(wire.CONFIGURATION_KIND, wire.CONFIGURATION_NAME, make_configuration(1))
+        for worker in self.plain:
+            self.list_worker(worker, PLAIN, self.serve(worker.server))
+        for rank, worker in zip(self.ranks, self.workers, strict=True):
+            address = self.group.ranks[worker_number(worker)].address
+            self.serve(rank.server, address)
+            self.list_worker(worker, MODEL, address)
+        if self.ranks:
+            self._tasks.append(asyncio.create_task(self._make_steps()))
+
+    def list_worker(
+        self, worker: StandinWorker, service: str, address: str, leaving: bool = False
+    ) -> None:
+        """Write a backend server's entry on the store."""
+        entry = {
+            "service": service,
+            "address": address,
+            "state": "draining" if leaving else "ready",
+            "slots": SLOTS,
+        }
+        self.store.put(wire.BACKEND_SERVER_KIND, worker.instance_id, entry)
+
+    def serve(self, server: HttpServer, address: str = "127.0.0.1:0") -> str:
+        """Serve in this process; return the address."""
+        listener = listen(address)
+        self._tasks.append(asyncio.create_task(server.serve(listener)))
+        host, port = listener.getsockname()
+        return f"{host}:{port}"
+
+    def gateway_settings(self, name: str, store_address: str) -> dict[str, Any]:
+        """Make the settings of a gateway on free ports."""
+        addresses = {
+            field: f"127.0.0.1:{free_port('127.0.0.1')}"
+            for field in ("caller_address", "ready_address", "metrics_address", "peer_address")
+        }
+        return {
+            "gateway_id": name,
+            "failure_domain": "z",
+            "store_address": store_address,
+            "grace_s": self._shape.grace_s,
+            "retry_budget": {"share": 0.2, "extra": 90, "window_s": 10},
+            **addresses,
+        }
+
+    def agent_settings(self, number: int, store_address: str) -> dict[str, Any]:
+        """Make the settings of the agent beside a rank."""
+        host = self._rank_hosts[number]
+        return {
+            "agent_id": f"agent-{number}",
+            "failure_domain": "z",
+            "rank_address": self.group.ranks[number].address,
+            "service": MODEL,
+            "peer_address": f"{host}:{self._peer_port}",
+            "metrics_address": f"{host}:{self._peer_port + 1}",
+            "store_address": store_address,
+        }
+
+    def start_process(self, role: str, name: str, settings: dict[str, Any]) -> ManagedProcess:
+        """Start a process of the product."""
+        process = ManagedProcess(name, (role,), settings, self._directory)
+        self._processes.append(process)
+        return process
+
+    async def close(self) -> None:
+        """End everything that was started here."""
+        for process in self._processes:
+            process.close()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _make_steps(self) -> None:
+        while True:
+            await anyio.sleep(STEP_S)
+            self.group.advance(time.monotonic())
+            for rank in self.ranks:
+                rank.pick(self._generator)
+
+
+def worker_number(worker: StandinWorker) -> int:
+    """Return the number of a worker among its kind."""
+    return int(worker.instance_id.rpartition("-")[2])
+
+
+async def read_text(address: str, path: bytes) -> tuple[int, str]:
+    """Read a page; status 0 where it can't be read."""
+    exchange = await ClientPool().open(address)
+    if isinstance(exchange, HttpError):
+        return 0, ""
+    try:
+        with anyio.move_on_after(READ_TIMEOUT_S):
+            await exchange.send(b"GET", path, _HOST_HEADER, b"")
+            head = await exchange.read_head()
+            body = await exchange.read_rest()
+            if not isinstance(head, HttpError) and isinstance(body, bytes):
+                return head.status, body.decode()
+    finally:
+        exchange.discard()
+    return 0, ""
+
+
+async def wait_ready(address: str, timeout_s: float = READY_TIMEOUT_S) -> None:
+    """Wait until a gateway takes callers."""
+    with anyio.fail_after(timeout_s):
+        while (await read_text(address, wire.READY_PATH))[0] != 200:
+            await anyio.sleep(CHECK_INTERVAL_S)
--- a/src/bronzerudder/expert_maps/agent.py
+++ b/src/bronzerudder/expert_maps/agent.py
@@ -11,6 +11,7 @@
 from anyio.abc import TaskGroup
 
 from bronzerudder.expert_maps.api import RankFailure, RankPlaces, RankState
+from bronzerudder.expert_maps.counts import AgentCounts, Counted
 from bronzerudder.expert_maps.leader import GroupLeader, RankLister
 from bronzerudder.expert_maps.leadership import NOBODY, Leader, LeaderRecord
 from bronzerudder.expert_maps.posts import (
@@ -71,6 +72,8 @@
         Tells the gateways how loaded the rank is.
     log : EventLog
         Takes a line for each change of leader.
+    counts : AgentCounts
+        Takes what is done, for the metrics.
     tasks : TaskGroup
         Runs the leading.
     """
@@ -85,8 +88,10 @@
         list_ranks: RankLister,
         tell_load: Callable[[RankState], None],
         log: EventLog,
+        counts: AgentCounts,
         tasks: TaskGroup,
     ) -> None:
+        self._counts = counts
         self._tell_load = tell_load
         self._ranks = ranks
         self._rank_address = rank_address
@@ -113,6 +118,16 @@
         """The leader's part, while this agent leads."""
         return self._leading
 
+    @property
+    def term(self) -> int:
+        """Term of the leader that it knows; 0 for none."""
+        return 0 if self._leader is None else self._leader.term
+
+    @property
+    def map_version(self) -> int:
+        """Map that the rank used when it last told; 0 before."""
+        return 0 if self._posted is None else self._posted.map_version
+
     async def handle(self, request: Request, writer: ResponseWriter) -> None:
         """Take a post of another agent."""
         if request.target == ORDER_PATH:
@@ -134,7 +149,9 @@
         if order is None or order.state.address != self._rank_address:
             await writer.respond(400, [], b"not an order for this rank\n")
             return
-        await writer.respond(await carry_out(self._ranks, order), [], b"")
+        status = await carry_out(self._ranks, order)
+        self._counts.note(Counted.ORDERS, f"{order.operation} {status}")
+        await writer.respond(status, [], b"")
 
     async def run(self) -> None:
         """Look at the rank and post, for ever."""
@@ -178,7 +195,9 @@
         if due:
             self._posted_at_s = time.monotonic()
         post = RankPost(state, scenario, places)
-        if await self._deliver(post):
+        delivered = await self._deliver(post)
+        self._counts.note(Counted.POSTS, "delivered" if delivered else "failed")
+        if delivered:
             self._posted = state
             self._failed_posts = 0
             if places is not None and self._leader is not None:
@@ -276,6 +295,7 @@
             claimed,
             known.rank_address,
             self._log,
+            self._counts,
         )
         self._leading = leading
         self._tasks.start_soon(self._lead, leading)
--- a/src/bronzerudder/expert_maps/leader.py
+++ b/src/bronzerudder/expert_maps/leader.py
@@ -10,6 +10,7 @@
 
 from bronzerudder.expert_maps.api import Layout, RankCalls, RankFailure, RankPlaces, RankState
 from bronzerudder.expert_maps.change import ChangePlan, ChangeResult, MapChanger
+from bronzerudder.expert_maps.counts import AgentCounts, Counted
 from bronzerudder.expert_maps.leadership import Leader, LeaderRecord
 from bronzerudder.expert_maps.posts import RankPost
 from bronzerudder.expert_maps.scenarios import ScenarioWindow
@@ -69,6 +70,8 @@
         Rank beside the leader before, which that leader armed last; empty if there was none.
     log : EventLog
         Takes a line for each step of a change.
+    counts : AgentCounts
+        Takes the results of changes, for the metrics.
     """
 
     def __init__(
@@ -81,7 +84,9 @@
         leader: Leader,
         previous_rank: str,
         log: EventLog,
+        counts: AgentCounts,
     ) -> None:
+        self._counts = counts
         self._shape = shape
         self._record = record
         self._leader = leader
@@ -266,6 +271,7 @@
         started_s = time.monotonic()
         result = await self._changer.change(ranks, plan)
         now_s = time.monotonic()
+        self._counts.note(Counted.MAP_CHANGES, result.value)
         self._note(
             "map change ended",
             version=plan.version,
--- a/src/bronzerudder/processes/gateway.py
+++ b/src/bronzerudder/processes/gateway.py
@@ -13,7 +13,7 @@
 
 from bronzerudder.cli.api import EXIT_OK
 from bronzerudder.concurrency import supervise
-from bronzerudder.gateway.admin import MetricsHandler, ReadinessHandler
+from bronzerudder.gateway.admin import ReadinessHandler
 from bronzerudder.gateway.clock import StandstillDetector
 from bronzerudder.gateway.configuration import ConfigurationHolder
 from bronzerudder.gateway.crash_watch import CrashWatch
@@ -25,6 +25,7 @@
 from bronzerudder.gateway.services import RetryTerms, ServiceTable
 from bronzerudder.http1 import ClientPool, HttpServer, ServerLimits, listen
 from bronzerudder.observability.event_log import DEFAULT_LINES_PER_S, EventLog
+from bronzerudder.observability.metrics_page import MetricsHandler
 from bronzerudder.peers.datagrams import DatagramPort
 from bronzerudder.peers.messages import CrashSeen, Message, RankLoad
 from bronzerudder.peers.registry import GatewayRegistry
--- a/src/bronzerudder/processes/rank_agent.py
+++ b/src/bronzerudder/processes/rank_agent.py
@@ -6,6 +6,7 @@
 import signal
 import sys
 import time
+from collections.abc import Awaitable, Callable
 
 import anyio
 
@@ -13,8 +14,9 @@
 from bronzerudder.concurrency import supervise
 from bronzerudder.expert_maps.agent import RankAgent
 from bronzerudder.expert_maps.api import RankState
+from bronzerudder.expert_maps.counts import AgentCounts, Counted
 from bronzerudder.expert_maps.shape import ExpertShape, MapBounds
-from bronzerudder.http1 import HttpServer, ServerLimits, listen
+from bronzerudder.http1 import HttpServer, Request, ResponseWriter, ServerLimits, listen
 from bronzerudder.observability.event_log import DEFAULT_LINES_PER_S, EventLog
 from bronzerudder.peers.datagrams import DatagramPort
 from bronzerudder.peers.messages import RankLoad
@@ -31,6 +33,8 @@
 STEP_TARGET_SHARE = 0.5
 """A step that takes half of the longest pause in time leaves as much for reading prompts."""
 DEFAULT_GAP_S = 0.1
+RequestHandler = Callable[[Request, ResponseWriter], Awaitable[None]]
+
 LOAD_INTERVAL_S = 0.3
 """A load that does not change is told again, as datagrams may be lost."""
 
@@ -76,6 +80,8 @@
         self._datagrams = DatagramPort(f"{settings['peer_address'].rpartition(':')[0]}:0")
         self._told_load: RankLoad | None = None
         self._told_at_s = 0.0
+        self._counts = AgentCounts()
+        self._metrics: RequestHandler | None = None
         self._agent = RankAgent(
             RankClient(),
             settings["rank_address"],
@@ -85,13 +91,16 @@
             self._list_ranks,
             self._tell_load,
             self._log,
+            self._counts,
             tasks,
         )
 
     def start(self) -> None:
         """Take posts, and look after the rank."""
         server = HttpServer(self._agent.handle, ServerLimits)
+        metrics_server = HttpServer(self._serve_metrics, ServerLimits)
         self._tasks.start_soon(server.serve, listen(self._settings["peer_address"]))
+        self._tasks.start_soon(metrics_server.serve, listen(self._settings["metrics_address"]))
         self._tasks.start_soon(supervise, "agent", self._agent.run)
         self._tasks.start_soon(supervise, "list of gateways", self._gateways.run)
         self._tasks.start_soon(supervise, "log", self._flush_log)
@@ -110,12 +119,37 @@
         """Tell the gateways the load of the rank: when it changes, and from time to time."""
         load = RankLoad(state.address, state.requests, state.is_open, state.pace)
         now_s = time.monotonic()
-        if load == self._told_load and now_s - self._told_at_s < LOAD_INTERVAL_S:
+        changed = load != self._told_load
+        if not changed and now_s - self._told_at_s < LOAD_INTERVAL_S:
             return
+        self._counts.note(Counted.LOADS_TOLD, "changed" if changed else "repeated")
         self._told_load = load
         self._told_at_s = now_s
         self._datagrams.send(load, self._gateways.addresses)
 
+    async def _serve_metrics(self, request: Request, writer: ResponseWriter) -> None:
+        if self._metrics is None:
+            self._metrics = self._build_metrics()
+        await self._metrics(request, writer)
+
+    def _build_metrics(self) -> RequestHandler:
+        # Imported here, as most agents are never asked and the library takes memory.
+        from bronzerudder.expert_maps import metrics
+        from bronzerudder.observability.metrics_page import MetricsHandler
+
+        def read_gauges() -> metrics.AgentGauges:
+            leading = self._agent.leading
+            return metrics.AgentGauges(
+                leading is not None,
+                self._agent.term,
+                0.0 if leading is None else leading.current_skew,
+                self._agent.map_version,
+                self._store.calls,
+                self._log.dropped,
+            )
+
+        return MetricsHandler(metrics.build_registry(self._counts, read_gauges))
+
     async def _read_shape(self) -> ExpertShape | StoreError:
         """Read the shape of the maps from the configuration."""
         stored = await self._store.get(wire.CONFIGURATION_KIND, wire.CONFIGURATION_NAME)
--- /dev/null
+++ b/src/bronzerudder/standin/fleet/group.py
@@ -0,0 +1,150 @@
+"""The ranks of a group in lock-step, and the orders that change their map."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from bronzerudder.expert_maps.api import ArmedMap, RankState
+
+LOAD_S = 0.15
+FIRST_MAP_VERSION = 0
+
+
+class LoadedMap(NamedTuple):
+    """A map on one rank.
+
+    Parameters
+    ----------
+    version : int
+        0 for the map that the group starts with.
+    content : str
+        The same on two ranks only if the whole map is the same.
+    """
+
+    version: int
+    content: str
+
+
+class LockstepRank:
+    """One rank's state.
+
+    Parameters
+    ----------
+    number : int
+        Its place in the group.
+    address : str
+        ``host:port`` that takes its orders.
+    """
+
+    def __init__(self, number: int, address: str) -> None:
+        self.number = number
+        self.address = address
+        self.highest = 0
+        self.map = LoadedMap(FIRST_MAP_VERSION, "first")
+        self.prepared: LoadedMap | None = None
+        self.loading: tuple[LoadedMap, float] | None = None
+        self.armed: tuple[LoadedMap, int] | None = None
+        self.held: int | None = None
+        self.requests = 0
+
+
+class LockstepGroup:
+    """Ranks that make steps together; notes each step that ran on two maps.
+
+    Parameters
+    ----------
+    addresses : list of str
+        Of its ranks.
+    born_ms : int
+        Unix time of their start, in milliseconds.
+    """
+
+    def __init__(self, addresses: list[str], born_ms: int = 1) -> None:
+        self.ranks = [LockstepRank(number, address) for number, address in enumerate(addresses)]
+        self.step = 0
+        self.epoch = 1
+        self.mixed: list[tuple[int, set[LoadedMap]]] = []
+        self._born_ms = born_ms
+
+    def state(self, rank: LockstepRank) -> RankState:
+        """Describe a rank as it is now."""
+        armed = None if rank.armed is None else ArmedMap(rank.armed[0].version, rank.armed[1])
+        return RankState(
+            rank.address,
+            "g",
+            self.epoch,
+            rank.number,
+            len(self.ranks),
+            True,
+            self._born_ms,
+            self.step,
+            rank.map.version,
+            None if rank.prepared is None else rank.prepared.version,
+            armed,
+            rank.held,
+            rank.requests,
+        )
+
+    def states(self) -> list[RankState]:
+        """Describe all ranks as they are now."""
+        return [self.state(rank) for rank in self.ranks]
+
+    def advance(self, now_s: float) -> bool:
+        """Make one step; return False if it is held."""
+        for rank in self.ranks:
+            if rank.loading is not None and rank.loading[1] <= now_s:
+                rank.prepared, rank.loading = rank.loading[0], None
+        if any(rank.held == self.step + 1 for rank in self.ranks):
+            return False
+        self.step += 1
+        for rank in self.ranks:
+            if rank.armed is not None and rank.armed[1] == self.step:
+                rank.map, rank.armed, rank.prepared = rank.armed[0], None, None
+        maps = {rank.map for rank in self.ranks}
+        if len(maps) > 1:
+            self.mixed.append((self.step, maps))
+        return True
+
+    def prepare(self, rank: LockstepRank, version: int, content: str, now_s: float) -> bool:
+        """Begin to load a map; refused while armed, and for versions not above all others."""
+        loaded = LoadedMap(version, content)
+        if rank.loading is not None and rank.loading[0] == loaded:
+            return True
+        if rank.armed is not None or version <= rank.highest:
+            return False
+        rank.highest = version
+        rank.prepared = None
+        rank.loading = (loaded, now_s + LOAD_S)
+        return True
+
+    def arm(self, rank: LockstepRank, version: int, step: int) -> bool:
+        """Switch to the prepared map when a step begins; refused once it has begun."""
+        if rank.armed is not None and (rank.armed[0].version, rank.armed[1]) == (version, step):
+            return True
+        if rank.prepared is None or rank.prepared.version != version or step <= self.step:
+            return False
+        rank.armed = (rank.prepared, step)
+        return True
+
+    def disarm(self, rank: LockstepRank, version: int) -> bool:
+        """Take back the switch to a map; refused once the map is in use."""
+        if rank.map.version == version:
+            return False
+        if rank.armed is not None and rank.armed[0].version == version:
+            rank.armed = None
+        return True
+
+    def hold(self, rank: LockstepRank, step: int) -> bool:
+        """Keep the group from beginning a step."""
+        if rank.held == step:
+            return True
+        if rank.held is not None or step <= self.step:
+            return False
+        rank.held = step
+        return True
+
+    def release(self, rank: LockstepRank, step: int) -> bool:
+        """Let the group begin a held step."""
+        if rank.held == step:
+            rank.held = None
+        return True
--- /dev/null
+++ b/src/bronzerudder/standin/fleet/rank.py
@@ -0,0 +1,143 @@
+"""A stand-in for the interface of one rank: reports, counts and orders."""
+
+from __future__ import annotations
+
+import random
+import time
+from typing import Any
+
+import anyio
+import msgspec
+
+from bronzerudder.http1 import HttpServer, Request, ResponseWriter, ServerLimits
+from bronzerudder.platform import wire
+from bronzerudder.standin.fleet.group import LockstepGroup, LockstepRank
+from bronzerudder.standin.fleet.worker import StandinWorker
+
+DONE = 200
+REFUSED = 409
+LATE_S = (0.5, 3.0)
+PICKS_A_STEP = 8
+
+
+class StandinRank:
+    """Serves one rank of a group, beside the worker that runs its requests.
+
+    Parameters
+    ----------
+    group : LockstepGroup
+        The group.
+    rank : LockstepRank
+        Which of its ranks.
+    worker : StandinWorker
+        Runs the requests.
+    shape : tuple of int
+        Sets of layers, and experts of each.
+
+    Attributes
+    ----------
+    late_share : float
+        Part of the orders that get no answer and are carried out later.
+    """
+
+    def __init__(
+        self,
+        group: LockstepGroup,
+        rank: LockstepRank,
+        worker: StandinWorker,
+        shape: tuple[int, int],
+    ) -> None:
+        self._group = group
+        self._rank = rank
+        self._worker = worker
+        self._sets, self._experts = shape
+        self._counts = [0] * (self._sets * self._experts)
+        self._lists: list[list[list[int]]] = self._first_lists()
+        self.late_share = 0.0
+        self._first_liked = 0
+        self.server = HttpServer(self._handle, ServerLimits)
+
+    def pick(self, generator: random.Random) -> None:
+        """Count what the requests of a step chose, mostly experts of one rank of the first map."""
+        stride = len(self._group.ranks)
+        for index in range(self._sets):
+            for _ in range(PICKS_A_STEP):
+                drawn = self._first_liked + int(generator.expovariate(1.0)) * stride
+                self._counts[index * self._experts + drawn % self._experts] += 1
+
+    def turn_demand(self, by: int) -> None:
+        """Let other experts be in demand."""
+        self._first_liked += by
+
+    def _first_lists(self) -> list[list[list[int]]]:
+        ranks = len(self._group.ranks)
+        turns = [list(range(rank, self._experts, ranks)) for rank in range(ranks)]
+        return [turns for _ in range(self._sets)]
+
+    async def _handle(self, request: Request, writer: ResponseWriter) -> None:
+        path, _, query = request.target.partition(b"?")
+        if path == wire.REPORT_PATH:
+            await _answer(writer, DONE, self._report())
+        elif path == wire.COUNTS_PATH:
+            await _answer(writer, DONE, self._picked(b"lists" in query))
+        elif path == wire.ORDER_PATH:
+            await self._take_order(request, writer)
+        else:
+            await self._worker.handle(request, writer)
+
+    def _report(self) -> dict[str, Any]:
+        state = self._group.state(self._rank)
+        return {
+            "group": {
+                "name": state.group,
+                "epoch": state.epoch,
+                "rank": state.rank,
+                "state": "open",
+            },
+            "size": state.size,
+            "step": state.step,
+            "map": state.map_version,
+            "prepared": state.prepared_version,
+            "armed": state.armed,
+            "held": state.held_step,
+            "born": state.born_ms,
+            "running": self._worker.running,
+        }
+
+    def _picked(self, with_lists: bool) -> dict[str, Any]:
+        if not with_lists:
+            return {"epoch": self._group.epoch, "counts": self._counts}
+        if self._rank.map.version:
+            self._lists = msgspec.json.decode(self._rank.map.content)
+        experts = [by_rank[self._rank.number] for by_rank in self._lists]
+        return {"map": {"version": self._rank.map.version, "experts": experts}}
+
+    async def _take_order(self, request: Request, writer: ResponseWriter) -> None:
+        order = msgspec.json.decode(request.body)
+        if random.random() < self.late_share:
+            await anyio.sleep(random.uniform(*LATE_S))
+            self._carry_out(order)
+            return
+        await _answer(writer, DONE if self._carry_out(order) else REFUSED, {})
+
+    def _carry_out(self, order: dict[str, Any]) -> bool:
+        group, rank = self._group, self._rank
+        if order.get("epoch", group.epoch) != group.epoch:
+            return False
+        match order["operation"]:
+            case "prepare":
+                content = msgspec.json.encode(order["map"]).decode()
+                return group.prepare(rank, order["version"], content, time.monotonic())
+            case "arm":
+                return group.arm(rank, order["version"], order["step"])
+            case "disarm":
+                return group.disarm(rank, order["version"])
+            case "hold":
+                return group.hold(rank, order["step"])
+            case "go":
+                return group.release(rank, order["step"])
+        return False
+
+
+async def _answer(writer: ResponseWriter, status: int, document: dict[str, Any]) -> None:
+    await writer.respond(status, [], msgspec.json.encode(document))
--- a/src/bronzerudder/standin/fleet/worker.py
+++ b/src/bronzerudder/standin/fleet/worker.py
@@ -44,6 +44,8 @@
         Requests that it began to run.
     cancelled : int
         Requests whose connection closed while they ran.
+    running : int
+        Requests that run now.
     """
 
     def __init__(self, instance_id: str) -> None:
@@ -53,9 +55,11 @@
         self.runs: list[Request] = []
         self.cancelled = 0
         self.event_gap_s = EVENT_GAP_S
-        self.server = HttpServer(self._handle, ServerLimits)
+        self.running = 0
+        self.server = HttpServer(self.handle, ServerLimits)
 
-    async def _handle(self, request: Request, writer: ResponseWriter) -> None:
+    async def handle(self, request: Request, writer: ResponseWriter) -> None:
+        """Serve one request."""
         expected = request.header(wire.EXPECTED_INSTANCE)
         headers = [(wire.LOAD, b"1,0,6")]
         if expected != self.instance_id.encode():
@@ -66,11 +70,14 @@
             await writer.respond(503, [*headers, (wire.NOT_EXECUTED, b"1")], b"")
             return
         self.runs.append(request)
+        self.running += 1
         try:
             await self._run(request, writer, behaviour, headers)
         except anyio.get_cancelled_exc_class():
             self.cancelled += 1
             raise
+        finally:
+            self.running -= 1
 
     async def _run(
         self,
--- a/tests/expert_maps/simulated_group.py
+++ b/tests/expert_maps/simulated_group.py
@@ -7,19 +7,13 @@
 
 import anyio
 
-from bronzerudder.expert_maps.api import (
-    ArmedMap,
-    OrderResult,
-    RankFailure,
-    RankOrders,
-    RankState,
-)
+from bronzerudder.expert_maps.api import OrderResult, RankFailure, RankOrders
+from bronzerudder.standin.fleet import LockstepGroup
 
 STEP_S = 0.05
 ANSWER_S = 0.003
 TIMEOUT_S = 0.1
 REPORT_LAG_S = 0.2
-LOAD_S = 0.15
 LATE_S = (2.0, 12.0)
 
 
@@ -47,59 +41,23 @@
         return asyncio.get_running_loop().time()
 
 
-class Rank:
-    def __init__(self, number):
-        self.number = number
-        self.address = f"rank-{number}"
-        self.highest = 0
-        self.map = (0, "first")
-        self.prepared = None
-        self.loading = None
-        self.armed = None
-        self.held = None
-        self.history = []
-
-
-class SimulatedGroup:
-    """Ranks that make steps together; notes a step that runs on two maps."""
+class SimulatedGroup(LockstepGroup):
+    """A group in virtual time, whose ranks keep what they told."""
 
     def __init__(self, size, generator, late=0.0, lost=0.0):
-        self.ranks = [Rank(number) for number in range(size)]
+        super().__init__([f"rank-{number}" for number in range(size)])
         self.generator = generator
         self.late = late
         self.lost = lost
-        self.step = 0
-        self.epoch = 1
-        self.mixed = []
         self.blocked_until_s: dict[str, float] = {}
         self.stood_s = 0.0
-
-    def state(self, rank) -> RankState:
-        armed = None if rank.armed is None else ArmedMap(rank.armed[0], rank.armed[1])
-        return RankState(
-            rank.address,
-            "g",
-            self.epoch,
-            rank.number,
-            len(self.ranks),
-            True,
-            1,
-            self.step,
-            rank.map[0],
-            None if rank.prepared is None else rank.prepared[0],
-            armed,
-            rank.held,
-            1,
-        )
-
-    def states(self):
-        return [self.state(rank) for rank in self.ranks]
+        self.history = {rank.address: [] for rank in self.ranks}
 
     def prepared_by(self, version):
         return {
             rank.address
             for rank in self.ranks
-            if rank.prepared is not None and rank.prepared[0] == version
+            if rank.prepared is not None and rank.prepared.version == version
         }
 
     async def run(self):
@@ -108,64 +66,18 @@
             await anyio.sleep(STEP_S)
             now_s = asyncio.get_running_loop().time()
             for rank in self.ranks:
-                rank.history.append((now_s, self.state(rank)))
-                if rank.loading is not None and rank.loading[1] <= now_s:
-                    rank.prepared, rank.loading = rank.loading[0], None
-            if any(rank.held == self.step + 1 for rank in self.ranks):
+                self.history[rank.address].append((now_s, self.state(rank)))
+            if not self.advance(now_s):
                 self.stood_s += STEP_S
-                continue
-            self.step += 1
-            for rank in self.ranks:
-                if rank.armed is not None and rank.armed[1] == self.step:
-                    rank.map, rank.armed, rank.prepared = rank.armed[2], None, None
-            maps = {rank.map for rank in self.ranks}
-            if len(maps) > 1:
-                self.mixed.append((self.step, maps))
 
     def carry_out(self, rank, order, epoch) -> bool:
         """Carry an order out if the rank's state allows it."""
         kind, *words = order
         if epoch != self.epoch:
             return False
-        return getattr(self, f"_{kind}")(rank, *words)
-
-    def _prepare(self, rank, version, content):
-        if rank.loading is not None and rank.loading[0] == (version, content):
-            return True
-        if rank.armed is not None or version <= rank.highest:
-            return False
-        rank.highest = version
-        rank.prepared = None
-        rank.loading = ((version, content), asyncio.get_running_loop().time() + LOAD_S)
-        return True
-
-    def _arm(self, rank, version, step):
-        if rank.armed is not None and rank.armed[:2] == (version, step):
-            return True
-        if rank.prepared is None or rank.prepared[0] != version or step <= self.step:
-            return False
-        rank.armed = (version, step, rank.prepared)
-        return True
-
-    def _disarm(self, rank, version):
-        if rank.map[0] == version:
-            return False
-        if rank.armed is not None and rank.armed[0] == version:
-            rank.armed = None
-        return True
-
-    def _hold(self, rank, step):
-        if rank.held == step:
-            return True
-        if rank.held is not None or step <= self.step:
-            return False
-        rank.held = step
-        return True
-
-    def _release(self, rank, step):
-        if rank.held == step:
-            rank.held = None
-        return True
+        if kind == "prepare":
+            words.append(asyncio.get_running_loop().time())
+        return getattr(self, kind)(rank, *words)
 
 
 class SimulatedOrders(RankOrders):
@@ -214,7 +126,7 @@
         if address == self._own:
             return self._group.state(rank)
         now_s = asyncio.get_running_loop().time()
-        for at_s, state in reversed(rank.history):
+        for at_s, state in reversed(self._group.history[address]):
             if at_s <= now_s - REPORT_LAG_S:
                 return state
         return self._group.state(rank)
--- a/tests/expert_maps/test_change.py
+++ b/tests/expert_maps/test_change.py
@@ -13,6 +13,7 @@
 
 from bronzerudder.expert_maps import change
 from bronzerudder.expert_maps.change import ChangePlan, ChangeResult, MapChanger
+from bronzerudder.standin.fleet.group import LoadedMap
 from tests.expert_maps.simulated_group import (
     SimulatedGroup,
     SimulatedOrders,
@@ -60,7 +61,7 @@
                 return result
 
             self.assertIs(run_virtual(play), ChangeResult.CHANGED)
-            self.assertEqual({rank.map[0] for rank in group.ranks}, {1001})
+            self.assertEqual({rank.map.version for rank in group.ranks}, {1001})
             self.assertEqual((group.mixed, group.stood_s), ([], 0.0))
 
     def play_faults(self, seed, late, lost, freeze_after):
@@ -169,7 +170,7 @@
         group = SimulatedGroup(SIZE, seeded(0))
         step = 30
         for rank in group.ranks[1:]:
-            rank.highest, rank.armed = 1001, (1001, step, (1001, "new"))
+            rank.highest, rank.armed = 1001, (LoadedMap(1001, "new"), step)
         group.ranks[2].held = step
         group.blocked_until_s["rank-1"] = 10.0
 
