Plan maps for slices of what the whole group chose, and spread them through agents

Demand shifts every 2.9 s; a rank's counts came every 2.25 s into a window of 4 s, planning took 0.35 to 0.97 s for at most 40 moves a set, a change 0.8 s (of it 0.57 s to give 72 ranks the map over a narrow link), and the step was half a second ahead. Ruled out: too many requests a rank (spreading them left the steps as long), a longer memory (past demand does not come back), processor time.

--- a/src/bronzerudder/expert_maps/agent.py
+++ b/src/bronzerudder/expert_maps/agent.py
@@ -19,8 +19,10 @@
     NOT_LEADER,
     ORDER_PATH,
     POST_PATH,
+    SPREAD_PATH,
     RankOrder,
     RankPost,
+    SpreadOrder,
     decode_body,
     encode_body,
 )
@@ -35,10 +37,10 @@
 
 LOOK_INTERVAL_S = 0.12
 """How often the rank is asked; a call on the own machine costs a fraction of a millisecond."""
-POST_INTERVAL_S = 0.45
+POST_INTERVAL_S = 0.4
 """Between posts with counts; a post without goes out when the rank's map state changes."""
-SCENARIOS_PER_S = 32.0
-"""Of a whole group. It bounds what the leader's link carries; more would not change a plan."""
+SCENARIOS_PER_S = 200.0
+"""Of a whole group. It bounds what the leader's link carries: 1.6 Mbit/s at a kilobyte each."""
 POST_TIMEOUT_S = 0.25
 """A leader answers posts within some hundredths of a second, also while it plans."""
 FAILED_POSTS = 2
@@ -102,6 +104,7 @@
         self._log = log
         self._tasks = tasks
         self._pool = ClientPool(POST_TIMEOUT_S)
+        self._relay = RelayedOrders(ranks, own_address.rpartition(":")[2])
         self._record: LeaderRecord | None = None
         self._leader: Leader | None = None
         self._leading: GroupLeader | None = None
@@ -133,6 +136,9 @@
         if request.target == ORDER_PATH:
             await self._handle_order(request, writer)
             return
+        if request.target == SPREAD_PATH:
+            await self._handle_spread(request, writer)
+            return
         post = decode_body(request.body, RankPost) if request.target == POST_PATH else None
         if post is None:
             await writer.respond(400, [], b"not a post\n")
@@ -153,6 +159,15 @@
         self._counts.note(Counted.ORDERS, f"{order.operation} {status}")
         await writer.respond(status, [], b"")
 
+    async def _handle_spread(self, request: Request, writer: ResponseWriter) -> None:
+        """Pass a leader's map on to several ranks."""
+        order = decode_body(request.body, SpreadOrder)
+        if order is None:
+            await writer.respond(400, [], b"not a map to pass on\n")
+            return
+        results = await self._relay.pass_on(order)
+        await writer.respond(ACCEPTED, [], encode_body(results))
+
     async def run(self) -> None:
         """Look at the rank and post, for ever."""
         while True:
@@ -287,7 +302,7 @@
         self._leader = claimed
         self._failed_posts = 0
         leading = GroupLeader(
-            RelayedOrders(self._ranks, self._own_address.rpartition(":")[2]),
+            self._relay,
             self._rank_address,
             self._list_ranks,
             shape,
--- a/src/bronzerudder/expert_maps/api.py
+++ b/src/bronzerudder/expert_maps/api.py
@@ -4,6 +4,7 @@
 
 import abc
 import enum
+from collections.abc import Sequence
 from typing import NamedTuple
 
 import msgspec
@@ -112,6 +113,19 @@
         A map that was prepared earlier can't be armed any more.
         """
 
+    async def prepare_many(
+        self, ranks: Sequence[RankState], version: int, layout: Layout
+    ) -> dict[str, OrderResult]:
+        """Give the order to many ranks, in a way that is quicker than one by one.
+
+        Returns
+        -------
+        dict
+            Results by address, of the ranks whose result is known. Others may have taken it too.
+        """
+        del ranks, version, layout
+        return {}
+
     @abc.abstractmethod
     async def arm(self, rank: RankState, version: int, step: int) -> OrderResult:
         """Switch to the prepared map when a step begins; refused once it has begun."""
--- a/src/bronzerudder/expert_maps/change.py
+++ b/src/bronzerudder/expert_maps/change.py
@@ -50,9 +50,9 @@
 ARM_TIMEOUT_S = 20.0
 """Orders that were lost are carried out up to 12 s later; until then the step stays held."""
 RETRY_INTERVAL_S = 0.02
-LEAD_S = 0.5
-"""How far ahead the step is. All orders take some hundredths of a second; the rest is for another
-agent to take over before the group has to wait, should this one stop in the middle."""
+LEAD_S = 0.25
+"""How far ahead the step is. All orders take some hundredths of a second, and some are given again.
+The old map stays in use until then."""
 MIN_LEAD_STEPS = 4
 LONG_LEAD_S = 1.2
 """Used when orders of the same change went without an answer: time to give each several times."""
@@ -127,10 +127,13 @@
         """Take a group to another map."""
         version = plan.version
         self._unanswered = 0
+        began_s = time.monotonic()
         if not await self._prepare_all(ranks, version, plan.layout):
             return ChangeResult.NOT_PREPARED
+        prepared_s = time.monotonic()
         if not await self._await_loads(ranks, version):
             return ChangeResult.NOT_PREPARED
+        loaded_s = time.monotonic()
         holder = self._choose_holder(ranks, version)
         step = await self._hold(holder, plan.steps_per_s)
         if step is None:
@@ -145,7 +148,10 @@
                 "map armed",
                 version=version,
                 step=step,
-                took_s=round(time.monotonic() - held_at_s, 4),
+                prepare_s=round(prepared_s - began_s, 3),
+                load_s=round(loaded_s - prepared_s, 3),
+                hold_s=round(held_at_s - loaded_s, 3),
+                arm_s=round(time.monotonic() - held_at_s, 3),
             )
             return ChangeResult.CHANGED
         self._note("map not armed by all ranks", version=version, step=step)
@@ -218,6 +224,12 @@
         return others[version % len(others)] if others else ranks[0]
 
     async def _prepare_all(self, ranks: Sequence[RankState], version: int, layout: Layout) -> bool:
+        given = await self._orders.prepare_many(ranks, version, layout)
+        missing = [rank for rank in ranks if given.get(rank.address) is not OrderResult.ACCEPTED]
+
+        if given and missing:
+            self._note("map not passed on to all ranks", version=version, missing=len(missing))
+
         async def prepare(rank: RankState) -> bool:
             def give() -> Awaitable[OrderResult]:
                 return self._orders.prepare(rank, version, layout)
@@ -230,7 +242,7 @@
             state = await self._orders.state(rank.address)
             return isinstance(state, RankState) and state.prepared_version == version
 
-        return await _all(prepare, ranks)
+        return await _all(prepare, missing)
 
     async def _await_loads(self, ranks: Sequence[RankState], version: int) -> bool:
         wanted = {rank.address for rank in ranks}
--- a/src/bronzerudder/expert_maps/leader.py
+++ b/src/bronzerudder/expert_maps/leader.py
@@ -20,7 +20,7 @@
 
 RankLister = Callable[[], Awaitable[tuple[str, ...]]]
 
-CHECK_INTERVAL_S = 0.2
+CHECK_INTERVAL_S = 0.1
 MAX_POST_AGE_S = 2.0
 """Agents post about twice a second; an older post tells nothing of a rank's state now."""
 LEAST_GAIN_S = 0.012
@@ -32,7 +32,7 @@
 """Scenarios to go by; fewer are noise."""
 CHANGE_PAUSE_S = 0.3
 """After a change, before the next: posts must show the new map and the load on it."""
-REPLAN_PAUSE_S = 1.0
+REPLAN_PAUSE_S = 0.4
 """After a plan that was not worth its loads, as planning takes processor time."""
 HELD_GRACE_S = 0.1
 """A step that is held while this leader changes nothing was left behind."""
@@ -216,14 +216,15 @@
             return None
         if any(state.armed is not None for state in ranks):
             return None
-        choices = self._scenarios.largest(now_s)
+        slices = self._scenarios.slices(now_s)
         layout = self._layout(ranks)
-        if layout is None or len(choices) < LEAST_SCENARIOS:
+        seen = sum(len(held) for held in slices)
+        if layout is None or seen < min(LEAST_SCENARIOS, len(ranks)):
             return None
         # Imported here, as only the leader needs it and it takes memory.
         from bronzerudder.expert_maps import planner
 
-        scenarios = planner.split_scenarios(choices, self._shape.sets)
+        scenarios = planner.slice_loads(slices, self._shape.sets)
         paces = planner.rank_paces([state.pace for state in ranks])
         self._skew = planner.layout_skew(layout, scenarios, paces)
         if (1.0 - 1.0 / self._skew) * step_s < LEAST_GAIN_S:
@@ -236,7 +237,7 @@
                 skew=round(planned.skew, 3),
                 skew_after=round(planned.skew_after, 3),
                 step_s=round(step_s, 4),
-                scenarios=len(choices),
+                scenarios=seen,
             )
             return None
         version = self._next_version()
@@ -246,7 +247,7 @@
             skew=round(planned.skew, 3),
             skew_after=round(planned.skew_after, 3),
             step_s=round(step_s, 4),
-            scenarios=len(choices),
+            scenarios=seen,
             slowest_pace=max(state.pace for state in ranks),
             planning_s=round(time.monotonic() - now_s, 3),
             oldest_post_s=round(self._oldest_post_s(ranks), 2),
--- a/src/bronzerudder/expert_maps/planner.py
+++ b/src/bronzerudder/expert_maps/planner.py
@@ -10,7 +10,7 @@
 import numpy as np
 
 from bronzerudder.expert_maps.api import Layout
-from bronzerudder.expert_maps.scenarios import Scenario
+from bronzerudder.expert_maps.scenarios import LEVEL_BITS, MAX_LEVEL, Scenario
 from bronzerudder.expert_maps.search import StepLoads, improve_set, measure
 from bronzerudder.expert_maps.shape import MapBounds
 
@@ -26,14 +26,21 @@
     skew_after: float
 
 
-def split_scenarios(scenarios: list[Scenario], sets: int) -> np.ndarray:
-    """Return the choices in shape ``(sets, scenarios, experts)``."""
-    rows = []
-    for scenario in scenarios:
-        shares = np.frombuffer(scenario.shares, dtype=np.uint8).astype(np.float64)
-        rows.append(shares * (scenario.weight / shares.sum()))
+def slice_loads(slices: list[list[Scenario]], sets: int) -> np.ndarray:
+    """Return the choices in shape ``(sets, slices, experts)``."""
+    rows = [np.sum([_unpack(scenario) for scenario in held], axis=0) for held in slices]
     table = np.stack(rows)
-    return table.reshape(len(rows), sets, -1).transpose(1, 0, 2)
+    size = table.shape[1] // sets * sets
+    return table[:, :size].reshape(len(rows), sets, -1).transpose(1, 0, 2)
+
+
+def _unpack(scenario: Scenario) -> np.ndarray:
+    packed = np.frombuffer(scenario.levels, dtype=np.uint8)
+    levels = np.empty(2 * len(packed))
+    levels[::2] = packed >> LEVEL_BITS
+    levels[1::2] = packed & MAX_LEVEL
+    squared = levels * levels
+    return squared * (scenario.weight / squared.sum())
 
 
 def rank_paces(paces: list[float]) -> np.ndarray:
--- a/src/bronzerudder/expert_maps/posts.py
+++ b/src/bronzerudder/expert_maps/posts.py
@@ -12,6 +12,7 @@
 
 POST_PATH = b"/rank"
 ORDER_PATH = b"/order"
+SPREAD_PATH = b"/spread"
 ACCEPTED = 200
 NOT_LEADER = 409
 
@@ -83,10 +84,34 @@
     layout: PackedLayout | None = None
 
 
+class SpreadOrder(msgspec.Struct, frozen=True):
+    """A map that an agent passes on to several ranks, its own among them.
+
+    Parameters
+    ----------
+    ranks : list of RankState
+        The ranks, as the leader knows them.
+    version : int
+        Of the map.
+    layout : PackedLayout
+        The map.
+    """
+
+    ranks: list[RankState]
+    version: int
+    layout: PackedLayout
+
+
+class SpreadResults(msgspec.Struct, frozen=True):
+    """Results of a map that was passed on, by address of the rank."""
+
+    results: dict[str, str]
+
+
 _encoder = msgspec.msgpack.Encoder()
 
 
-def encode_body(body: RankPost | RankOrder) -> bytes:
+def encode_body(body: RankPost | RankOrder | SpreadOrder | SpreadResults) -> bytes:
     """Encode what goes to another agent."""
     return _encoder.encode(body)
 
--- a/src/bronzerudder/expert_maps/relay.py
+++ b/src/bronzerudder/expert_maps/relay.py
@@ -6,7 +6,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable
+import math
+from collections.abc import Awaitable, Callable, Sequence
 
 import anyio
 
@@ -22,7 +23,12 @@
 from bronzerudder.expert_maps.posts import (
     ACCEPTED,
     ORDER_PATH,
+    SPREAD_PATH,
+    PackedLayout,
     RankOrder,
+    SpreadOrder,
+    SpreadResults,
+    decode_body,
     encode_body,
     pack_layout,
     unpack_layout,
@@ -35,6 +41,8 @@
 """A map of some kilobytes to each of many ranks fills a narrow link for some tenths of a second."""
 PREPARES_AT_ONCE = 8
 """More of them would only share the leader's link, and none be answered in time."""
+SPREAD_TIMEOUT_S = 0.7
+"""Twice the time of a map over a narrow link, with its orders and answers."""
 REFUSED = 409
 UNKNOWN = 504
 
@@ -78,11 +86,67 @@
 
     async def prepare(self, rank: RankState, version: int, layout: Layout) -> OrderResult:
         """Load what a map places on the rank."""
-        order = RankOrder(rank, "prepare", version, layout=pack_layout(layout))
-        async with self._prepares:
-            return await self._give(
-                order, lambda: self._direct.prepare(rank, version, layout), PREPARE_TIMEOUT_S
+        return await self._prepare(rank, version, pack_layout(layout))
+
+    async def prepare_many(
+        self, ranks: Sequence[RankState], version: int, layout: Layout
+    ) -> dict[str, OrderResult]:
+        """Spread a map through one agent for each part of the group.
+
+        One link would take half a second to carry a map to each of 72 ranks. Parts hold
+        neighbours, which mostly are in one failure domain.
+        """
+        count = len(ranks)
+        size = math.isqrt(count)
+        if size < 2:
+            return {}
+        packed = pack_layout(layout)
+        found: dict[str, OrderResult] = {}
+
+        async def spread(part: Sequence[RankState]) -> None:
+            found.update(await self._spread(SpreadOrder(list(part), version, packed)))
+
+        async with anyio.create_task_group() as tasks:
+            for start in range(0, count, size):
+                tasks.start_soon(spread, ranks[start : start + size])
+        return found
+
+    async def _spread(self, order: SpreadOrder) -> dict[str, OrderResult]:
+        address = self._agent_address(order.ranks[0].address)
+        headers = [(b"host", address.encode())]
+        with anyio.move_on_after(SPREAD_TIMEOUT_S):
+            answer = await self._pool.call(
+                address, b"POST", SPREAD_PATH, headers, encode_body(order)
             )
+            if isinstance(answer, HttpError) or answer[0] != ACCEPTED:
+                return {}
+            told = decode_body(answer[1], SpreadResults)
+            if told is None:
+                return {}
+            return {name: OrderResult(result) for name, result in told.results.items()}
+        return {}
+
+    async def pass_on(self, order: SpreadOrder) -> SpreadResults:
+        """Give a spread map to its ranks, for the leader."""
+        results: dict[str, str] = {}
+
+        async def give(rank: RankState) -> None:
+            result = await self._prepare(rank, order.version, order.layout)
+            results[rank.address] = result.value
+
+        async with anyio.create_task_group() as tasks:
+            for rank in order.ranks:
+                tasks.start_soon(give, rank)
+        return SpreadResults(results)
+
+    async def _prepare(self, rank: RankState, version: int, packed: PackedLayout) -> OrderResult:
+        order = RankOrder(rank, "prepare", version, layout=packed)
+
+        def give_directly() -> Awaitable[OrderResult]:
+            return self._direct.prepare(rank, version, unpack_layout(packed))
+
+        async with self._prepares:
+            return await self._give(order, give_directly, PREPARE_TIMEOUT_S)
 
     async def arm(self, rank: RankState, version: int, step: int) -> OrderResult:
         """Switch to the prepared map when a step begins."""
@@ -104,13 +168,16 @@
         order = RankOrder(rank, "release", step=step)
         return await self._give(order, lambda: self._direct.release(rank, step))
 
+    def _agent_address(self, rank_address: str) -> str:
+        return f"{rank_address.rpartition(':')[0]}:{self._port}"
+
     async def _give(
         self,
         order: RankOrder,
         give_directly: Callable[[], Awaitable[OrderResult]],
         timeout_s: float = RELAY_TIMEOUT_S,
     ) -> OrderResult:
-        address = f"{order.state.address.rpartition(':')[0]}:{self._port}"
+        address = self._agent_address(order.state.address)
         headers = [(b"host", address.encode())]
         with anyio.move_on_after(timeout_s):
             answer = await self._pool.call(
--- a/src/bronzerudder/expert_maps/scenarios.py
+++ b/src/bronzerudder/expert_maps/scenarios.py
@@ -3,37 +3,38 @@
 from __future__ import annotations
 
 import collections
+import math
 from typing import NamedTuple
 
 import msgspec
 
 from bronzerudder.expert_maps.api import RankCounts
 
-WINDOW_S = 4.0
-"""Demand shifts within seconds, and most topics of the traffic are seen in this time."""
-MAX_SCENARIOS = 60
-"""The largest ones; they take the most time, and more of them cost processor time to plan with."""
-PEAK_SHARE = 255
-"""Largest share of a scenario, so that each takes a byte: links beside ranks are narrow."""
+WINDOW_S = 1.2
+"""Demand shifts within seconds; what was chosen before the last shift misleads."""
+SLICE_S = 0.2
+"""A few steps of the group. What all ranks chose in one slice is close to the load of a step."""
+LEAST_SLICE_SHARE = 0.25
+"""Slices with less than this part of the usual number of choices are too uneven to plan by."""
+MAX_LEVEL = 15
+"""Largest share of a scenario, so that two take a byte: links beside ranks are narrow."""
+LEVEL_BITS = 4
 
 
 class Scenario(msgspec.Struct, frozen=True, array_like=True):
     """What the requests of one rank chose for a while.
 
-    A step is dominated by the few prompts that are read in it, and each prompt is of one topic. So
-    the average over all ranks says little about any step, while the choices of one rank in half a
-    second are close to those of one prompt.
-
     Parameters
     ----------
     weight : int
         Choices in all.
-    shares : bytes
-        Choices of each expert, by set, relative to the most frequent one at `PEAK_SHARE`.
+    levels : bytes
+        Choices of each expert, by set: the square root, relative to the most frequent one at
+        `MAX_LEVEL`, two experts a byte with the first one in the upper half.
     """
 
     weight: int
-    shares: bytes
+    levels: bytes
 
 
 class ScenarioTaker:
@@ -53,8 +54,17 @@
         weight = sum(fresh)
         if not weight:
             return None
-        scale = PEAK_SHARE / max(fresh)
-        return Scenario(weight, bytes(round(count * scale) for count in fresh))
+        return Scenario(weight, pack_levels(fresh))
+
+
+def pack_levels(counts: list[int]) -> bytes:
+    """Pack counts, of which at least one is not 0, as levels."""
+    scale = MAX_LEVEL / math.sqrt(max(counts))
+    levels = [round(math.sqrt(count) * scale) for count in counts]
+    if len(levels) % 2:
+        levels.append(0)
+    pairs = zip(levels[::2], levels[1::2], strict=True)
+    return bytes(first << LEVEL_BITS | second for first, second in pairs)
 
 
 class _Held(NamedTuple):
@@ -72,18 +82,25 @@
     """
 
     def __init__(self, size: int) -> None:
-        self._size = size
+        self._packed_size = (size + 1) // 2
         self._held: collections.deque[_Held] = collections.deque()
 
     def add(self, scenario: Scenario, now_s: float) -> None:
         """Take in a scenario; `now_s` is a monotonic time in seconds."""
-        if len(scenario.shares) == self._size:
+        if len(scenario.levels) == self._packed_size:
             self._held.append(_Held(now_s, scenario))
 
-    def largest(self, now_s: float) -> list[Scenario]:
-        """Return the scenarios of the window that take the most time."""
+    def slices(self, now_s: float) -> list[list[Scenario]]:
+        """Return the scenarios of the window by the slice in which they came.
+
+        A step sums up what the requests on all ranks choose, so a slice, not the scenario of one
+        rank, stands for a step.
+        """
         while self._held and self._held[0].at_s < now_s - WINDOW_S:
             self._held.popleft()
-        scenarios = [held.scenario for held in self._held]
-        scenarios.sort(key=lambda scenario: scenario.weight, reverse=True)
-        return scenarios[:MAX_SCENARIOS]
+        by_slice: dict[int, list[Scenario]] = {}
+        for held in self._held:
+            by_slice.setdefault(int((now_s - held.at_s) / SLICE_S), []).append(held.scenario)
+        weights = {number: sum(item.weight for item in held) for number, held in by_slice.items()}
+        least = LEAST_SLICE_SHARE * max(weights.values(), default=0)
+        return [by_slice[number] for number in sorted(by_slice) if weights[number] >= least]
--- /dev/null
+++ b/tests/expert_maps/test_relay.py
@@ -0,0 +1,109 @@
+"""Tests of orders that go through the agents beside the ranks."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from bronzerudder.expert_maps.api import OrderResult, RankCalls, RankState
+from bronzerudder.expert_maps.posts import (
+    ORDER_PATH,
+    SPREAD_PATH,
+    RankOrder,
+    SpreadOrder,
+    decode_body,
+    encode_body,
+)
+from bronzerudder.expert_maps.relay import RelayedOrders, carry_out
+from bronzerudder.http1 import HttpServer, ServerLimits, listen
+
+LAYOUT = [[[0, 1], [2], [3], [0]]]
+RANKS = 4
+
+
+class RecordingRank(RankCalls):
+    """Accepts preparations, and keeps them."""
+
+    def __init__(self):
+        self.prepared = []
+
+    async def prepare(self, rank, version, layout):
+        self.prepared.append((rank.rank, version, layout))
+        return OrderResult.ACCEPTED
+
+    async def arm(self, rank, version, step):
+        return OrderResult.ACCEPTED
+
+    async def disarm(self, rank, version):
+        return OrderResult.ACCEPTED
+
+    async def hold(self, rank, step):
+        return OrderResult.ACCEPTED
+
+    async def release(self, rank, step):
+        return OrderResult.ACCEPTED
+
+    async def state(self, address):
+        raise NotImplementedError
+
+    async def counts(self, address):
+        raise NotImplementedError
+
+    async def places(self, address):
+        raise NotImplementedError
+
+
+class RelayTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        hosts = [f"127.0.2.{rank + 1}" for rank in range(RANKS)]
+        first = listen(f"{hosts[0]}:0")
+        self.port = str(first.getsockname()[1])
+        listeners = [first, *(listen(f"{host}:{self.port}") for host in hosts[1:])]
+        self.calls = [RecordingRank() for _ in hosts]
+        self.spread = []
+        self.servers = []
+        for rank, listener in enumerate(listeners):
+            self.addCleanup(listener.close)
+            server = HttpServer(self.agent(rank), ServerLimits)
+            self.servers.append(asyncio.create_task(server.serve(listener)))
+            self.addCleanup(self.servers[-1].cancel)
+        self.ranks = [
+            RankState(f"{host}:1", "g", 1, rank, RANKS, True, 1, 5, 0, None, None, None, 0)
+            for rank, host in enumerate(hosts)
+        ]
+        self.leader = RelayedOrders(RecordingRank(), self.port)
+
+    def agent(self, rank):
+        relay = RelayedOrders(self.calls[rank], self.port)
+
+        async def handle(request, writer):
+            if request.target == SPREAD_PATH:
+                self.spread.append(rank)
+                results = await relay.pass_on(decode_body(request.body, SpreadOrder))
+                await writer.respond(200, [], encode_body(results))
+                return
+            assert request.target == ORDER_PATH
+            status = await carry_out(self.calls[rank], decode_body(request.body, RankOrder))
+            await writer.respond(status, [], b"")
+
+        return handle
+
+    async def test_a_map_goes_to_all_ranks_through_a_few_agents(self):
+        found = await self.leader.prepare_many(self.ranks, 7, LAYOUT)
+        self.assertEqual(found, {rank.address: OrderResult.ACCEPTED for rank in self.ranks})
+        self.assertEqual(sorted(self.spread), [0, 2])
+        for number, calls in enumerate(self.calls):
+            self.assertEqual(calls.prepared, [(number, 7, LAYOUT)])
+
+    async def test_ranks_whose_agent_is_silent_have_no_result(self):
+        self.servers[2].cancel()
+        await asyncio.sleep(0)
+        found = await self.leader.prepare_many(self.ranks, 7, LAYOUT)
+        self.assertEqual(set(found), {rank.address for rank in self.ranks[:2]})
+
+    async def test_a_small_group_is_given_its_orders_one_by_one(self):
+        self.assertEqual(await self.leader.prepare_many(self.ranks[:3], 7, LAYOUT), {})
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/expert_maps/test_scenarios.py
+++ b/tests/expert_maps/test_scenarios.py
@@ -10,6 +10,7 @@
     Scenario,
     ScenarioTaker,
     ScenarioWindow,
+    pack_levels,
 )
 
 
@@ -17,8 +18,11 @@
     def test_a_scenario_is_what_came_between_two_counts(self):
         taker = ScenarioTaker()
         self.assertIsNone(taker.take(RankCounts(1, [5, 5])))
-        scenario = taker.take(RankCounts(1, [7, 9]))
-        self.assertEqual((scenario.weight, scenario.shares), (6, bytes((128, 255))))
+        scenario = taker.take(RankCounts(1, [6, 9]))
+        self.assertEqual((scenario.weight, scenario.levels), (5, bytes((0x8F,))))
+
+    def test_an_odd_number_of_counts_is_padded(self):
+        self.assertEqual(pack_levels([4, 0, 1]), bytes((0xF0, 0x80)))
 
     def test_a_group_that_formed_again_counts_from_zero(self):
         taker = ScenarioTaker()
@@ -36,19 +40,27 @@
     def setUp(self):
         self.window = ScenarioWindow(2)
 
-    def test_the_largest_come_first(self):
-        for weight in (1, 9, 4):
-            self.window.add(Scenario(weight, b"ab"), 0.0)
-        self.assertEqual([item.weight for item in self.window.largest(0.0)], [9, 4, 1])
+    def weights(self, now_s):
+        return [[item.weight for item in held] for held in self.window.slices(now_s)]
+
+    def test_scenarios_are_returned_by_slice_the_newest_first(self):
+        for at_s, weight in ((0.05, 3), (0.1, 4), (0.25, 5)):
+            self.window.add(Scenario(weight, b"a"), at_s)
+        self.assertEqual(self.weights(0.3), [[4, 5], [3]])
 
     def test_old_scenarios_are_dropped(self):
-        self.window.add(Scenario(5, b"ab"), 0.0)
-        self.window.add(Scenario(1, b"ab"), WINDOW_S + 0.1)
-        self.assertEqual([item.weight for item in self.window.largest(WINDOW_S + 0.1)], [1])
+        self.window.add(Scenario(5, b"a"), 0.0)
+        self.window.add(Scenario(1, b"a"), WINDOW_S + 0.1)
+        self.assertEqual(self.weights(WINDOW_S + 0.1), [[1]])
+
+    def test_slices_with_few_choices_are_left_out(self):
+        self.window.add(Scenario(100, b"a"), 0.0)
+        self.window.add(Scenario(1, b"a"), 0.5)
+        self.assertEqual(self.weights(0.5), [[100]])
 
     def test_scenarios_of_another_shape_are_passed_over(self):
         self.window.add(Scenario(5, b"abc"), 0.0)
-        self.assertEqual(self.window.largest(0.0), [])
+        self.assertEqual(self.window.slices(0.0), [])
 
 
 if __name__ == "__main__":
--- a/tests/expert_maps/test_search.py
+++ b/tests/expert_maps/test_search.py
@@ -6,14 +6,19 @@
 
 import numpy as np
 
-from bronzerudder.expert_maps.planner import layout_skew, rank_paces, split_scenarios
-from bronzerudder.expert_maps.scenarios import Scenario
+from bronzerudder.expert_maps.planner import layout_skew, rank_paces, slice_loads
+from bronzerudder.expert_maps.scenarios import Scenario, pack_levels
 from bronzerudder.expert_maps.search import improve_set, measure
 from bronzerudder.expert_maps.shape import MapBounds
 
 RANKS = 16
 EXPERTS = 64
 BOUNDS = MapBounds(5, 2)
+LARGE_RANKS = 72
+LARGE_EXPERTS = 144
+CHANGES = 4
+TARGET_SKEW = 1.3
+"""Within 4 s of a shift of demand, in which a leader can make about four changes."""
 EVEN = np.ones(RANKS)
 
 
@@ -58,10 +63,27 @@
         slow = measure(after, scenarios, paces).largest
         self.assertLess(slow, 0.6 * measure(plain, scenarios, paces).largest)
 
-    def test_scenarios_are_split_by_set(self):
-        scenarios = [Scenario(10, bytes((1, 2, 3, 4))), Scenario(52, bytes((5, 6, 7, 8)))]
-        table = split_scenarios(scenarios, 2)
-        self.assertEqual(table.tolist(), [[[1, 2], [10, 12]], [[3, 4], [14, 16]]])
+    def test_slices_add_up_and_are_split_by_set(self):
+        one = Scenario(30, pack_levels([0, 1, 4, 25]))
+        other = Scenario(60, pack_levels([0, 0, 0, 9]))
+        table = slice_loads([[one, other], [one]], 2)
+        self.assertEqual(table.shape, (2, 2, 2))
+        self.assertEqual(table[:, 1].round().tolist(), [[0, 1], [4, 25]])
+        self.assertEqual(table[:, 0].round().tolist(), [[0, 1], [4, 85]])
+
+    def test_a_large_group_is_evened_out_by_what_it_chose_in_a_second(self):
+        skews = []
+        for seed in range(8):
+            generator = np.random.default_rng(seed)
+            shares = generator.lognormal(0.0, 0.45, LARGE_EXPERTS)
+            scenarios = shares * generator.uniform(0.85, 1.15, (6, LARGE_EXPERTS))
+            layout = [[rank, rank + LARGE_RANKS] for rank in range(LARGE_RANKS)]
+            even = np.ones(LARGE_RANKS)
+            for _ in range(CHANGES):
+                layout = improve_set(layout, scenarios, even, MapBounds(3, 2))
+            loads = measure(layout, scenarios, even)
+            skews.append(loads.largest / loads.mean)
+        self.assertLess(sum(skews) / len(skews), TARGET_SKEW)
 
     def test_skew_of_an_even_layout_is_one(self):
         layout = [first_layout()]
--- a/tests/processes/test_rank_agent.py
+++ b/tests/processes/test_rank_agent.py
@@ -12,12 +12,14 @@
 from bench.harness.fleet import Fleet, FleetShape, read_text
 
 TIMEOUT_S = 25.0
+RANKS = 4
+"""Enough for maps to be passed on through other agents."""
 
 
 class RankAgentProcessTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         directory = pathlib.Path(self.enterContext(tempfile.TemporaryDirectory()))
-        self.fleet = Fleet(directory, FleetShape(gateways=0), random.Random(1))
+        self.fleet = Fleet(directory, FleetShape(gateways=0, ranks=RANKS), random.Random(1))
         self.addAsyncCleanup(self.fleet.close)
         self.fleet.serve_stand_ins()
         self.settings = [
@@ -44,7 +46,7 @@
         await self.wait_for_map_above(0)
         await anyio.sleep(1.0)
         pages = [await self.metrics(number) for number in range(len(self.agents))]
-        self.assertEqual([status for status, _ in pages], [200, 200, 200])
+        self.assertEqual([status for status, _ in pages], [200] * RANKS)
         leading = [page for _, page in pages if "bronzerudder_group_leading 1.0" in page]
         self.assertEqual(len(leading), 1)
         self.assertIn('bronzerudder_map_changes_total{result="changed"}', leading[0])
