Add a randomized soak of gateways and rank agents as processes

What it is: bench/soak runs gateways and rank agents behind loopback links, with stand-ins of the store, backend servers and ranks; 25 kinds of fault come in series and overlap, and promises are checked from what callers and backend servers saw. Before: none.

--- a/bench/harness/process.py
+++ b/bench/harness/process.py
@@ -112,6 +112,10 @@
         """Ask it to stop gracefully."""
         self._process.send_signal(signal.SIGTERM)
 
+    def reload(self) -> None:
+        """Ask it to read its settings again."""
+        self._process.send_signal(signal.SIGHUP)
+
     def wait(self, timeout_s: float = EXIT_TIMEOUT_S) -> int:
         """Wait until it has ended and return its exit code."""
         return self._process.wait(timeout_s)
--- /dev/null
+++ b/bench/soak/callers.py
@@ -0,0 +1,164 @@
+"""Callers of the soak: they send requests all the time and keep what they got."""
+
+from __future__ import annotations
+
+import random
+import time
+from collections.abc import Callable
+from typing import NamedTuple
+
+import anyio
+
+from bench.harness.fleet import HOST, KEYS
+from bronzerudder.http1 import ClientPool, HttpError
+from bronzerudder.platform import wire
+
+KINDS = ("read", "book", "stream", "once")
+DEADLINE_S = 3.0
+PAUSE_S = (0.01, 0.12)
+CUT = 0
+"""In place of a status: no whole answer came."""
+EVENT_PREFIX = b"id: "
+
+
+class Result(NamedTuple):
+    """What a caller got.
+
+    Parameters
+    ----------
+    request_id, kind, workspace, gateway : str
+        The request, and where it went.
+    sent_at_s, ended_at_s : float
+        Monotonic times.
+    sent : bool
+        Whether the whole request left.
+    status : int
+        Of the answer; `CUT` without a whole one.
+    answers_to : str
+        Id that the answer names.
+    fault : str
+        What is wrong with the answer itself; empty if nothing is.
+    """
+
+    request_id: str
+    kind: str
+    workspace: str
+    gateway: str
+    sent_at_s: float
+    ended_at_s: float
+    sent: bool
+    status: int
+    answers_to: str
+    fault: str
+
+
+class Caller:
+    """Sends requests one after the other, over kept connections.
+
+    Parameters
+    ----------
+    name : str
+        Names its requests.
+    gateways : callable
+        Returns the addresses of the gateways that take callers now, by name.
+    generator : random.Random
+        Draws requests.
+    results : list of Result
+        Takes what it got.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        gateways: Callable[[], dict[str, str]],
+        generator: random.Random,
+        results: list[Result],
+    ) -> None:
+        self._name = name
+        self._gateways = gateways
+        self._generator = generator
+        self._results = results
+        self._pool = ClientPool()
+        self._number = 0
+        self._kept_gateway = ""
+
+    async def run(self) -> None:
+        """Call for ever."""
+        while True:
+            await anyio.sleep(self._generator.uniform(*PAUSE_S))
+            gateways = self._gateways()
+            if not gateways:
+                continue
+            # Open connections are used until their process is gone.
+            if self._kept_gateway not in gateways or self._generator.random() < 0.05:
+                self._kept_gateway = self._generator.choice(sorted(gateways))
+            await self._call(self._kept_gateway, gateways[self._kept_gateway])
+
+    async def _call(self, gateway: str, address: str) -> None:
+        self._number += 1
+        request_id = f"{self._name}-{self._number}"
+        kind = self._generator.choice(KINDS)
+        workspace = self._generator.choice(sorted(KEYS))
+        sent_at_s = time.monotonic()
+        sent, status, answers_to, fault = False, CUT, "", ""
+        with anyio.move_on_after(DEADLINE_S):
+            exchange = await self._pool.open(address)
+            if isinstance(exchange, HttpError):
+                self._kept_gateway = ""
+                return
+            try:
+                headers = _headers(request_id, KEYS[workspace])
+                path = f"/{kind}/{request_id}".encode()
+                failed = await exchange.send(b"POST", path, headers, request_id.encode())
+                sent = failed is None
+                head = await exchange.read_head()
+                if not isinstance(head, HttpError):
+                    answers_to = (head.header(wire.REQUEST_ID) or b"").decode()
+                    body = await exchange.read_rest()
+                    if isinstance(body, bytes):
+                        status = head.status
+                        fault = _find_fault(kind, status, body)
+                        exchange.release()
+            finally:
+                exchange.discard()
+        if status == CUT:
+            self._kept_gateway = ""
+        self._results.append(
+            Result(
+                request_id,
+                kind,
+                workspace,
+                gateway,
+                sent_at_s,
+                time.monotonic(),
+                sent,
+                status,
+                answers_to,
+                fault,
+            )
+        )
+
+
+def _headers(request_id: str, key: str) -> list[tuple[bytes, bytes]]:
+    return [
+        (b"host", HOST.encode()),
+        (wire.API_KEY, key.encode()),
+        (wire.REQUEST_ID, request_id.encode()),
+        (wire.DEADLINE_MS, str(int(DEADLINE_S * 1000)).encode()),
+    ]
+
+
+def _find_fault(kind: str, status: int, body: bytes) -> str:
+    """Check that a successful answer is whole and in order."""
+    if status != 200:
+        return ""
+    if kind in ("read", "book"):
+        return "" if body.startswith(b"from ") else f"body {body[:40]!r}"
+    ids = [
+        int(line.removeprefix(EVENT_PREFIX))
+        for line in body.split(b"\n")
+        if line.startswith(EVENT_PREFIX)
+    ]
+    if not ids or ids != list(range(1, ids[-1] + 1)):
+        return f"events {ids}"
+    return "" if body.endswith(b"\n\n") else "the stream ends inside an event"
--- /dev/null
+++ b/bench/soak/faults.py
@@ -0,0 +1,73 @@
+"""Faults that the soak injects from outside the processes."""
+
+from __future__ import annotations
+
+import enum
+import random
+from typing import NamedTuple
+
+FAULT_GAP_S = (0.1, 1.2)
+FAULT_FOR_S = (0.2, 3.0)
+
+
+class FaultKind(enum.Enum):
+    """What goes wrong."""
+
+    GATEWAY_TERM = "gateway-term"
+    GATEWAY_KILL = "gateway-kill"
+    GATEWAY_FREEZE = "gateway-freeze"
+    GATEWAY_RELOAD = "gateway-reload"
+    AGENT_KILL = "agent-kill"
+    AGENT_FREEZE = "agent-freeze"
+    LEADER_FREEZE = "leader-freeze"
+    ALL_KILL = "all-kill"
+    CALLER_CUT = "caller-cut"
+    CALLER_SILENT = "caller-silent"
+    BACKEND_CUT = "backend-cut"
+    BACKEND_SILENT = "backend-silent"
+    BACKEND_SLOW = "backend-slow"
+    BACKEND_FAULTY = "backend-faulty"
+    STORE_CUT = "store-cut"
+    STORE_SILENT = "store-silent"
+    STORE_SLOW = "store-slow"
+    STORE_REFUSES = "store-refuses"
+    STORE_LOSES = "store-loses"
+    STORE_FORGETS = "store-forgets"
+    ORDERS_LATE = "orders-late"
+    DEMAND_SHIFT = "demand-shift"
+    DRAIN = "drain"
+    CONFIGURE = "configure"
+    REVOKE = "revoke"
+
+
+class Fault(NamedTuple):
+    """One fault.
+
+    Parameters
+    ----------
+    kind : FaultKind
+        What goes wrong.
+    at_s, for_s : float
+        When, from the start of the faults, and for how long where it lasts.
+    target : float
+        Picks what it happens to, from 0 to 1.
+    """
+
+    kind: FaultKind
+    at_s: float
+    for_s: float
+    target: float
+
+
+def draw_faults(generator: random.Random, until_s: float) -> list[Fault]:
+    """Draw faults that come in series and overlap."""
+    faults = []
+    at_s = generator.uniform(*FAULT_GAP_S)
+    while at_s < until_s:
+        kind = generator.choice(list(FaultKind))
+        for _ in range(generator.choice((1, 1, 1, 2, 3))):
+            for_s = min(generator.uniform(*FAULT_FOR_S), until_s - at_s)
+            faults.append(Fault(kind, at_s, for_s, generator.random()))
+            at_s += generator.uniform(0.0, 0.3)
+        at_s += generator.uniform(*FAULT_GAP_S)
+    return [fault for fault in faults if fault.at_s < until_s]
--- a/src/bronzerudder/standin/fleet/worker.py
+++ b/src/bronzerudder/standin/fleet/worker.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import time
 
 import anyio
 
@@ -42,6 +43,8 @@
         For requests beyond the script.
     runs : list of Request
         Requests that it began to run.
+    run_at_s : list of float
+        Monotonic times at which these runs began.
     cancelled : int
         Requests whose connection closed while they ran.
     running : int
@@ -53,6 +56,7 @@
         self.script: list[Behaviour] = []
         self.usual = Behaviour.ANSWER
         self.runs: list[Request] = []
+        self.run_at_s: list[float] = []
         self.cancelled = 0
         self.event_gap_s = EVENT_GAP_S
         self.running = 0
@@ -70,6 +74,7 @@
             await writer.respond(503, [*headers, (wire.NOT_EXECUTED, b"1")], b"")
             return
         self.runs.append(request)
+        self.run_at_s.append(time.monotonic())
         self.running += 1
         try:
             await self._run(request, writer, behaviour, headers)
