Give orders of a change through the agent of another rank, and hold by the step that is

Besides, a rank at a twelfth of its pace made a change wait 8 steps (5 s), of which 4 were there because the step was read from another machine, 0.3 s late. Ruled out: asking all agents before the hold (the machine stopped 14 ms after it), releasing without that rank (it may be armed). Conclusion: an agent that stands still after giving an order costs one repeat through another; a rank that itself stands still in the tenth of a second of the arming still holds the group.

--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -52,6 +52,13 @@
     fault: str
 
 
+class Entrance(NamedTuple):
+    """A gateway as callers see it: where it is, and whether the balancer sends callers to it."""
+
+    address: str
+    in_rotation: bool
+
+
 class Caller:
     """Sends requests one after the other, over kept connections.
 
@@ -60,7 +67,7 @@
     name : str
         Names its requests.
     gateways : callable
-        Returns the addresses of the gateways that take callers now, by name.
+        Returns the gateways that run now, by name.
     generator : random.Random
         Draws requests.
     results : list of Result
@@ -70,7 +77,7 @@
     def __init__(
         self,
         name: str,
-        gateways: Callable[[], dict[str, str]],
+        gateways: Callable[[], dict[str, Entrance]],
         generator: random.Random,
         results: list[Result],
     ) -> None:
@@ -91,10 +98,13 @@
                 continue
             # Open connections are used until their process is gone.
             if self._kept_gateway not in gateways or self._generator.random() < 0.05:
-                self._kept_gateway = self._generator.choice(sorted(gateways))
+                entered = sorted(name for name, entry in gateways.items() if entry.in_rotation)
+                if not entered:
+                    continue
+                self._kept_gateway = self._generator.choice(entered)
             await self._call(self._kept_gateway, gateways[self._kept_gateway])
 
-    async def _call(self, gateway: str, address: str) -> None:
+    async def _call(self, gateway: str, entrance: Entrance) -> None:
         self._number += 1
         request_id = f"{self._name}-{self._number}"
         kind = self._generator.choice(KINDS)
@@ -102,10 +112,14 @@
         sent_at_s = time.monotonic()
         sent, status, answers_to, fault = False, CUT, "", ""
         with anyio.move_on_after(DEADLINE_S):
-            exchange = await self._pool.open(address)
+            exchange = await self._pool.open(entrance.address)
             if isinstance(exchange, HttpError):
                 self._kept_gateway = ""
                 return
+            if not exchange.reused and not entrance.in_rotation:
+                exchange.discard()
+                self._kept_gateway = ""
+                return
             try:
                 headers = _headers(request_id, KEYS[workspace])
                 path = f"/{kind}/{request_id}".encode()
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -23,7 +23,7 @@
 )
 from bench.harness.link import FaultyLink
 from bench.harness.process import ManagedProcess
-from bench.soak.callers import Caller, Result
+from bench.soak.callers import Caller, Entrance, Result
 from bench.soak.checks import Disturbance, History, find_violations
 from bench.soak.faults import Fault, FaultKind, draw_faults
 from bronzerudder.platform import wire
@@ -36,6 +36,9 @@
 LEAVING_S = 3.0
 IN_FORCE_S = 3.0
 STOP_SLACK_S = 1.0
+OUT_OF_ROTATION_S = 2.0
+"""The balancer asks once a second and takes a gateway out after two misses."""
+READY_TIMEOUT_S = 5.0
 AFTERMATH_S = 1.0
 """Connections that a fault broke are noticed within this time."""
 SLOW_S = 0.4
@@ -72,6 +75,7 @@
         self.caller_link = FaultyLink(self.settings["caller_address"])
         self.process: ManagedProcess | None = None
         self.busy = False
+        self.in_rotation = True
         self.highest_version = 0
 
 
@@ -123,7 +127,7 @@
             async with anyio.create_task_group() as callers:
                 for number in range(self._shape.callers):
                     generator = random.Random(self._generator.random())
-                    caller = Caller(f"c{number}", self._addresses, generator, self._results)
+                    caller = Caller(f"c{number}", self._entrances, generator, self._results)
                     callers.start_soon(caller.run)
                 callers.start_soon(self._probe_versions)
                 await self._inject()
@@ -170,9 +174,9 @@
         settings = self._agent_settings[number]
         return self._fleet.start_process("rank-agent", settings["agent_id"], settings)
 
-    def _addresses(self) -> dict[str, str]:
+    def _entrances(self) -> dict[str, Entrance]:
         return {
-            gateway.name: gateway.caller_link.address
+            gateway.name: Entrance(gateway.caller_link.address, gateway.in_rotation)
             for gateway in self._gateways
             if gateway.process is not None and gateway.process.running
         }
@@ -228,12 +232,20 @@
         grace_s = gateway.settings["grace_s"]
         while process.running and time.monotonic() - began_s < grace_s + STOP_SLACK_S:
             await anyio.sleep(0.05)
+            gateway.in_rotation = time.monotonic() - began_s < OUT_OF_ROTATION_S
         if process.running:
             self._violations.append(f"{gateway.name} runs {grace_s} s after it was told to stop")
             process.kill()
         elif process.wait() != 0:
             self._violations.append(f"{gateway.name} ended with {process.wait()}")
+        await self._restart(gateway)
+
+    async def _restart(self, gateway: _Gateway) -> None:
+        gateway.in_rotation = False
         self._start_gateway(gateway)
+        with anyio.move_on_after(READY_TIMEOUT_S):
+            await wait_ready(gateway.settings["ready_address"])
+        gateway.in_rotation = True
         gateway.busy = False
 
     async def _kill_gateway(self, fault: Fault) -> None:
@@ -243,8 +255,7 @@
         gateway.busy = True
         gateway.process.kill()
         await self._disturb(gateway.name, fault.for_s)
-        self._start_gateway(gateway)
-        gateway.busy = False
+        await self._restart(gateway)
 
     async def _kill_all(self, fault: Fault) -> None:
         async with anyio.create_task_group() as tasks:
--- a/src/bronzerudder/expert_maps/agent.py
+++ b/src/bronzerudder/expert_maps/agent.py
@@ -150,10 +150,10 @@
         await writer.respond(ACCEPTED, [], b"")
 
     async def _handle_order(self, request: Request, writer: ResponseWriter) -> None:
-        """Give a leader's order to the rank."""
+        """Give a leader's order to its rank, which may be another than the one beside."""
         order = decode_body(request.body, RankOrder)
-        if order is None or order.state.address != self._rank_address:
-            await writer.respond(400, [], b"not an order for this rank\n")
+        if order is None:
+            await writer.respond(400, [], b"not an order\n")
             return
         status = await carry_out(self._ranks, order)
         self._counts.note(Counted.ORDERS, f"{order.operation} {status}")
--- a/src/bronzerudder/expert_maps/api.py
+++ b/src/bronzerudder/expert_maps/api.py
@@ -113,6 +113,10 @@
         A map that was prepared earlier can't be armed any more.
         """
 
+    def set_ranks(self, ranks: Sequence[RankState]) -> None:
+        """Say which ranks there are, before orders of a change are given."""
+        del ranks
+
     async def prepare_many(
         self, ranks: Sequence[RankState], version: int, layout: Layout
     ) -> dict[str, OrderResult]:
--- a/src/bronzerudder/expert_maps/change.py
+++ b/src/bronzerudder/expert_maps/change.py
@@ -53,7 +53,7 @@
 LEAD_S = 0.25
 """How far ahead the step is. All orders take some hundredths of a second, and some are given again.
 The old map stays in use until then."""
-MIN_LEAD_STEPS = 4
+MIN_LEAD_STEPS = 2
 LONG_LEAD_S = 1.2
 """Used when orders of the same change went without an answer: time to give each several times."""
 REPORT_LAG_S = 0.3
@@ -127,6 +127,7 @@
         """Take a group to another map."""
         version = plan.version
         self._unanswered = 0
+        self._orders.set_ranks(ranks)
         began_s = time.monotonic()
         if not await self._prepare_all(ranks, version, plan.layout):
             return ChangeResult.NOT_PREPARED
@@ -184,6 +185,7 @@
         bool
             Whether nothing is armed or held any more.
         """
+        self._orders.set_ranks(ranks)
         # An order of the unfinished change may be too recent to show.
         await anyio.sleep(REPORT_LAG_S)
         states = await self._read_states(ranks)
@@ -254,7 +256,8 @@
         return False
 
     async def _hold(self, holder: RankState, steps_per_s: float) -> int | None:
-        state = await self._orders.state(holder.address)
+        # The rank beside this process tells the step that is, others the one some time ago.
+        state = await self._orders.state(self._own_address)
         if isinstance(state, RankFailure) or state.held_step is not None:
             return None
         lead_s = LONG_LEAD_S if self._unanswered else LEAD_S
--- a/src/bronzerudder/expert_maps/relay.py
+++ b/src/bronzerudder/expert_maps/relay.py
@@ -1,11 +1,17 @@
-"""Gives orders to ranks through the agents beside them.
+"""Gives orders to ranks through agents.
 
-An order on the rank's own machine costs the platform nothing, and a map goes over the narrow links
-in a packed form. Where no agent answers at all, the order goes to the rank itself.
+A map goes through the agent beside its rank: over the narrow links in a packed form, and an order
+on the rank's own machine costs the platform nothing.
+
+All other orders of a change go through the agent of another rank. If the machine that gives one
+stands still right after, its answer is lost, but the rank can still be asked again by another
+machine; through its own agent, the group would wait on a held step for as long as that machine
+stands still. Where no agent answers at all, an order goes to the rank itself.
 """
 
 from __future__ import annotations
 
+import collections
 import math
 from collections.abc import Awaitable, Callable, Sequence
 
@@ -71,6 +77,13 @@
         self._port = port
         self._pool = ClientPool(RELAY_TIMEOUT_S)
         self._prepares = anyio.Semaphore(PREPARES_AT_ONCE)
+        self._helpers: list[str] = []
+        self._unanswered: collections.Counter[str] = collections.Counter()
+
+    def set_ranks(self, ranks: Sequence[RankState]) -> None:
+        """Say which ranks there are, whose agents give orders for each other."""
+        self._helpers = [rank.address for rank in ranks]
+        self._unanswered.clear()
 
     async def state(self, address: str) -> RankState | RankFailure:
         """Ask a rank for its state."""
@@ -145,39 +158,60 @@
         def give_directly() -> Awaitable[OrderResult]:
             return self._direct.prepare(rank, version, unpack_layout(packed))
 
+        address = self._agent_address(rank.address)
         async with self._prepares:
-            return await self._give(order, give_directly, PREPARE_TIMEOUT_S)
+            return await self._give(address, order, give_directly, PREPARE_TIMEOUT_S)
 
     async def arm(self, rank: RankState, version: int, step: int) -> OrderResult:
         """Switch to the prepared map when a step begins."""
         order = RankOrder(rank, "arm", version, step)
-        return await self._give(order, lambda: self._direct.arm(rank, version, step))
+        return await self._give_through_another(
+            order, lambda: self._direct.arm(rank, version, step)
+        )
 
     async def disarm(self, rank: RankState, version: int) -> OrderResult:
         """Take back the switch to a map."""
         order = RankOrder(rank, "disarm", version)
-        return await self._give(order, lambda: self._direct.disarm(rank, version))
+        return await self._give_through_another(order, lambda: self._direct.disarm(rank, version))
 
     async def hold(self, rank: RankState, step: int) -> OrderResult:
         """Keep the group from beginning a step."""
         order = RankOrder(rank, "hold", step=step)
-        return await self._give(order, lambda: self._direct.hold(rank, step))
+        return await self._give_through_another(order, lambda: self._direct.hold(rank, step))
 
     async def release(self, rank: RankState, step: int) -> OrderResult:
         """Let the group begin a held step."""
         order = RankOrder(rank, "release", step=step)
-        return await self._give(order, lambda: self._direct.release(rank, step))
+        return await self._give_through_another(order, lambda: self._direct.release(rank, step))
 
     def _agent_address(self, rank_address: str) -> str:
         return f"{rank_address.rpartition(':')[0]}:{self._port}"
 
+    async def _give_through_another(
+        self, order: RankOrder, give_directly: Callable[[], Awaitable[OrderResult]]
+    ) -> OrderResult:
+        rank_address = order.state.address
+        address = self._agent_address(self._helper_of(rank_address))
+        result = await self._give(address, order, give_directly)
+        if result is OrderResult.UNKNOWN:
+            self._unanswered[rank_address] += 1
+        return result
+
+    def _helper_of(self, rank_address: str) -> str:
+        """Choose the rank whose agent gives an order; another one each time it is unanswered."""
+        others = [address for address in self._helpers if address != rank_address]
+        if not others or rank_address not in self._helpers:
+            return rank_address
+        after = self._helpers.index(rank_address) + self._unanswered[rank_address]
+        return others[after % len(others)]
+
     async def _give(
         self,
+        address: str,
         order: RankOrder,
         give_directly: Callable[[], Awaitable[OrderResult]],
         timeout_s: float = RELAY_TIMEOUT_S,
     ) -> OrderResult:
-        address = self._agent_address(order.state.address)
         headers = [(b"host", address.encode())]
         with anyio.move_on_after(timeout_s):
             answer = await self._pool.call(
@@ -192,7 +226,7 @@
 
 
 async def carry_out(ranks: RankCalls, order: RankOrder) -> int:
-    """Give an order to the rank beside this process; return the status for the leader."""
+    """Give an order to its rank, for the leader; return the status of the answer."""
     state = order.state
     if order.operation == "prepare" and order.layout is not None:
         result = await ranks.prepare(state, order.version, unpack_layout(order.layout))
