--- a/src/bronzerudder/gateway/follower.py
+++ b/src/bronzerudder/gateway/follower.py
@@ -20,6 +20,9 @@
 MAX_RETRY_S = 0.4
 """Longest pause between calls to a store that is away; it must be found again within a second."""
 RETRY_GROWTH = 2.0
+GATHER_S = 0.2
+"""Pause after a change. Changes come in bursts, as when many backend servers start, and each would
+answer the watches of all gateways; the next watch then brings them together."""
 
 
 class KindListener(abc.ABC):
@@ -120,6 +123,8 @@
             for change in batch.changes:
                 self._listener.take_change(change, after_outage)
             version = batch.version
+            if batch.changes:
+                await anyio.sleep(GATHER_S)
 
     async def _wait_after(self, error: StoreError) -> None:
         if not self._lost:
