--- a/src/bronzerudder/expert_maps/leader.py
+++ b/src/bronzerudder/expert_maps/leader.py
@@ -32,10 +32,13 @@
 """Scenarios to go by; fewer are noise."""
 CHANGE_PAUSE_S = 0.3
 """After a change, before the next: posts must show the new map and the load on it."""
-REPLAN_PAUSE_S = 0.4
-"""After a plan that was not worth its loads, as planning takes processor time."""
-HELD_GRACE_S = 0.1
-"""A step that is held while this leader changes nothing was left behind."""
+KEPT_FOR_S = 4.0
+KEPT_SKEW_MARGIN = 1.05
+"""After a plan that was not worth its loads there is no other one for this time, unless the skew
+rises by this factor."""
+HELD_GRACE_S = 0.35
+"""A step that is held while this leader changes nothing was left behind. Agents look at their ranks
+every 0.12 s, so posts show the hold of a change of its own for a while after it has ended."""
 ASK_AFTER_S = 1.0
 """A rank whose agent was silent for two posts is asked itself, which is priced."""
 ASK_INTERVAL_S = 0.5
@@ -109,6 +112,8 @@
         self._pace: tuple[int, float] | None = None
         self._steps_per_s = 15.0
         self._skew = 1.0
+        self._kept_until_s = 0.0
+        self._kept_skew = 0.0
 
     @property
     def term(self) -> int:
@@ -135,6 +140,8 @@
     async def run(self) -> None:
         """Lead until another agent does."""
         self._note("leading", term=self._leader.term)
+        # Agents that still post to the leader before need a moment to find this one.
+        self._asked_at_s = time.monotonic() + ASK_AFTER_S
         while True:
             await anyio.sleep(CHECK_INTERVAL_S)
             await self._ask_missing()
@@ -229,9 +236,12 @@
         self._skew = planner.layout_skew(layout, scenarios, paces)
         if (1.0 - 1.0 / self._skew) * step_s < LEAST_GAIN_S:
             return None
+        if now_s < self._kept_until_s and self._skew < KEPT_SKEW_MARGIN * self._kept_skew:
+            return None
         planned = await planner.plan_layout(layout, scenarios, paces, self._shape.bounds)
         if (1.0 - planned.skew_after / planned.skew) * step_s < LEAST_GAIN_S:
-            self._not_before_s = now_s + REPLAN_PAUSE_S
+            self._kept_until_s = now_s + KEPT_FOR_S
+            self._kept_skew = planned.skew
             self._note(
                 "map kept",
                 skew=round(planned.skew, 3),
--- a/src/bronzerudder/platform/ranks.py
+++ b/src/bronzerudder/platform/ranks.py
@@ -23,8 +23,8 @@
 CALL_TIMEOUT_S = 0.1
 """A rank answers in milliseconds."""
 ORDER_TIMEOUT_S = 0.05
-"""An order without an answer by then may be carried out late. It is given again, which does no harm;
-a step is held meanwhile, so waiting longer would cost more."""
+"""An order without an answer by then may be carried out late. It is given again, which does no
+harm; a step is held meanwhile, so waiting longer would cost more."""
 ACCEPTED_STATUSES = (200, 202)
 
 _Document = TypeVar("_Document")
--- a/src/bronzerudder/processes/rank_agent.py
+++ b/src/bronzerudder/processes/rank_agent.py
@@ -180,7 +180,8 @@
             if isinstance(server, StoreError) or server.service != self._settings["service"]:
                 continue
             addresses.append(server.address)
-        return tuple(addresses)
+        # The entry of a backend server that crashed stays for a while beside its successor's.
+        return tuple(dict.fromkeys(addresses))
 
     async def _flush_log(self) -> None:
         while True:
