Write spans of requests and attempts at a gateway

Ruled out: loading the tracing library always (memory is priced); it is imported where traces.share is set, and spans go through the bounded log. Before: none. After: the new process test sees the span of a request, of its attempt below it, and the trace in the request that the backend server got.

--- a/src/bronzerudder/gateway/forwarding.py
+++ b/src/bronzerudder/gateway/forwarding.py
@@ -18,6 +18,7 @@
 from bronzerudder.gateway.patience import ON_TIME_SHARE, start_by_s
 from bronzerudder.gateway.relay import StreamRelay
 from bronzerudder.gateway.services import ServicePool, ServiceTable
+from bronzerudder.gateway.spans import TRACEPARENT, SpanSource
 from bronzerudder.gateway.tables import RequestKind, Route
 from bronzerudder.gateway.waiting_room import Ticket
 from bronzerudder.http1 import ClientPool, Request, ResponseWriter
@@ -55,6 +56,8 @@
         Monotonic times of its arrival and of the end of its time.
     fingerprint : str
         Names the request when it comes again.
+    traceparent : str
+        Names the span of the request for those of its attempts; empty if it is not traced.
     """
 
     request: Request
@@ -66,6 +69,7 @@
     arrived_at_s: float
     ends_at_s: float
     fingerprint: str
+    traceparent: str = ""
 
 
 class Outcome(NamedTuple):
@@ -95,6 +99,7 @@
     crashes: CrashWatch
     metrics: GatewayMetrics
     log: EventLog
+    spans: SpanSource
 
 
 class Forwarding:
@@ -209,7 +214,10 @@
         self._last_instance = candidate.name
         service = self._pool.name
         progress = self._shared.progress.setdefault(service, ServiceProgress())
-        outgoing = self._compose(candidate)
+        span = self._shared.spans.begin(
+            "attempt", self._job.traceparent, instance=candidate.name, service=service
+        )
+        outgoing = self._compose(candidate, span.traceparent)
 
         def note_event(is_first: bool) -> None:
             placed.count_answer_part()
@@ -220,16 +228,19 @@
         sent_at_s = time.monotonic()
         # Counted before the send, so that a cancelled attempt counts as possibly run.
         self._may_have_run += 1
-        with self._shared.crashes.running(candidate.name, self._job.fingerprint):
-            result = await attempt.run()
-            self._observe(candidate, attempt, result)
+        try:
+            with self._shared.crashes.running(candidate.name, self._job.fingerprint):
+                result = await attempt.run()
+                self._observe(candidate, attempt, result)
+        finally:
+            span.end(status=0 if attempt.answer is None else attempt.answer.status)
         if isinstance(result, AttemptFailure) and result.has_not_run:
             self._may_have_run -= 1
             self._rejections += 1
         self._log_attempt(candidate, result, time.monotonic() - sent_at_s)
         return result
 
-    def _compose(self, candidate: Candidate) -> Outgoing:
+    def _compose(self, candidate: Candidate, traceparent: str) -> Outgoing:
         job = self._job
         resumed_after = ""
         if self._relay is not None and self._relay.started:
@@ -243,6 +254,9 @@
             job.priority,
             resumed_after,
         )
+        if traceparent:
+            headers = [item for item in headers if item[0] != TRACEPARENT]
+            headers.append((TRACEPARENT, traceparent.encode()))
         return Outgoing(
             self._pool.address_of(candidate.name),
             job.request.method,
--- a/src/bronzerudder/gateway/handler.py
+++ b/src/bronzerudder/gateway/handler.py
@@ -13,6 +13,7 @@
 from bronzerudder.gateway.crash_watch import fingerprint_of
 from bronzerudder.gateway.errors import AttemptFailure, FailureKind, Refusal, RefusalKind
 from bronzerudder.gateway.forwarding import Forwarding, Job, Outcome, Surroundings
+from bronzerudder.gateway.spans import TRACEPARENT
 from bronzerudder.gateway.tables import Configuration, Route, Workspace
 from bronzerudder.http1 import Request, ResponseWriter
 from bronzerudder.platform.requests import CallerRequest, decode_request, own_answer_headers
@@ -133,6 +134,11 @@
         return configuration, route, workspace
 
     async def _forward(self, job: Job, writer: ResponseWriter) -> None:
+        traceparent = (job.request.header(TRACEPARENT) or b"").decode("latin-1")
+        span = self._shared.spans.begin(
+            "request", traceparent, request=job.caller.request_id, route=job.route.name
+        )
+        job = job._replace(traceparent=span.traceparent)
         pool = self._shared.services.pool(self._choose_service(job.route))
         forwarding = Forwarding(self._shared, job, pool, writer)
         result: WholeAnswer | StreamDelivered | AttemptFailure | Refusal | None = None
@@ -143,6 +149,7 @@
             outcome = await self._conclude(job, forwarding, result, writer)
         finally:
             # Also when the caller left and this task is being cancelled.
+            span.end(status=outcome.status, outcome=outcome.name)
             self._record(job.caller, job, forwarding, outcome, job.arrived_at_s)
 
     def _choose_service(self, route: Route) -> str:
--- a/src/bronzerudder/observability/traces.py
+++ b/src/bronzerudder/observability/traces.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from opentelemetry import trace
 from opentelemetry.sdk.resources import Resource
-from opentelemetry.sdk.trace import ReadableSpan, TracerProvider
+from opentelemetry.sdk.trace import ReadableSpan, SpanProcessor, TracerProvider
 from opentelemetry.sdk.trace.export import (
     BatchSpanProcessor,
+    SimpleSpanProcessor,
     SpanExporter,
     SpanExportResult,
 )
@@ -24,13 +25,22 @@
 
 
 class LogSpanExporter(SpanExporter):
-    """Writes each finished span to the log."""
+    """Writes each finished span to the log.
+
+    Parameters
+    ----------
+    write : callable
+        Takes a message and named values.
+    """
+
+    def __init__(self, write: Callable[..., None] = log_event) -> None:
+        self._write = write
 
     def export(self, spans: Sequence[ReadableSpan]) -> SpanExportResult:
         """Write spans; times are in nanoseconds since the epoch."""
         for span in spans:
             context = span.get_span_context()
-            log_event(
+            self._write(
                 "span",
                 span=span.name,
                 trace_id=f"{context.trace_id:032x}",
@@ -43,6 +53,12 @@
         return SpanExportResult.SUCCESS
 
 
+def _make_processor(write: Callable[..., None] | None) -> SpanProcessor:
+    if write is not None:
+        return SimpleSpanProcessor(LogSpanExporter(write))
+    return BatchSpanProcessor(LogSpanExporter(), schedule_delay_millis=EXPORT_INTERVAL_MS)
+
+
 class Tracing:
     """Starts spans that continue the trace of a ``traceparent`` header.
 
@@ -52,17 +68,24 @@
         Of this process.
     sample_ratio : float
         Share of the traces that begin here which is recorded; a caller's decision goes before.
+    write : callable or None
+        Takes each span as it ends, in the thread that ends it; None gathers spans for the log.
     """
 
-    def __init__(self, role: str, name: str, sample_ratio: float = DEFAULT_SAMPLE_RATIO) -> None:
+    def __init__(
+        self,
+        role: str,
+        name: str,
+        sample_ratio: float = DEFAULT_SAMPLE_RATIO,
+        write: Callable[..., None] | None = None,
+    ) -> None:
         resource = Resource.create(
             {"service.name": f"bronzerudder-{role}", "service.instance.id": name}
         )
         self._provider = TracerProvider(
             resource=resource, sampler=ParentBasedTraceIdRatio(sample_ratio)
         )
-        processor = BatchSpanProcessor(LogSpanExporter(), schedule_delay_millis=EXPORT_INTERVAL_MS)
-        self._provider.add_span_processor(processor)
+        self._provider.add_span_processor(_make_processor(write))
         self._tracer = self._provider.get_tracer("bronzerudder")
         self._propagator = TraceContextTextMapPropagator()
 
--- a/src/bronzerudder/processes/gateway.py
+++ b/src/bronzerudder/processes/gateway.py
@@ -23,6 +23,7 @@
 from bronzerudder.gateway.handler import GatewayHandler
 from bronzerudder.gateway.metrics import GatewayMetrics
 from bronzerudder.gateway.services import RetryTerms, ServiceTable
+from bronzerudder.gateway.spans import NoSpans, RecordedSpans, SpanSource
 from bronzerudder.http1 import ClientPool, HttpServer, ServerLimits, listen
 from bronzerudder.observability.event_log import DEFAULT_LINES_PER_S, EventLog
 from bronzerudder.observability.metrics_page import MetricsHandler
@@ -133,7 +134,13 @@
         self._started = anyio.Event()
         self._crashes = CrashWatch(settings["gateway_id"], self._tell_crash, self._log)
         shared = Surroundings(
-            self._services, self._connections, {}, self._crashes, self._metrics, self._log
+            self._services,
+            self._connections,
+            {},
+            self._crashes,
+            self._metrics,
+            self._log,
+            self._make_spans(),
         )
         handler = GatewayHandler(
             shared, self._configuration, self._confirm_current, random.Random(), self._started
@@ -143,6 +150,12 @@
         self._registry_of_gateways = GatewayRegistry(self._store, self._log)
         self._peers = DatagramPort(settings["peer_address"])
 
+    def _make_spans(self) -> SpanSource:
+        share = self._settings.get("traces", {}).get("share", 0.0)
+        if not share:
+            return NoSpans()
+        return RecordedSpans(self._settings["gateway_id"], share, self._log.state)
+
     def start(self) -> None:
         """Follow the store and serve."""
         settings = self._settings
--- a/src/bronzerudder/settings/gateway.py
+++ b/src/bronzerudder/settings/gateway.py
@@ -30,6 +30,12 @@
     sample_share: NotRequired[Share]
 
 
+class TraceSettings(TypedDict):
+    """Share of the requests without a trace of their own for which spans are written."""
+
+    share: Share
+
+
 class GatewaySettings(TypedDict):
     """Settings of one gateway process.
 
@@ -47,3 +53,4 @@
     grace_s: Seconds
     retry_budget: RetryBudgetSettings
     log: NotRequired[LogSettings]
+    traces: NotRequired[TraceSettings]
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -16,6 +16,7 @@
 from bronzerudder.gateway.handler import GatewayHandler
 from bronzerudder.gateway.metrics import GatewayMetrics
 from bronzerudder.gateway.services import RetryTerms, ServiceTable
+from bronzerudder.gateway.spans import NoSpans
 from bronzerudder.gateway.tables import BackendServer
 from bronzerudder.http1 import ClientPool, HttpServer, ServerLimits, listen
 from bronzerudder.observability.event_log import EventLog
@@ -96,7 +97,7 @@
         self.metrics = GatewayMetrics(CollectorRegistry())
         self.crashes = CrashWatch("g", self.told.append, self.log)
         shared = Surroundings(
-            self.services, self.connections, {}, self.crashes, self.metrics, self.log
+            self.services, self.connections, {}, self.crashes, self.metrics, self.log, NoSpans()
         )
         started = anyio.Event()
         started.set()
--- a/tests/processes/test_gateway.py
+++ b/tests/processes/test_gateway.py
@@ -181,6 +181,19 @@
         self.assertIn("outcome=not-run", told)
         self.assertIn("no-backend-server", told)
 
+    async def test_a_traced_request_has_a_span_for_each_hop(self):
+        await self.start(traces={"share": 1.0})
+        self.assertEqual((await self.ask(b"/read/", "traced"))[0], 200)
+        await self.wait_for_event('"span":"request"')
+        lines = [json.loads(line) for line in self.log.read_text().splitlines()]
+        spans = {line["span"]: line for line in lines if line["event"] == "span"}
+        request, attempt = spans["request"], spans["attempt"]
+        self.assertEqual(attempt["parent_span_id"], request["span_id"])
+        self.assertEqual(attempt["attributes"]["instance"], "i-0")
+        sent = self.worker.runs[-1].header(b"traceparent").decode()
+        self.assertIn(attempt["span_id"], sent)
+        self.assertIn(request["trace_id"], sent)
+
     async def test_it_lives_on_through_malformed_requests(self):
         process = await self.start()
         from bronzerudder.http1 import connect
