Keep requests from machines that stand still, and note settlement on the store

Ruled out: requests sent after the caller had left (they left before; the machine held them back). Conclusion: an agent that told nothing for a second takes its rank out of placing, unless most are silent; a leader notes once in its term that nothing older is left.

--- a/src/bronzerudder/expert_maps/agent.py
+++ b/src/bronzerudder/expert_maps/agent.py
@@ -308,7 +308,7 @@
             shape,
             self._record,
             claimed,
-            known.rank_address,
+            known,
             self._log,
             self._counts,
         )
--- a/src/bronzerudder/expert_maps/change.py
+++ b/src/bronzerudder/expert_maps/change.py
@@ -20,8 +20,9 @@
 stands still or is cut off takes its rank's interface with it, and the order lets a successor go on
 without it: as long as any other rank can be made unable to arm, the leader's rank is not armed and
 never will be. That holds only for armings of that very leader: the rank may still be armed by an
-earlier one whose change nobody has settled. A map of the previous leader that another rank is armed
-for rules this out, as that leader had every rank accept its preparation before it armed any.
+earlier one whose change nobody has settled. Two things rule this out: the previous leader's note on
+the store that all had been settled, and a map of that leader that another rank is armed for, as it
+had every rank accept its preparation before it armed any.
 
 A successor first looks whether all ranks are armed alike (case 1). If not, it prepares a higher
 version on a rank that is not armed: from then on the leader that began the change can't complete
@@ -97,6 +98,21 @@
     steps_per_s: float
 
 
+class LostLeader(NamedTuple):
+    """The leader before, when the rank beside it does not answer.
+
+    Parameters
+    ----------
+    versions : range
+        Versions that it may have given to maps.
+    settled : bool
+        Whether it had noted that nothing of earlier leaders was left unfinished.
+    """
+
+    versions: range
+    settled: bool
+
+
 Note = Callable[..., None]
 
 
@@ -173,7 +189,7 @@
         ranks: Sequence[RankState],
         version: int,
         layout: Layout,
-        without_last: range | None = None,
+        without_last: LostLeader | None = None,
     ) -> bool:
         """End what an unfinished change left behind: armed ranks and held steps.
 
@@ -185,9 +201,9 @@
             Above all versions that any rank has had.
         layout : list
             Layout in use.
-        without_last : range or None
-            Versions of the previous leader, if the rank beside it is not among `ranks`, as it does
-            not answer; None if all ranks are there.
+        without_last : LostLeader or None
+            The previous leader, if the rank beside it is not among `ranks`, as it does not answer;
+            None if all ranks are there.
 
         Returns
         -------
@@ -200,7 +216,7 @@
         states = await self._read_states(ranks)
         if states is None:
             return False
-        if without_last is not None and not _is_armed_for(states, without_last):
+        if without_last is not None and _may_be_armed_by_earlier(states, without_last):
             self._note("the rank that does not answer may be armed by an earlier leader")
             return False
         armings = {state.armed for state in states}
@@ -335,8 +351,13 @@
             await anyio.sleep(RETRY_INTERVAL_S)
 
 
-def _is_armed_for(states: Sequence[RankState], versions: range) -> bool:
-    return any(state.armed is not None and state.armed.version in versions for state in states)
+def _may_be_armed_by_earlier(states: Sequence[RankState], lost: LostLeader) -> bool:
+    """Tell whether the silent rank may be armed by a leader before the lost one."""
+    if lost.settled:
+        return False
+    return not any(
+        state.armed is not None and state.armed.version in lost.versions for state in states
+    )
 
 
 async def _all(
--- a/src/bronzerudder/expert_maps/leader.py
+++ b/src/bronzerudder/expert_maps/leader.py
@@ -9,7 +9,7 @@
 import anyio
 
 from bronzerudder.expert_maps.api import Layout, RankCalls, RankFailure, RankPlaces, RankState
-from bronzerudder.expert_maps.change import ChangePlan, ChangeResult, MapChanger
+from bronzerudder.expert_maps.change import ChangePlan, ChangeResult, LostLeader, MapChanger
 from bronzerudder.expert_maps.counts import AgentCounts, Counted
 from bronzerudder.expert_maps.leadership import Leader, LeaderRecord
 from bronzerudder.expert_maps.posts import RankPost
@@ -21,8 +21,9 @@
 RankLister = Callable[[], Awaitable[tuple[str, ...]]]
 
 CHECK_INTERVAL_S = 0.1
-MAX_POST_AGE_S = 2.0
-"""Agents post about twice a second; an older post tells nothing of a rank's state now."""
+MAX_POST_AGE_S = 1.2
+"""Agents post more than twice a second; a rank whose agent missed two posts may stand still, and a
+change would wait for it."""
 LEAST_GAIN_S = 0.012
 """Time of a step that a change must save. Loading slows steps by 15 in 100 for some tenths of a
 second and loads are dear; events that come a little sooner than in time help no caller."""
@@ -69,8 +70,8 @@
         Says whether this process still leads.
     leader : Leader
         The claim by which it leads.
-    previous_rank : str
-        Rank beside the leader before, which that leader armed last; empty if there was none.
+    previous : Leader
+        The leader before, which armed the rank beside it last; `NOBODY` if there was none.
     log : EventLog
         Takes a line for each step of a change.
     counts : AgentCounts
@@ -85,7 +86,7 @@
         shape: ExpertShape,
         record: LeaderRecord,
         leader: Leader,
-        previous_rank: str,
+        previous: Leader,
         log: EventLog,
         counts: AgentCounts,
     ) -> None:
@@ -93,7 +94,7 @@
         self._shape = shape
         self._record = record
         self._leader = leader
-        self._previous_rank = previous_rank
+        self._previous = previous
         self._log = log
         self._ranks = ranks
         self._list_ranks = list_ranks
@@ -292,10 +293,21 @@
         if result is ChangeResult.CHANGED:
             self._failures = 0
             self._not_before_s = now_s + CHANGE_PAUSE_S
+            await self._mark_settled()
             return
         self._failures += 1
         self._not_before_s = now_s + min(MAX_FAILURE_PAUSE_S, CHANGE_PAUSE_S * 2**self._failures)
 
+    async def _mark_settled(self) -> None:
+        """Note once that all ranks have accepted a preparation of this leader."""
+        if self._leader.settled:
+            return
+        marked = await self._record.mark_settled(self._leader)
+        if isinstance(marked, StoreError):
+            self._note("settlement not noted", reason=marked.reason)
+            return
+        self._leader = marked
+
     async def _settle(self, ranks: list[RankState]) -> None:
         layout = self._layout(ranks)
         if layout is None:
@@ -324,9 +336,9 @@
         ranks = [state for _, state in sorted(self._open_ranks().items())]
         if not ranks or len(ranks) != ranks[0].size - 1:
             return
-        if any(state.address == self._previous_rank for state in ranks):
+        if any(state.address == self._previous.rank_address for state in ranks):
             return
-        if self._previous_rank not in self._known or not self._is_held_too_long(ranks):
+        if self._previous.rank_address not in self._known or not self._is_held_too_long(ranks):
             return
         layout = self._layout([*ranks])
         if layout is None or not await self._still_leads():
@@ -336,9 +348,10 @@
         used = self._experts_of_missing(layout)
         for held, experts in zip(layout, used, strict=True):
             held.insert(missing, experts)
-        term = self._leader.term
-        previous = range((term - 1) * VERSIONS_PER_TERM, term * VERSIONS_PER_TERM)
-        settled = await self._changer.settle(ranks, self._next_version(), layout, previous)
+        term = self._previous.term
+        versions = range(term * VERSIONS_PER_TERM, (term + 1) * VERSIONS_PER_TERM)
+        lost = LostLeader(versions, self._previous.settled)
+        settled = await self._changer.settle(ranks, self._next_version(), layout, lost)
         self._held_since_s = None
         self._note("held step looked after without the last leader's rank", settled=settled)
 
--- a/src/bronzerudder/expert_maps/leadership.py
+++ b/src/bronzerudder/expert_maps/leadership.py
@@ -16,6 +16,7 @@
     address: str
     term: int
     rank_address: str = ""
+    settled: bool = False
 
 
 class Leader(NamedTuple):
@@ -31,12 +32,15 @@
         Version of the record on the store.
     rank_address : str
         The rank beside it.
+    settled : bool
+        Whether nothing that an earlier leader left unfinished can take effect any more.
     """
 
     address: str
     term: int
     version: int
     rank_address: str = ""
+    settled: bool = False
 
 
 NOBODY = Leader("", 0, ABSENT_VERSION)
@@ -71,10 +75,11 @@
         together name one claim.
         """
         term = known.term + 1
-        value = msgspec.json.encode(_Document(address, term, rank_address))
+        settled = known == NOBODY
+        value = msgspec.json.encode(_Document(address, term, rank_address, settled))
         written = await self._store.put(LEADER_KIND, self._group, value, known.version)
         if not isinstance(written, StoreError):
-            return Leader(address, term, written, rank_address)
+            return Leader(address, term, written, rank_address, settled)
         if written.kind is not StoreErrorKind.OUTCOME_UNKNOWN:
             return written
         found = await self.read()
@@ -84,10 +89,26 @@
             return found
         return written
 
+    async def mark_settled(self, leader: Leader) -> Leader | StoreError:
+        """Note that nothing of earlier leaders is left unfinished."""
+        value = msgspec.json.encode(
+            _Document(leader.address, leader.term, leader.rank_address, True)
+        )
+        written = await self._store.put(LEADER_KIND, self._group, value, leader.version)
+        if isinstance(written, StoreError):
+            return written
+        return leader._replace(version=written, settled=True)
+
 
 def _decode(stored: StoredObject) -> Leader | StoreError:
     try:
         document = msgspec.json.decode(stored.value, type=_Document)
     except msgspec.DecodeError as error:
         return StoreError(StoreErrorKind.INVALID, f"leader record not understood: {error}")
-    return Leader(document.address, document.term, stored.version, document.rank_address)
+    return Leader(
+        document.address,
+        document.term,
+        stored.version,
+        document.rank_address,
+        document.settled,
+    )
--- a/src/bronzerudder/gateway/services.py
+++ b/src/bronzerudder/gateway/services.py
@@ -221,6 +221,7 @@
             pool.note_group(message.is_open)
             pool.observe_load(instance_id, message.requests)
             pool.candidates[instance_id].pace = message.pace
+            pool.candidates[instance_id].told_at_s = time.monotonic()
 
     def avoid(self, instance_id: str, reason: str) -> None:
         """Stop using a backend server until its entry changes."""
--- a/src/bronzerudder/policy/routing/candidate.py
+++ b/src/bronzerudder/policy/routing/candidate.py
@@ -98,6 +98,11 @@
         Shared by all ranks of a group, since none can advance without the others.
     slots : int
         Requests that the backend server runs at once; 0 when not known.
+
+    Attributes
+    ----------
+    told_at_s : float or None
+        Monotonic time at which the agent beside it last told its load; None without an agent.
     """
 
     def __init__(
@@ -110,6 +115,7 @@
         self.connected = True
         self.leaving = False
         self.pace = 1.0
+        self.told_at_s: float | None = None
         self.report = LoadReport()
         self._own_requests = 0
         self._own_tokens = 0
--- a/src/bronzerudder/policy/routing/free_slots.py
+++ b/src/bronzerudder/policy/routing/free_slots.py
@@ -24,6 +24,10 @@
 CHOICES = 4
 """Candidates drawn for a placement. Reports are a tenth of a second old, so gateways that all took
 the emptiest one would meet there; a few drawn ones spread them (the power of several choices)."""
+AGENT_SILENCE_S = 1.0
+"""Agents tell a load three times in this time, also one that does not change."""
+MAX_SILENT_SHARE = 0.5
+"""If more agents than this are silent, it says nothing of the backend servers beside them."""
 SLOW_FACTOR = 1.5
 """Paces of sound backend servers differ by less."""
 
@@ -56,7 +60,7 @@
                 return available
             # All are suspected, so the suspicion says more of the requests than of them.
             available = suspected
-        available = _drop_slow(available)
+        available = _drop_slow(_drop_silent(available, now_s))
         best = self._pick_from(self._draw(available), now_s)
         if best is None and len(available) > CHOICES:
             best = self._pick_from(available, now_s)
@@ -93,6 +97,22 @@
     ]
 
 
+def _drop_silent(available: list[Candidate], now_s: float) -> list[Candidate]:
+    """Leave out candidates whose agents have fallen silent.
+
+    A machine that stands still takes in requests and answers none of them, long after their callers
+    have left.
+    """
+    heard = [
+        candidate
+        for candidate in available
+        if candidate.told_at_s is None or now_s - candidate.told_at_s <= AGENT_SILENCE_S
+    ]
+    if len(available) - len(heard) > MAX_SILENT_SHARE * len(available):
+        return available
+    return heard
+
+
 def _drop_slow(available: list[Candidate]) -> list[Candidate]:
     """Leave out candidates that are much slower than the fastest.
 
--- a/tests/expert_maps/test_change.py
+++ b/tests/expert_maps/test_change.py
@@ -13,7 +13,7 @@
 import anyio
 
 from bronzerudder.expert_maps import change
-from bronzerudder.expert_maps.change import ChangePlan, ChangeResult, MapChanger
+from bronzerudder.expert_maps.change import ChangePlan, ChangeResult, LostLeader, MapChanger
 from bronzerudder.standin.fleet.group import LoadedMap
 from tests.expert_maps.simulated_group import (
     SimulatedGroup,
@@ -29,8 +29,10 @@
 TAKE_OVER_S = 1.2
 END_S = 60.0
 VERSIONS_PER_TERM = 1000
-FIRST_VERSIONS = range(VERSIONS_PER_TERM, 2 * VERSIONS_PER_TERM)
-SECOND_VERSIONS = range(2 * VERSIONS_PER_TERM, 3 * VERSIONS_PER_TERM)
+
+
+def lost_leader(term, settled=False):
+    return LostLeader(range(term * VERSIONS_PER_TERM, (term + 1) * VERSIONS_PER_TERM), settled)
 
 
 def plan(term, number=0):
@@ -88,7 +90,7 @@
         self.assertEqual(group.mixed, [])
         self.assertLess(group.stood_s, 0.3)
 
-    def play_faults(self, seed, late, lost, freeze_after):
+    def play_faults(self, seed, late, lost, freeze_after, settled=True):
         """One leader changes, and stands still after some order; another takes over."""
         group = SimulatedGroup(SIZE, seeded(seed), late, lost)
 
@@ -112,7 +114,7 @@
                 blocked = orders._is_blocked("rank-0")
                 if any(state.held_step is not None for state in states):
                     reachable = states[1:] if blocked else states
-                    without = FIRST_VERSIONS if blocked else None
+                    without = lost_leader(1, settled) if blocked else None
                     await changer.settle(reachable, 2000 + number, [[[0]]], without)
                 elif not blocked:
                     await changer.change(states, plan(2, number))
@@ -162,7 +164,7 @@
             if stops_after:
                 orders.freeze_after = (stops_after, 8.0)
             changer = self.changer(orders, group, own)
-            previous = range((term - 1) * VERSIONS_PER_TERM, term * VERSIONS_PER_TERM)
+            previous = lost_leader(term - 1)
             for number in range(20):
                 states = group.states()
                 reachable = [state for state in states if not orders._is_blocked(state.address)]
@@ -204,7 +206,7 @@
                 orders = SimulatedOrders(group, tasks, own="rank-3")
                 changer = self.changer(orders, group, "rank-3")
                 reachable = [group.state(group.ranks[number]) for number in (0, 2, 3)]
-                settled = await changer.settle(reachable, 3001, [[[0]]], SECOND_VERSIONS)
+                settled = await changer.settle(reachable, 3001, [[[0]]], lost_leader(2))
                 self.assertFalse(settled)
                 await anyio.sleep(10.0)
                 self.assertTrue(await changer.settle(group.states(), 3002, [[[0]]]))
@@ -240,6 +242,19 @@
             self.assertGreater(advanced, 0, freeze_after)
             self.assertLess(group.stood_s, 10.0, freeze_after)
 
+    def test_a_successor_does_not_wait_for_a_leader_that_stands_still_at_the_hold(self):
+        hold = SIZE + 1
+        _, group = self.play_faults(1, 0.0, 0.0, hold)
+        self.assertLess(group.stood_s, 3.0)
+        _, group = self.play_faults(1, 0.0, 0.0, hold, settled=False)
+        self.assertGreater(group.stood_s, 3.0)
+
+    def test_without_a_note_of_settlement_the_step_waits_for_the_silent_rank(self):
+        for freeze_after in range(1, 20):
+            advanced, group = self.play_faults(freeze_after, 0.0, 0.0, freeze_after, False)
+            self.assertGreater(advanced, 0, freeze_after)
+            self.assertLess(group.stood_s, 10.0, freeze_after)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/expert_maps/test_leadership.py
+++ b/tests/expert_maps/test_leadership.py
@@ -45,6 +45,17 @@
         self.standin.lose_answers = True
         self.assertIsInstance(await self.record.claim(NOBODY, "a:1", "r:1"), StoreError)
 
+    async def test_settlement_is_noted_by_the_present_leader_only(self):
+        first = await self.record.claim(NOBODY, "a:1", "r:1")
+        self.assertTrue(first.settled)
+        second = await self.record.claim(first, "b:1", "r:2")
+        self.assertFalse((await self.record.read()).settled)
+        self.assertIsInstance(await self.record.mark_settled(first), StoreError)
+        marked = await self.record.mark_settled(second)
+        self.assertEqual(await self.record.read(), marked)
+        self.assertTrue(marked.settled)
+        self.assertFalse((await self.record.claim(marked, "c:1", "r:3")).settled)
+
     async def test_a_record_that_is_not_understood_is_an_error(self):
         self.standin.put(LEADER_KIND, "g", {"address": 5})
         self.assertIsInstance(await self.record.read(), StoreError)
--- a/tests/policy/routing/test_free_slots.py
+++ b/tests/policy/routing/test_free_slots.py
@@ -56,6 +56,25 @@
         candidates[0].pace = 5.0
         self.assertEqual({self.pick(candidates).name for _ in range(10)}, {"i-1"})
 
+    def test_a_rank_whose_agent_fell_silent_gets_nothing(self):
+        # Found by deploy/days/giver-stands-still-often.toml on inanga-hq (GONE).
+        candidates = make(4, slots=6)
+        for number, candidate in enumerate(candidates):
+            candidate.told_at_s = 0.0 if number == 2 else 5.0
+        picked = {self.pick(candidates, 5.1).name for _ in range(40)}
+        self.assertEqual(picked, {"i-0", "i-1", "i-3"})
+
+    def test_silence_of_most_agents_says_nothing(self):
+        candidates = make(4, slots=6)
+        for number, candidate in enumerate(candidates):
+            candidate.told_at_s = 5.0 if number == 2 else 0.0
+        picked = {self.pick(candidates, 5.1).name for _ in range(40)}
+        self.assertEqual(len(picked), 4)
+
+    def test_backend_servers_without_agents_are_not_silent(self):
+        picked = {self.pick(make(4, slots=6), 500.0).name for _ in range(40)}
+        self.assertEqual(len(picked), 4)
+
     def test_a_suspected_one_is_left_out_unless_all_are(self):
         candidates = make(2)
         candidates[0].breaker.record_failure(0.0, certain=True)
