Take over a held step at once, and keep the leader's machine from giving orders to ranks

A change for which a rank was silent waited 2.9 s for it. Ruled out: the settlement itself (0.4 s). Before: held 3.0 s. Conclusion: the leader's machine gives orders only to its own agent's peers, as a request.

--- a/src/bronzerudder/expert_maps/api.py
+++ b/src/bronzerudder/expert_maps/api.py
@@ -113,9 +113,9 @@
         A map that was prepared earlier can't be armed any more.
         """
 
-    def set_ranks(self, ranks: Sequence[RankState]) -> None:
-        """Say which ranks there are, before orders of a change are given."""
-        del ranks
+    def set_ranks(self, ranks: Sequence[RankState], own_address: str) -> None:
+        """Say which ranks there are, and which is beside the leader, before a change."""
+        del ranks, own_address
 
     async def prepare_many(
         self, ranks: Sequence[RankState], version: int, layout: Layout
--- a/src/bronzerudder/expert_maps/change.py
+++ b/src/bronzerudder/expert_maps/change.py
@@ -47,8 +47,8 @@
     RankState,
 )
 
-PREPARE_TIMEOUT_S = 3.0
-"""Time for all ranks to take the order to load, over the narrowest links."""
+PREPARE_TIMEOUT_S = 1.2
+"""Time for all ranks to take the order to load, over narrow links and with some orders lost."""
 LOAD_TIMEOUT_S = 4.0
 """Time for all ranks to load; a few experts take a fraction of a second."""
 LOAD_CHECK_INTERVAL_S = 0.05
@@ -148,7 +148,7 @@
         """Take a group to another map."""
         version = plan.version
         self._unanswered = 0
-        self._orders.set_ranks(ranks)
+        self._orders.set_ranks(ranks, self._own_address)
         began_s = time.monotonic()
         if not await self._prepare_all(ranks, version, plan.layout):
             return ChangeResult.NOT_PREPARED
@@ -210,7 +210,7 @@
         bool
             Whether nothing is armed or held any more.
         """
-        self._orders.set_ranks(ranks)
+        self._orders.set_ranks(ranks, self._own_address)
         # An order of the unfinished change may be too recent to show.
         await anyio.sleep(REPORT_LAG_S)
         states = await self._read_states(ranks)
--- a/src/bronzerudder/expert_maps/leader.py
+++ b/src/bronzerudder/expert_maps/leader.py
@@ -21,7 +21,7 @@
 RankLister = Callable[[], Awaitable[tuple[str, ...]]]
 
 CHECK_INTERVAL_S = 0.1
-MAX_POST_AGE_S = 1.2
+MAX_POST_AGE_S = 1.0
 """Agents post more than twice a second; a rank whose agent missed two posts may stand still, and a
 change would wait for it."""
 LEAST_GAIN_S = 0.012
@@ -39,7 +39,7 @@
 rises by this factor."""
 HELD_GRACE_S = 0.35
 """A step that is held while this leader changes nothing was left behind. Agents look at their ranks
-every 0.12 s, so posts show the hold of a change of its own for a while after it has ended."""
+every 0.12 s, so posts show the hold of a change of its own for this time after it has ended."""
 ASK_AFTER_S = 1.0
 """A rank whose agent was silent for two posts is asked itself, which is priced."""
 ASK_INTERVAL_S = 0.5
@@ -114,6 +114,7 @@
         self._steps_per_s = 15.0
         self._skew = 1.0
         self._kept_until_s = 0.0
+        self._changed_at_s = 0.0
         self._kept_skew = 0.0
 
     @property
@@ -142,7 +143,8 @@
         """Lead until another agent does."""
         self._note("leading", term=self._leader.term)
         # Agents that still post to the leader before need a moment to find this one.
-        self._asked_at_s = time.monotonic() + ASK_AFTER_S
+        self._asked_at_s = time.monotonic() + ASK_AFTER_S - ASK_INTERVAL_S
+        await self._list_known()
         while True:
             await anyio.sleep(CHECK_INTERVAL_S)
             await self._ask_missing()
@@ -169,13 +171,16 @@
             return
         self._asked_at_s = now_s
         if not self._known or now_s - self._listed_at_s > LIST_INTERVAL_S:
-            self._listed_at_s = now_s
-            self._known = await self._list_ranks()
+            await self._list_known()
         silent = [address for address in self._known if not self._is_fresh(address)]
         async with anyio.create_task_group() as tasks:
             for address in silent:
                 tasks.start_soon(self._ask, address)
 
+    async def _list_known(self) -> None:
+        self._listed_at_s = time.monotonic()
+        self._known = await self._list_ranks()
+
     async def _ask(self, address: str) -> None:
         state = await self._ranks.state(address)
         if isinstance(state, RankFailure):
@@ -210,6 +215,8 @@
             self._held_since_s = None
             return False
         now_s = time.monotonic()
+        if now_s - self._changed_at_s > HELD_GRACE_S:
+            return True
         if self._held_since_s is None:
             self._held_since_s = now_s
         return now_s - self._held_since_s >= HELD_GRACE_S
@@ -283,6 +290,7 @@
         started_s = time.monotonic()
         result = await self._changer.change(ranks, plan)
         now_s = time.monotonic()
+        self._changed_at_s = now_s
         self._counts.note(Counted.MAP_CHANGES, result.value)
         self._note(
             "map change ended",
--- a/src/bronzerudder/expert_maps/relay.py
+++ b/src/bronzerudder/expert_maps/relay.py
@@ -82,9 +82,13 @@
         self._helpers: list[str] = []
         self._unanswered: collections.Counter[str] = collections.Counter()
 
-    def set_ranks(self, ranks: Sequence[RankState]) -> None:
-        """Say which ranks there are, whose agents give orders for each other."""
-        self._helpers = [rank.address for rank in ranks]
+    def set_ranks(self, ranks: Sequence[RankState], own_address: str) -> None:
+        """Say which ranks there are, whose agents give orders for each other.
+
+        The leader's own agent does not, so that a machine which stands still right after it gave an
+        order is not the leader's.
+        """
+        self._helpers = [rank.address for rank in ranks if rank.address != own_address]
         self._unanswered.clear()
 
     async def state(self, address: str) -> RankState | RankFailure:
@@ -215,10 +219,12 @@
     def _helper_of(self, rank_address: str) -> str:
         """Choose the rank whose agent gives an order; another one each time it is unanswered."""
         others = [address for address in self._helpers if address != rank_address]
-        if not others or rank_address not in self._helpers:
+        if not others:
             return rank_address
-        after = self._helpers.index(rank_address) + self._unanswered[rank_address]
-        return others[after % len(others)]
+        first = 0
+        if rank_address in self._helpers:
+            first = self._helpers.index(rank_address)
+        return others[(first + self._unanswered[rank_address]) % len(others)]
 
     async def _give(
         self,
--- a/tests/expert_maps/test_relay.py
+++ b/tests/expert_maps/test_relay.py
@@ -104,17 +104,23 @@
         self.assertEqual(set(found), {rank.address for rank in self.ranks[:2]})
 
     async def test_other_orders_go_through_another_rank_and_then_the_next_one(self):
-        self.leader.set_ranks(self.ranks)
+        self.leader.set_ranks(self.ranks, "")
         self.assertIs(await self.leader.arm(self.ranks[1], 7, 9), OrderResult.ACCEPTED)
         self.assertEqual([calls.armed for calls in self.calls], [[], [], [1], []])
         self.servers[2].cancel()
         await asyncio.sleep(0)
         self.leader = RelayedOrders(RecordingRank(), self.port)
-        self.leader.set_ranks(self.ranks)
+        self.leader.set_ranks(self.ranks, "")
         self.assertIs(await self.leader.arm(self.ranks[1], 7, 9), OrderResult.UNKNOWN)
         self.assertIs(await self.leader.arm(self.ranks[1], 7, 9), OrderResult.ACCEPTED)
         self.assertEqual([calls.armed for calls in self.calls], [[], [], [1], [1]])
 
+    async def test_no_order_goes_through_the_leaders_own_agent(self):
+        self.leader.set_ranks(self.ranks, self.ranks[0].address)
+        for rank in self.ranks:
+            self.assertIs(await self.leader.arm(rank, 7, 9), OrderResult.ACCEPTED)
+        self.assertEqual(self.calls[0].armed, [])
+
     async def test_a_small_group_is_given_its_orders_one_by_one(self):
         self.assertEqual(await self.leader.prepare_many(self.ranks[:3], 7, LAYOUT), {})
 
