--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -14,7 +14,8 @@
 
 import fire
 
-from bench.soak.run import SoakRun, SoakShape
+from bench.soak.deployment import SoakShape
+from bench.soak.run import SoakRun
 
 SEED_TIMEOUT_S = 240.0
 FIRST_SEED = 1
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -41,6 +41,10 @@
     revoked_at_s: dict[str, float]
     left_at_s: dict[str, float]
 
+    def was_disturbed_since(self, began_s: float) -> bool:
+        """Tell whether anything was disturbed at or after a monotonic time."""
+        return any(item.end_s >= began_s for item in self.disturbances)
+
 
 def find_violations(fleet: Fleet, history: History) -> list[str]:
     """Return a line for each broken promise."""
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -9,8 +9,9 @@
 import unittest
 from typing import NamedTuple
 
+from bench.soak.deployment import SoakShape
 from bench.soak.faults import draw_faults
-from bench.soak.run import SoakRun, SoakShape
+from bench.soak.run import SoakRun
 
 SHORT_SEED = 6
 SHORT_S = 6.0
