Keep the count of left-out lines until the line that tells it has room

Cause: with a reader that had stopped, the line that says how many lines were left out found no room itself, and the count was reset with it.

--- a/src/bronzerudder/observability/event_log.py
+++ b/src/bronzerudder/observability/event_log.py
@@ -108,14 +108,19 @@
         self._allowance -= 1.0
         now_s = time.monotonic()
         if self._dropped_since_summary and now_s >= self._summary_at_s:
-            left_out = self._dropped_since_summary
+            self._summarize(now_s)
+        if not self._append(event, fields, now_s):
+            self._count_drop()
+        self.flush()
+
+    def _summarize(self, now_s: float) -> None:
+        """Say how many lines were left out; where this line has no room, the next one will."""
+        if self._append("lines left out", {"count": self._dropped_since_summary}, now_s):
             self._dropped_since_summary = 0
             self._summary_at_s = now_s + SUMMARY_INTERVAL_S
-            self._append("lines left out", {"count": left_out}, now_s)
-        self._append(event, fields, now_s)
-        self.flush()
 
-    def _append(self, event: str, fields: dict[str, Any], now_s: float) -> None:
+    def _append(self, event: str, fields: dict[str, Any], now_s: float) -> bool:
+        """Hold a line for the reader; return False where there is no room."""
         line = {
             "time_s": round(time.time(), 4),
             "steady_s": round(now_s, 4),
@@ -125,10 +130,10 @@
         }
         data = self._encoder.encode(line) + b"\n"
         if self._pending_bytes + len(data) > MAX_PENDING_BYTES:
-            self._count_drop()
-            return
+            return False
         self._pending.append(data)
         self._pending_bytes += len(data)
+        return True
 
     def _refill(self) -> float:
         now_s = time.monotonic()
