--- a/tests/processes/test_log_reader.py
+++ b/tests/processes/test_log_reader.py
@@ -13,7 +13,7 @@
 
 import anyio
 
-from tests.processes.test_gateway import TIMEOUT_S, GatewayProcessTest
+from tests.processes.gateway_case import TIMEOUT_S, GatewayProcessCase
 
 REQUESTS = 1500
 AT_ONCE = 6
@@ -23,7 +23,7 @@
 """Lines held for the reader are bounded at a quarter of a megabyte; the rest is the allocator's."""
 
 
-class StoppedReaderTest(GatewayProcessTest):
+class StoppedReaderTest(GatewayProcessCase):
     def spawn(self, command):
         self.reader, writer = os.pipe()
         self.addCleanup(os.close, self.reader)
@@ -86,7 +86,5 @@
         self.assertEqual(finished + left_out, REQUESTS + missing)
 
 
-del GatewayProcessTest
-
 if __name__ == "__main__":
     unittest.main()
