--- a/tests/gateway/test_waiting_room.py
+++ b/tests/gateway/test_waiting_room.py
@@ -6,12 +6,15 @@
 import random
 import time
 import unittest
+from unittest import mock
 
 import anyio
 
+from bronzerudder.gateway import waiting_room
 from bronzerudder.gateway.errors import Refusal, RefusalKind
 from bronzerudder.gateway.waiting_room import Ticket, WaitingRoom
 from bronzerudder.policy.routing import Candidate, FreeSlotRouting, Placement, RoutedRequest
+from tests.expert_maps.simulated_group import VirtualTime, run_virtual
 
 TIMEOUT_S = 5.0
 
@@ -29,7 +32,7 @@
         )
 
     def ticket(self, name, workspace="w", priority=1, on_time_s=0.2, patience_s=60.0):
-        now_s = time.monotonic()
+        now_s = waiting_room.time.monotonic()
         routed = RoutedRequest()
         return Ticket(name, workspace, priority, now_s + on_time_s, now_s + patience_s, routed)
 
@@ -143,8 +146,11 @@
         self.assertEqual((room.room.waiting, room.candidate.own_requests), (0, 0))
 
 
-class BurstTest(unittest.IsolatedAsyncioTestCase):
-    """Three times the capacity for a second: what callers get, against first come, first served."""
+class BurstTest(unittest.TestCase):
+    """Three times the capacity for a second: what callers get, against first come, first served.
+
+    Played in virtual time, as a busy machine would stretch the second and so lessen the load.
+    """
 
     SLOTS = 8
     HOLD_S = 0.05
@@ -156,16 +162,14 @@
         if first_come:
             room.room._order = lambda waiter, now_s: (waiter.arrived_at_s,)
         started: list[float] = []
-        self.refused_late = 0
 
         async def request(number):
             ticket = room.ticket(f"r{number}", on_time_s=self.OBJECTIVE_S, patience_s=1.5)
-            asked_s = time.monotonic()
+            asked_s = VirtualTime.monotonic()
             placed = await room.room.acquire(ticket)
             if isinstance(placed, Refusal):
-                self.refused_late += time.monotonic() - asked_s > 0.1
                 return
-            started.append(time.monotonic() - asked_s)
+            started.append(VirtualTime.monotonic() - asked_s)
             await anyio.sleep(self.HOLD_S)
             room.room.release(ticket, placed)
 
@@ -179,9 +183,10 @@
                 tasks.cancel_scope.cancel()
         return sum(1 for wait_s in started if wait_s <= self.OBJECTIVE_S)
 
-    async def test_more_callers_are_served_in_time_than_first_come_first_served(self):
-        plain = await self.play(first_come=True)
-        ours = await self.play(first_come=False)
+    def test_more_callers_are_served_in_time_than_first_come_first_served(self):
+        with mock.patch.object(waiting_room, "time", VirtualTime):
+            plain = run_virtual(self.play, True)
+            ours = run_virtual(self.play, False)
         self.assertGreater(ours, 1.5 * plain)
 
 
