End an exchange after too many informational heads

A backend server that sends 1xx heads without end held its exchange until the caller's deadline, at the cost of parsing all of them: read_head skipped each one without a count. In a gateway that is the whole deadline of the request and the processor time of every byte sent meanwhile; a non-repeatable request ended as 504 instead of 502.

Evidence: test_informational_heads_without_end_are_malformed failed before with TimeoutError after its 5 s, as the peer was never cut off. Now the ninth head ends the exchange as malformed and closes the connection, after which the peer's send fails; a second test shows that a few 100 Continue heads before an answer are still skipped.

--- a/src/bronzerudder/http1/client.py
+++ b/src/bronzerudder/http1/client.py
@@ -23,6 +23,8 @@
 just as a request is sent; the timeout is in whole seconds."""
 MAX_IDLE_PER_ADDRESS = 32
 MAX_HEAD_BYTES = 65_536
+MAX_INFORMATIONAL_HEADS = 8
+"""``1xx`` heads before an answer: one or two are usual, a faulty peer may send them without end."""
 _ANY_HOST = [(b"host", b"-")]
 
 
@@ -93,11 +95,16 @@
 
     async def read_head(self) -> ResponseHead | HttpError:
         """Read the status and headers of the answer."""
+        informational = 0
         while True:
             event = await self._next_event()
             if isinstance(event, HttpError):
                 return event
             if isinstance(event, h11.InformationalResponse):
+                informational += 1
+                if informational > MAX_INFORMATIONAL_HEADS:
+                    reason = f"more than {MAX_INFORMATIONAL_HEADS} informational heads"
+                    return self._fail(HttpErrorKind.MALFORMED, reason)
                 continue
             if isinstance(event, h11.Response):
                 self._head = ResponseHead(event.status_code, tuple(event.headers))
--- a/tests/http1/test_client.py
+++ b/tests/http1/test_client.py
@@ -53,6 +53,25 @@
                 return
 
 
+class EndlessPeer(Peer):
+    """A server that answers each read with a prefix and then the same bytes until it is cut off."""
+
+    def __init__(self, prefix: bytes, repeated: bytes, pause_s: float = 0.0):
+        super().__init__()
+        self._prefix = prefix
+        self._repeated = repeated
+        self._pause_s = pause_s
+        self.cut_off = anyio.Event()
+
+    async def _answer(self, connection: Connection):
+        await connection.receive()
+        failed = await connection.send(self._prefix)
+        while failed is None:
+            await anyio.sleep(self._pause_s)
+            failed = await connection.send(self._repeated)
+        self.cut_off.set()
+
+
 class ClientPoolTest(unittest.IsolatedAsyncioTestCase):
     async def call(self, pool, address):
         with anyio.fail_after(TIMEOUT_S):
@@ -126,6 +145,17 @@
                 self.assertEqual(await exchange.read_rest(), b"ok")
             exchange.release()
 
+    async def test_informational_heads_without_end_are_malformed(self):
+        async with EndlessPeer(b"", b"HTTP/1.1 103 Early Hints\r\n\r\n") as peer:
+            answer = await self.call(ClientPool(), peer.address)
+            self.assertIs(answer.kind, HttpErrorKind.MALFORMED)
+            with anyio.fail_after(TIMEOUT_S):
+                await peer.cut_off.wait()
+
+    async def test_some_informational_heads_come_before_an_answer(self):
+        async with Peer(b"HTTP/1.1 100 Continue\r\n\r\n" * 3 + OK) as peer:
+            self.assertEqual(await self.call(ClientPool(), peer.address), (200, b"ok"))
+
     async def test_idle_connections_that_the_peer_closed_are_swept(self):
         async with Peer(OK, close=True) as peer:
             pool = ClientPool()
