Let other tasks run while a peer is always ready to send or receive

Connection.receive and send return without waiting as long as the socket is ready, and a task that doesn't wait doesn't return to the event loop. A backend server that sends bytes without end faster than the gateway parses them, or a caller during the lingering close, therefore suspended the time limits of its own exchange and every other connection of the process until it stopped: callers of sound backend servers saw the gateway stand still.

Now other tasks run after 32 calls that did not wait (2 MiB at most), which is where a time limit takes effect.

--- a/src/bronzerudder/http1/sockets.py
+++ b/src/bronzerudder/http1/sockets.py
@@ -11,8 +11,12 @@
 from typing import NamedTuple
 
 import anyio
+import anyio.lowlevel
 
 RECEIVE_BYTES = 65_536
+MAX_IMMEDIATE_CALLS = 32
+"""Reads and writes of a connection that may complete without waiting before other tasks run. A peer
+that is always ready would otherwise hold the event loop, and no time limit would take effect."""
 LISTEN_BACKLOG = 1024
 """When another instance fails, its callers reconnect here all at once; a full backlog would delay
 them by seconds."""
@@ -52,6 +56,7 @@
     def __init__(self, sock: socket.socket) -> None:
         self._socket = sock
         self._closed = False
+        self._immediate_calls = 0
 
     @property
     def closed(self) -> bool:
@@ -60,10 +65,14 @@
 
     async def receive(self) -> bytes | TransportError:
         """Read the bytes available, waiting for the first; empty at the end of the stream."""
+        self._immediate_calls += 1
+        if self._immediate_calls > MAX_IMMEDIATE_CALLS:
+            await self._give_way()
         while True:
             try:
                 return self._socket.recv(RECEIVE_BYTES)
             except BlockingIOError:
+                self._immediate_calls = 0
                 try:
                     await anyio.wait_readable(self._socket)
                 except anyio.ClosedResourceError:
@@ -73,12 +82,16 @@
 
     async def send(self, data: bytes) -> TransportError | None:
         """Send all of the data; waits while the peer does not read."""
+        self._immediate_calls += 1
+        if self._immediate_calls > MAX_IMMEDIATE_CALLS:
+            await self._give_way()
         view = memoryview(data)
         sent = 0
         while sent < len(view):
             try:
                 sent += self._socket.send(view[sent:])
             except BlockingIOError:
+                self._immediate_calls = 0
                 try:
                     await anyio.wait_writable(self._socket)
                 except anyio.ClosedResourceError:
@@ -87,6 +100,11 @@
                 return TransportError(_name_error(error), sent)
         return None
 
+    async def _give_way(self) -> None:
+        """Let other tasks run after several calls that did not wait."""
+        self._immediate_calls = 0
+        await anyio.lowlevel.checkpoint()
+
     def is_readable(self) -> bool:
         """Whether bytes or the end of the stream can be read without waiting."""
         poller = select.poll()
