Bound the size of an answer that is read as a whole

ClientPool.call (the store, reports, counts and orders of ranks, calls between rank agents) and skip_stale_answer of the gateway collected a body until its end. A peer that sends without end made the process grow until the time limit of the call: at 1 s and 4 Mbit/s that is half a megabyte, but on one site with a fast link hundreds of megabytes, over the 300 MB of a gateway; skip_stale_answer has no limit but the request's deadline. A process over its memory limit ends, and callers see their connections close.

read_rest now counts bytes as received, so that chunk extensions and framing count too, and ends the exchange as malformed over 1 MiB, which closes the connection; the store's client allows 16 MiB, as a watch returns all changes at once. A watch over the limit fails, and the follower lists again, which is smaller.

Evidence: before, test_an_answer_without_end_is_malformed failed with TimeoutError after 5 s for a body with no framing, with a length, in chunks and in chunks with long extensions (a head and trailers without end were already bounded by h11 and passed), and test_a_stale_answer_without_end_is_malformed likewise; they pass now, and the peer sees the connection closed. test_a_cancelled_call_leaves_no_connection_for_its_late_answer passed before and after: it shows that the answer of a timed-out call reaches no other.

--- a/src/bronzerudder/http1/client.py
+++ b/src/bronzerudder/http1/client.py
@@ -25,6 +25,8 @@
 MAX_HEAD_BYTES = 65_536
 MAX_INFORMATIONAL_HEADS = 8
 """``1xx`` heads before an answer: one or two are usual, a faulty peer may send them without end."""
+MAX_ANSWER_BYTES = 1_048_576
+"""Default limit of the body of an answer that is read as a whole, framing included."""
 _ANY_HOST = [(b"host", b"-")]
 
 
@@ -64,6 +66,7 @@
         self._request: h11.Request | None = None
         self._head: ResponseHead | None = None
         self._reused = reused
+        self._received_bytes = 0
         self._ended = False
 
     @property
@@ -122,15 +125,21 @@
             return None
         return self._fail(HttpErrorKind.BROKEN, "connection closed before the end of the answer")
 
-    async def read_rest(self) -> bytes | HttpError:
-        """Read the body to its end."""
+    async def read_rest(self, max_bytes: int = MAX_ANSWER_BYTES) -> bytes | HttpError:
+        """Read the body to its end; ``MALFORMED`` if it takes more than ``max_bytes``.
+
+        Bytes are counted as received, as framing alone can also come without end.
+        """
         chunks: list[bytes] = []
+        received_before = self._received_bytes
         while True:
             chunk = await self.read_body()
             if isinstance(chunk, HttpError):
                 return chunk
             if chunk is None:
                 return b"".join(chunks)
+            if self._received_bytes - received_before > max_bytes:
+                return self._fail(HttpErrorKind.MALFORMED, f"answer exceeds {max_bytes} bytes")
             chunks.append(chunk)
 
     async def skip_stale_answer(self) -> HttpError | None:
@@ -189,6 +198,7 @@
             if isinstance(data, TransportError):
                 return self._fail(HttpErrorKind.BROKEN, data.reason)
             peer_closed = not data
+            self._received_bytes += len(data)
             self._http.receive_data(data)
 
     def _fail(self, kind: HttpErrorKind, reason: str) -> HttpError:
@@ -235,8 +245,13 @@
         target: bytes,
         headers: list[tuple[bytes, bytes]],
         body: bytes = b"",
+        max_bytes: int = MAX_ANSWER_BYTES,
     ) -> tuple[int, bytes] | HttpError:
-        """Send a request and read its complete answer: status and body."""
+        """Send a request and read its complete answer: status and body.
+
+        The time is the caller's to limit. If the call is cancelled, its connection is closed, so
+        that a late answer can't be taken for that of another call.
+        """
         exchange = await self.open(address)
         if isinstance(exchange, HttpError):
             return exchange
@@ -247,7 +262,7 @@
             head = await exchange.read_head()
             if isinstance(head, HttpError):
                 return head
-            content = await exchange.read_rest()
+            content = await exchange.read_rest(max_bytes)
             if isinstance(content, HttpError):
                 return content
             exchange.release()
--- a/src/bronzerudder/platform/object_api.py
+++ b/src/bronzerudder/platform/object_api.py
@@ -28,6 +28,8 @@
 
 CALL_TIMEOUT_S = 1.0
 """The store answers within milliseconds; a call that takes longer is treated as an outage."""
+MAX_ANSWER_BYTES = 16 * 1_048_576
+"""A page of a listing holds about 1 MB; a watch returns all changes at once, with their values."""
 WATCH_MARGIN_S = 1.0
 """Time that a watch may overrun its own timeout before the connection is considered dead."""
 MS_PER_S = 1000.0
@@ -193,7 +195,9 @@
         headers = list(self._host)
         if body:
             headers.append((b"content-type", b"application/json"))
-        answer = await self._pool.call(self._address, method.encode(), path.encode(), headers, body)
+        answer = await self._pool.call(
+            self._address, method.encode(), path.encode(), headers, body, MAX_ANSWER_BYTES
+        )
         if isinstance(answer, HttpError):
             return _connection_error(method, answer)
         status, content = answer
--- a/tests/http1/test_client.py
+++ b/tests/http1/test_client.py
@@ -11,6 +11,7 @@
 
 TIMEOUT_S = 5.0
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nKeep-Alive: timeout=5\r\n\r\nok"
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 HOST = [(b"host", b"h")]
 
 
@@ -156,6 +157,42 @@
         async with Peer(b"HTTP/1.1 100 Continue\r\n\r\n" * 3 + OK) as peer:
             self.assertEqual(await self.call(ClientPool(), peer.address), (200, b"ok"))
 
+    async def test_an_answer_without_end_is_malformed(self):
+        endless = (
+            (b"HTTP/1.1 200 OK\r\n\r\n", b"x" * 65_536),
+            (b"HTTP/1.1 200 OK\r\nContent-Length: 999999999999\r\n\r\n", b"x" * 65_536),
+            (CHUNKED, b"5\r\nhello\r\n" * 5_000),
+            (CHUNKED, b"1;" + b"e" * 60_000 + b"\r\nx\r\n"),
+            (CHUNKED + b"0\r\n", b"trailer: x\r\n" * 5_000),
+            (b"HTTP/1.1 200 OK\r\n", b"header: x\r\n" * 5_000),
+            (b"", b"x" * 65_536),
+        )
+        for prefix, repeated in endless:
+            with self.subTest(prefix=prefix, repeated=repeated[:10]):
+                async with EndlessPeer(prefix, repeated) as peer:
+                    answer = await self.call(ClientPool(), peer.address)
+                    self.assertIs(answer.kind, HttpErrorKind.MALFORMED)
+                    with anyio.fail_after(TIMEOUT_S):
+                        await peer.cut_off.wait()
+
+    async def test_a_stale_answer_without_end_is_malformed(self):
+        async with EndlessPeer(CHUNKED, b"5\r\nhello\r\n" * 5_000) as peer:
+            exchange = await ClientPool().open(peer.address)
+            await exchange.send(b"GET", b"/", HOST, b"")
+            with anyio.fail_after(TIMEOUT_S):
+                await exchange.read_head()
+                skipped = await exchange.skip_stale_answer()
+                self.assertIs(skipped.kind, HttpErrorKind.MALFORMED)
+                await peer.cut_off.wait()
+
+    async def test_a_cancelled_call_leaves_no_connection_for_its_late_answer(self):
+        async with Peer(OK[:-1], OK) as peer:
+            pool = ClientPool()
+            with anyio.move_on_after(0.1):
+                await pool.call(peer.address, b"GET", b"/", HOST)
+            self.assertEqual(await self.call(pool, peer.address), (200, b"ok"))
+            self.assertEqual(peer.accepted, 2)
+
     async def test_idle_connections_that_the_peer_closed_are_swept(self):
         async with Peer(OK, close=True) as peer:
             pool = ClientPool()
