Bound the number of chunks of an answer and let other tasks run between them

One read of 64 KiB can hold 11,000 chunks of one byte, and reading a chunk that was already received never waits. A peer that sends such chunks without end held the event loop for some 0.2 s a read, and the 1 MiB that read_rest allows took several seconds of processor time; all other callers of a gateway, which has under one core, waited.

Exchange now lets other tasks run after 64 parsed events without a read, and read_rest ends an answer of more than 8,192 chunks as malformed (1 MiB at 128 bytes a chunk).

Evidence: test_small_chunks_do_not_hold_the_event_loop failed before (2,000 chunks were read inside a time limit of 0 s), test_an_answer_of_very_many_chunks_is_malformed failed with TimeoutError after 5 s.

--- a/src/bronzerudder/http1/client.py
+++ b/src/bronzerudder/http1/client.py
@@ -9,6 +9,7 @@
 import time
 from typing import NamedTuple
 
+import anyio.lowlevel
 import h11
 
 from bronzerudder.http1.errors import HttpError, HttpErrorKind
@@ -27,6 +28,10 @@
 """``1xx`` heads before an answer: one or two are usual, a faulty peer may send them without end."""
 MAX_ANSWER_BYTES = 1_048_576
 """Default limit of the body of an answer that is read as a whole, framing included."""
+MAX_ANSWER_CHUNKS = 8_192
+"""Default limit of the chunks of such an answer; each takes time to parse, however small it is."""
+MAX_BUFFERED_EVENTS = 64
+"""Chunks of received data that are parsed before other tasks run; one read can hold 11,000."""
 _ANY_HOST = [(b"host", b"-")]
 
 
@@ -67,6 +72,7 @@
         self._head: ResponseHead | None = None
         self._reused = reused
         self._received_bytes = 0
+        self._buffered_events = 0
         self._ended = False
 
     @property
@@ -140,6 +146,9 @@
                 return b"".join(chunks)
             if self._received_bytes - received_before > max_bytes:
                 return self._fail(HttpErrorKind.MALFORMED, f"answer exceeds {max_bytes} bytes")
+            if len(chunks) >= MAX_ANSWER_CHUNKS:
+                reason = f"answer exceeds {MAX_ANSWER_CHUNKS} chunks"
+                return self._fail(HttpErrorKind.MALFORMED, reason)
             chunks.append(chunk)
 
     async def skip_stale_answer(self) -> HttpError | None:
@@ -185,6 +194,10 @@
 
     async def _next_event(self) -> h11.Event | HttpError:
         peer_closed = False
+        self._buffered_events += 1
+        if self._buffered_events > MAX_BUFFERED_EVENTS:
+            self._buffered_events = 0
+            await anyio.lowlevel.checkpoint()
         while True:
             try:
                 event = self._http.next_event()
@@ -198,6 +211,7 @@
             if isinstance(data, TransportError):
                 return self._fail(HttpErrorKind.BROKEN, data.reason)
             peer_closed = not data
+            self._buffered_events = 0
             self._received_bytes += len(data)
             self._http.receive_data(data)
 
--- a/tests/http1/test_client.py
+++ b/tests/http1/test_client.py
@@ -11,6 +11,7 @@
 
 TIMEOUT_S = 5.0
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nKeep-Alive: timeout=5\r\n\r\nok"
+CHUNKS_AT_MOST = 2_000
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 HOST = [(b"host", b"h")]
 
@@ -175,6 +176,23 @@
                     with anyio.fail_after(TIMEOUT_S):
                         await peer.cut_off.wait()
 
+    async def test_small_chunks_do_not_hold_the_event_loop(self):
+        async with EndlessPeer(CHUNKED, b"1\r\nx\r\n" * 10_000) as peer:
+            exchange = await ClientPool().open(peer.address)
+            await exchange.send(b"GET", b"/", HOST, b"")
+            await exchange.read_head()
+            with anyio.move_on_after(0.0) as scope:
+                for _ in range(CHUNKS_AT_MOST):
+                    await exchange.read_body()
+            self.assertTrue(scope.cancelled_caught, f"{CHUNKS_AT_MOST} chunks without giving way")
+            exchange.discard()
+
+    async def test_an_answer_of_very_many_chunks_is_malformed(self):
+        async with EndlessPeer(CHUNKED, b"1\r\nx\r\n" * 10_000) as peer:
+            answer = await self.call(ClientPool(), peer.address)
+            self.assertIs(answer.kind, HttpErrorKind.MALFORMED)
+            self.assertIn("chunks", answer.reason)
+
     async def test_a_stale_answer_without_end_is_malformed(self):
         async with EndlessPeer(CHUNKED, b"5\r\nhello\r\n" * 5_000) as peer:
             exchange = await ClientPool().open(peer.address)
