Bound the size of a stream's event and search only its new bytes

EventSplitter kept an incomplete event until its end came, and joined and searched all of it again for each chunk. A backend server that sends an event without end made a gateway's memory and its cost a byte grow until the caller's deadline; as a gateway has under one core, all its callers waited.

An event over 64 KiB now ends the attempt as malformed (502 or a retry as for other malformed answers, an unfinished stream if events were sent), and on the stand-ins' path as broken. The partial event is discarded, so that an attempt after it starts clean. The buffer is a bytearray, and only the new bytes are searched, with a look at the last byte for an end that is cut in two.

--- a/src/bronzerudder/execution/relay.py
+++ b/src/bronzerudder/execution/relay.py
@@ -15,7 +15,12 @@
 from bronzerudder.frames import exchange_pb2 as pb
 from bronzerudder.observability import Tracing
 from bronzerudder.observability.traces import TRACEPARENT
-from bronzerudder.web.event_stream import LAST_EVENT_ID, EventSplitter, is_event_stream
+from bronzerudder.web.event_stream import (
+    LAST_EVENT_ID,
+    MAX_EVENT_BYTES,
+    EventSplitter,
+    is_event_stream,
+)
 
 MAX_REOPENS = 8
 MAX_PROBES = 5
@@ -102,6 +107,8 @@
         complete = splitter.split(chunk) if streaming else chunk
         if complete:
             attempt.emit_chunk(complete)
+        if splitter.exceeds_limit:
+            return BackendError(BackendErrorKind.BROKEN, f"event exceeds {MAX_EVENT_BYTES} bytes")
     if splitter.partial_event:
         attempt.emit_chunk(splitter.partial_event)
     return None
--- a/src/bronzerudder/gateway/attempt.py
+++ b/src/bronzerudder/gateway/attempt.py
@@ -12,6 +12,7 @@
 from bronzerudder.gateway.relay import StreamRelay
 from bronzerudder.http1 import ClientPool, Exchange, HttpError, HttpErrorKind
 from bronzerudder.platform.requests import AnswerHead, decode_answer
+from bronzerudder.web.event_stream import MAX_EVENT_BYTES
 
 MAX_BUFFERED_BYTES = 1_048_576
 """Limit of a plain answer, which is buffered in full before the caller is answered."""
@@ -261,6 +262,10 @@
                 return StreamDelivered(answer)
             if await relay.forward(answer.headers, chunk):
                 self._record_event(time.monotonic())
+            if relay.event_exceeds_limit:
+                relay.discard_partial_event()
+                reason = f"event exceeds {MAX_EVENT_BYTES} bytes"
+                return AttemptFailure(FailureKind.MALFORMED, reason)
 
     def _record_event(self, now_s: float) -> None:
         self._progress.record(now_s)
--- a/src/bronzerudder/gateway/relay.py
+++ b/src/bronzerudder/gateway/relay.py
@@ -49,6 +49,11 @@
         """Longest pause between two events."""
         return self._longest_gap_s
 
+    @property
+    def event_exceeds_limit(self) -> bool:
+        """Whether an incomplete event is too long to be buffered further."""
+        return self._splitter.exceeds_limit
+
     def discard_partial_event(self) -> None:
         """Discard the incomplete event at the end of a broken answer."""
         self._splitter.drop_partial_event()
--- a/src/bronzerudder/web/event_stream.py
+++ b/src/bronzerudder/web/event_stream.py
@@ -10,6 +10,8 @@
 LAST_EVENT_ID = "last-event-id"
 EVENT_END = b"\n\n"
 ID_FIELD = b"id:"
+MAX_EVENT_BYTES = 65_536
+"""Limit of one event, which is buffered until it is complete; an event holds a few tokens."""
 TERMINATOR = b"data: [DONE]\n\n"
 
 
@@ -25,7 +27,7 @@
     """Buffers an incomplete event until the rest of it has been received."""
 
     def __init__(self) -> None:
-        self._partial_event = b""
+        self._partial_event = bytearray()
         self._last_event_id = ""
 
     @property
@@ -36,25 +38,34 @@
     @property
     def partial_event(self) -> bytes:
         """Bytes of an incomplete event."""
-        return self._partial_event
+        return bytes(self._partial_event)
+
+    @property
+    def exceeds_limit(self) -> bool:
+        """Whether the incomplete event is longer than `MAX_EVENT_BYTES`."""
+        return len(self._partial_event) > MAX_EVENT_BYTES
 
     def split(self, data: bytes) -> bytes:
-        """Add data and return all complete events."""
-        data = self._partial_event + data
+        """Add data and return all complete events.
+
+        Only the new bytes are searched, so the cost does not depend on the size of the event.
+        """
         end = data.rfind(EVENT_END)
-        if end < 0:
-            self._partial_event = data
+        if end >= 0:
+            end += len(EVENT_END)
+        elif data.startswith(b"\n") and self._partial_event.endswith(b"\n"):
+            end = 1
+        else:
+            self._partial_event += data
             return b""
-        complete_events, self._partial_event = (
-            data[: end + len(EVENT_END)],
-            data[end + len(EVENT_END) :],
-        )
+        complete_events = bytes(self._partial_event) + data[:end]
+        self._partial_event = bytearray(data[end:])
         self._record_id(complete_events)
         return complete_events
 
     def drop_partial_event(self) -> None:
         """Discard an incomplete event; the resumed stream starts after the last complete one."""
-        self._partial_event = b""
+        self._partial_event.clear()
 
     def _record_id(self, complete_events: bytes) -> None:
         last_event_id = find_last_event_id(complete_events)
--- /dev/null
+++ b/tests/gateway/test_answer_bounds.py
@@ -0,0 +1,92 @@
+"""Tests that answers without end, of scripted backend servers, are cut off by the gateway."""
+
+from __future__ import annotations
+
+import asyncio
+import re
+import unittest
+
+import anyio
+
+from bronzerudder.gateway.tables import BackendServer
+from bronzerudder.http1 import Connection, listen
+from bronzerudder.http1.sockets import accept
+from tests.gateway.harness import TIMEOUT_S, GatewayHarness
+
+HEAD = b"HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nResponse-Signature: s\r\n"
+STREAM = HEAD + b"Content-Type: text/event-stream\r\n\r\n"
+PIECE = b"x" * 1_400
+
+
+class EndlessBackendServer:
+    """Answers each request with a head and some bytes, then the same bytes until it is cut off."""
+
+    def __init__(self, head: bytes, first: bytes, repeated: bytes) -> None:
+        self._head = head
+        self._first = first
+        self._repeated = repeated
+        self._tasks: set[asyncio.Task] = set()
+        self.cut_off = anyio.Semaphore(0)
+
+    async def serve(self, listener) -> None:
+        while True:
+            connection = await accept(listener)
+            task = asyncio.create_task(self._answer(connection))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _answer(self, connection: Connection) -> None:
+        request = await connection.receive()
+        if not isinstance(request, bytes):
+            return
+        request_id = re.search(rb"(?i)attempt-id: (\S+)", request).group(1)
+        failed = await connection.send(self._head % request_id + self._first)
+        while failed is None:
+            failed = await connection.send(self._repeated)
+        connection.close()
+        self.cut_off.release()
+
+
+class EndlessAnswerTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.gateway = GatewayHarness(server_count=0)
+        await self.gateway.start()
+        self.addAsyncCleanup(self.gateway.stop)
+
+    def add(self, head: bytes, first: bytes, repeated: bytes) -> EndlessBackendServer:
+        server = EndlessBackendServer(head, first, repeated)
+        listener = listen("127.0.0.1:0")
+        self.addCleanup(listener.close)
+        task = asyncio.create_task(server.serve(listener))
+        self.addCleanup(task.cancel)
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
+        self.gateway.services.put(BackendServer("i-0", "s", address, "z", 6, False))
+        return server
+
+    async def assert_cut_off(self, server: EndlessBackendServer) -> None:
+        with anyio.fail_after(TIMEOUT_S):
+            await server.cut_off.acquire()
+
+    async def test_an_event_without_end_ends_the_attempt(self):
+        server = self.add(STREAM, b"id: 1\ndata: ", PIECE)
+        status, _, body = await self.gateway.send_request("/once/")
+        self.assertEqual(status, 502)
+        self.assertIn(b"event exceeds", body)
+        await self.assert_cut_off(server)
+
+    async def test_an_event_without_end_after_others_leaves_the_stream_incomplete(self):
+        server = self.add(STREAM, b"id: 1\ndata: a\n\nid: 2\ndata: ", PIECE)
+        status, _, body = await self.gateway.send_request("/once/")
+        self.assertEqual((status, body), (200, None))
+        await self.assert_cut_off(server)
+
+    async def test_a_plain_answer_without_end_ends_the_attempt(self):
+        server = self.add(HEAD + b"\r\n", b"", PIECE)
+        status, _, body = await self.gateway.send_request("/book/")
+        self.assertEqual(status, 502)
+        self.assertIn(b"answer exceeds", body)
+        await self.assert_cut_off(server)
+
+
+if __name__ == "__main__":
+    unittest.main()
