Bound the sum of the plain answers that a gateway reads at the same time

Each plain answer is buffered up to 1 MiB before its caller is answered, but nothing bounded the sum: 300 backend servers that send without end, or just hold their answers open short of the limit, fill the 300 MB of a gateway (200 MB on the grown sites) until the deadlines of their callers. A process over its limit ends, with all its connections.

A gateway now counts what it buffers beyond the first 64 KiB of each plain answer. Over 64 MiB in all, an answer that receives more ends as malformed, like one over its own limit; short answers go on. An answer of more than 8,192 chunks ends likewise, as each chunk takes time to parse. The reason is in the log line of the attempt.

Evidence: test_many_plain_answers_without_end_hold_a_bounded_sum failed with the count but without the limit: 100 answers of 850,000 bytes that stay open were buffered at the same time, 78,304,000 bytes beyond the first 64 KiB of each. test_a_plain_answer_without_end_ends_the_attempt passed before and after, as the limit of one answer existed.

--- a/src/bronzerudder/gateway/attempt.py
+++ b/src/bronzerudder/gateway/attempt.py
@@ -16,6 +16,12 @@
 
 MAX_BUFFERED_BYTES = 1_048_576
 """Limit of a plain answer, which is buffered in full before the caller is answered."""
+MAX_TOTAL_BUFFERED_BYTES = 64 * 1_048_576
+"""Limit of all plain answers that a gateway reads at the same time; it may use 200 MB in all."""
+UNCOUNTED_BYTES = 65_536
+"""Start of a plain answer that does not count, so that long answers don't fail short ones."""
+MAX_BUFFERED_CHUNKS = 8_192
+"""Limit of the chunks of a plain answer; each takes time to parse, however small it is."""
 MAX_LATE_ANSWERS = 2
 """Late answers to earlier requests that are skipped on one connection."""
 PROGRESS_WINDOW_S = 0.3
@@ -229,22 +235,40 @@
     async def _read_complete(
         self, exchange: Exchange, answer: AnswerHead
     ) -> CompleteAnswer | AttemptFailure:
+        counted_bytes = 0
         chunks: list[bytes] = []
         size = 0
-        while True:
-            chunk = await self._read_with_timeout(exchange.read_body)
-            if isinstance(chunk, AttemptFailure):
-                return chunk
-            if isinstance(chunk, HttpError):
-                return _attempt_failure(chunk)
-            if chunk is None:
-                exchange.release()
-                return CompleteAnswer(answer, b"".join(chunks))
-            size += len(chunk)
-            if size > MAX_BUFFERED_BYTES:
-                reason = f"answer exceeds {MAX_BUFFERED_BYTES} bytes"
-                return AttemptFailure(FailureKind.MALFORMED, reason)
-            chunks.append(chunk)
+        try:
+            while True:
+                chunk = await self._read_with_timeout(exchange.read_body)
+                if isinstance(chunk, AttemptFailure):
+                    return chunk
+                if isinstance(chunk, HttpError):
+                    return _attempt_failure(chunk)
+                if chunk is None:
+                    exchange.release()
+                    return CompleteAnswer(answer, b"".join(chunks))
+                chunks.append(chunk)
+                size += len(chunk)
+                if size > UNCOUNTED_BYTES:
+                    added_bytes = size - UNCOUNTED_BYTES - counted_bytes
+                    counted_bytes += added_bytes
+                    self._connections.add_buffered(added_bytes)
+                reason = self._find_exceeded_limit(size, len(chunks))
+                if reason:
+                    return AttemptFailure(FailureKind.MALFORMED, reason)
+        finally:
+            self._connections.add_buffered(-counted_bytes)
+
+    def _find_exceeded_limit(self, size: int, chunks: int) -> str:
+        """Return which limit a plain answer exceeds, or an empty string."""
+        if size > MAX_BUFFERED_BYTES:
+            return f"answer exceeds {MAX_BUFFERED_BYTES} bytes"
+        if chunks > MAX_BUFFERED_CHUNKS:
+            return f"answer exceeds {MAX_BUFFERED_CHUNKS} chunks"
+        if size > UNCOUNTED_BYTES and self._connections.buffered_bytes > MAX_TOTAL_BUFFERED_BYTES:
+            return f"answers being read exceed {MAX_TOTAL_BUFFERED_BYTES} bytes"
+        return ""
 
     async def _relay_stream(
         self, exchange: Exchange, answer: AnswerHead, relay: StreamRelay
--- a/src/bronzerudder/http1/client.py
+++ b/src/bronzerudder/http1/client.py
@@ -227,6 +227,16 @@
         self._connect_timeout_s = connect_timeout_s
         self._idle: dict[str, list[_IdleConnection]] = {}
         self._opened = 0
+        self._buffered_bytes = 0
+
+    @property
+    def buffered_bytes(self) -> int:
+        """Bytes of answers that users of the pool have reported as buffered."""
+        return self._buffered_bytes
+
+    def add_buffered(self, size: int) -> None:
+        """Report bytes of an answer as buffered, or with a negative size as no longer buffered."""
+        self._buffered_bytes += size
 
     @property
     def opened(self) -> int:
--- a/tests/gateway/test_answer_bounds.py
+++ b/tests/gateway/test_answer_bounds.py
@@ -8,6 +8,7 @@
 
 import anyio
 
+from bronzerudder.gateway.attempt import MAX_BUFFERED_BYTES, MAX_TOTAL_BUFFERED_BYTES
 from bronzerudder.gateway.tables import BackendServer
 from bronzerudder.http1 import Connection, listen
 from bronzerudder.http1.sockets import accept
@@ -15,11 +16,15 @@
 
 HEAD = b"HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nResponse-Signature: s\r\n"
 STREAM = HEAD + b"Content-Type: text/event-stream\r\n\r\n"
+CALLERS = 100
 PIECE = b"x" * 1_400
 
 
 class EndlessBackendServer:
-    """Answers each request with a head and some bytes, then the same bytes until it is cut off."""
+    """Answers each request with a head and some bytes, then the same bytes until it is cut off.
+
+    With nothing to repeat, it waits until it is cut off.
+    """
 
     def __init__(self, head: bytes, first: bytes, repeated: bytes) -> None:
         self._head = head
@@ -41,8 +46,10 @@
             return
         request_id = re.search(rb"(?i)attempt-id: (\S+)", request).group(1)
         failed = await connection.send(self._head % request_id + self._first)
-        while failed is None:
+        while failed is None and self._repeated:
             failed = await connection.send(self._repeated)
+        if failed is None:
+            await connection.receive()
         connection.close()
         self.cut_off.release()
 
@@ -60,7 +67,7 @@
         task = asyncio.create_task(server.serve(listener))
         self.addCleanup(task.cancel)
         address = f"127.0.0.1:{listener.getsockname()[1]}"
-        self.gateway.services.put(BackendServer("i-0", "s", address, "z", 6, False))
+        self.gateway.services.put(BackendServer("i-0", "s", address, "z", CALLERS, False))
         return server
 
     async def assert_cut_off(self, server: EndlessBackendServer) -> None:
@@ -87,6 +94,27 @@
         self.assertIn(b"answer exceeds", body)
         await self.assert_cut_off(server)
 
+    async def test_many_plain_answers_without_end_hold_a_bounded_sum(self):
+        first = b"x" * (MAX_BUFFERED_BYTES - 200_000)
+        server = self.add(HEAD + b"Content-Length: 999999999\r\n\r\n", first, b"")
+        statuses = []
+        highest = 0
+
+        async def call(number: int) -> None:
+            status, _, _ = await self.gateway.send_request("/book/", f"r{number}")
+            statuses.append(status)
+
+        async with anyio.create_task_group() as tasks:
+            for number in range(CALLERS):
+                tasks.start_soon(call, number)
+            while len(statuses) < CALLERS:
+                highest = max(highest, self.gateway.connections.buffered_bytes)
+                await anyio.sleep(0.001)
+        for _ in range(CALLERS):
+            await self.assert_cut_off(server)
+        self.assertLessEqual(highest, MAX_TOTAL_BUFFERED_BYTES)
+        self.assertEqual(self.gateway.connections.buffered_bytes, 0)
+
 
 if __name__ == "__main__":
     unittest.main()
