Do not skip or keep answers whose framing HEAD leaves open

The answer to a HEAD request has no body, whatever its headers say. skip_stale_answer frames a late answer by the method of the present request: for HEAD, the body of a late answer to GET was left on the connection and read as the next head, and a late answer to an earlier HEAD would swallow the beginning of the next answer. A caller could get a malformed answer, or in the worst case a body that reads like an answer, for its own.

A connection is now not kept after a HEAD request, so that no late answer to one can arrive on it, and a late answer before that to a HEAD request fails the exchange as broken.

Evidence: test_a_late_answer_is_not_skipped_for_a_head_request failed before, as the skip succeeded, and a connection was reused after HEAD. Tests beside them show what held before: a connection is closed after HTTP/1.0, Connection: close, no time to stay idle or any bytes after the answer, also an empty line, half a head or a 1xx head; a 101 that was not asked for is malformed; 204 and 304 with a length have no body when skipped.

--- a/src/bronzerudder/http1/client.py
+++ b/src/bronzerudder/http1/client.py
@@ -32,6 +32,7 @@
 """Default limit of the chunks of such an answer; each takes time to parse, however small it is."""
 MAX_BUFFERED_EVENTS = 64
 """Chunks of received data that are parsed before other tasks run; one read can hold 11,000."""
+_HEAD = b"HEAD"
 _ANY_HOST = [(b"host", b"-")]
 
 
@@ -153,11 +154,16 @@
 
     async def skip_stale_answer(self) -> HttpError | None:
         """Skip the rest of an answer to an earlier request; `read_head` then reads the next one."""
+        if self._request is None or self._request.method == _HEAD:
+            # The answer to a HEAD request has no body, whatever its headers say.
+            return self._fail(
+                HttpErrorKind.BROKEN, "answer to an earlier request before that to HEAD"
+            )
         stale = await self.read_rest()
         if isinstance(stale, HttpError):
             return stale
         data, closed = self._http.trailing_data
-        if closed or self._request is None:
+        if closed:
             return self._fail(
                 HttpErrorKind.BROKEN, "connection closed after an answer to an earlier request"
             )
@@ -176,7 +182,10 @@
             return
         self._ended = True
         reusable = (
-            self._http.our_state is h11.DONE
+            self._request is not None
+            # A late answer to it would be framed differently from that to the next request.
+            and self._request.method != _HEAD
+            and self._http.our_state is h11.DONE
             and self._http.their_state is h11.DONE
             and not self._http.trailing_data[0]
         )
--- a/tests/http1/test_client.py
+++ b/tests/http1/test_client.py
@@ -211,6 +211,60 @@
             self.assertEqual(await self.call(pool, peer.address), (200, b"ok"))
             self.assertEqual(peer.accepted, 2)
 
+    async def test_a_connection_is_not_kept_after_a_head_request(self):
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: 38\r\n\r\n"
+        async with Peer(head, OK) as peer:
+            pool = ClientPool()
+            with anyio.fail_after(TIMEOUT_S):
+                self.assertEqual(await pool.call(peer.address, b"HEAD", b"/", HOST), (200, b""))
+            self.assertEqual(await self.call(pool, peer.address), (200, b"ok"))
+            self.assertEqual(peer.accepted, 2)
+
+    async def test_a_late_answer_is_not_skipped_for_a_head_request(self):
+        async with Peer(OK + OK[:-2]) as peer:
+            exchange = await ClientPool().open(peer.address)
+            with anyio.fail_after(TIMEOUT_S):
+                await exchange.send(b"HEAD", b"/", HOST, b"")
+                await exchange.read_head()
+                skipped = await exchange.skip_stale_answer()
+            self.assertIs(skipped.kind, HttpErrorKind.BROKEN)
+
+    async def test_a_connection_is_not_kept_after_answers_that_end_it(self):
+        ends = (
+            b"HTTP/1.0 200 OK\r\nContent-Length: 2\r\n\r\nok",
+            OK.replace(b"Keep-Alive: timeout=5", b"Connection: close"),
+            OK + b"\r\n",
+            OK + b"HTTP/1.1 100 Continue\r\n\r\n",
+            OK + b"x",
+            OK.replace(b"timeout=5", b"timeout=0"),
+        )
+        for end in ends:
+            with self.subTest(end=end):
+                async with Peer(end, OK) as peer:
+                    pool = ClientPool()
+                    for _ in range(2):
+                        self.assertEqual(await self.call(pool, peer.address), (200, b"ok"))
+                    self.assertEqual(peer.accepted, 2)
+
+    async def test_an_upgrade_that_was_not_requested_is_malformed(self):
+        async with Peer(b"HTTP/1.1 101 Switching Protocols\r\n\r\n" + OK) as peer:
+            answer = await self.call(ClientPool(), peer.address)
+        self.assertIs(answer.kind, HttpErrorKind.MALFORMED)
+
+    async def test_a_late_answer_without_a_body_is_skipped(self):
+        for status in (b"204 No Content", b"304 Not Modified"):
+            late = b"HTTP/1.1 " + status + b"\r\nContent-Length: 5\r\n\r\n"
+            with self.subTest(status=status):
+                async with Peer(late + OK) as peer:
+                    exchange = await ClientPool().open(peer.address)
+                    with anyio.fail_after(TIMEOUT_S):
+                        await exchange.send(b"POST", b"/", HOST, b"body")
+                        await exchange.read_head()
+                        self.assertIsNone(await exchange.skip_stale_answer())
+                        await exchange.read_head()
+                        self.assertEqual(await exchange.read_rest(), b"ok")
+                    exchange.discard()
+
     async def test_idle_connections_that_the_peer_closed_are_swept(self):
         async with Peer(OK, close=True) as peer:
             pool = ClientPool()
