Report a write to the store as unknown unless the answer proves that it failed

A success that can't be decoded was reported as UNAVAILABLE, which says that the call certainly had no effect, and a 500, 502 or 504 as INVALID; in both cases the store may have applied a write. An agent that claimed its group and got such an answer reported 'claim failed' and did not lead, while the record named it: other agents followed it, got 'not leading' for their reports, and the group had no leader until its reports failed again. Reads of a 500 were reported as INVALID, as if the store held something wrong.

What the callers do with it: LeaderRecord.claim reads the record and compares address and term; GatewayRegistry.register writes again and takes CONFLICT for success; unregister is not repeated; mark_settled reports it, is called again after the next change and then gets CONFLICT, since it keeps the version it has read: one log line a change, no other effect, as the record itself is settled. Followers and reads treat all kinds alike.

Evidence: test_a_server_error_leaves_a_write_unknown and test_a_success_that_cannot_be_decoded_leaves_a_write_unknown failed before for each of their statuses and bodies, and test_a_claim_whose_answer_cannot_be_decoded_is_settled_by_reading failed for both answers, as the claim was an error.

--- a/src/bronzerudder/platform/object_api.py
+++ b/src/bronzerudder/platform/object_api.py
@@ -35,6 +35,10 @@
 MS_PER_S = 1000.0
 HISTORY_TRUNCATED = "watch history truncated"
 
+SUCCESS_STATUSES = (200, 201, 202, 204)
+CLIENT_ERROR_STATUSES = range(400, 500)
+"""The store refused the call as it was made, and did nothing."""
+
 _Document = TypeVar("_Document")
 
 _STATUS_KINDS = {
@@ -178,18 +182,17 @@
             return answer
         decoded = _decode(answer or b'{"metadata":{}}', _Object)
         if isinstance(decoded, StoreError):
-            return decoded
+            return decoded._replace(kind=StoreErrorKind.OUTCOME_UNKNOWN)
         return decoded.metadata.revision
 
     async def _call(
         self, method: str, path: str, body: bytes = b"", timeout_s: float = CALL_TIMEOUT_S
     ) -> bytes | StoreError:
         self._calls += 1
-        is_write = method != "GET"
         with anyio.move_on_after(timeout_s):
             return await self._exchange(method, path, body)
-        kind = StoreErrorKind.OUTCOME_UNKNOWN if is_write else StoreErrorKind.UNAVAILABLE
-        return StoreError(kind, f"{method} {path}: no answer within {timeout_s} s")
+        reason = f"{method} {path}: no answer within {timeout_s} s"
+        return StoreError(_kind_without_proof(method), reason)
 
     async def _exchange(self, method: str, path: str, body: bytes) -> bytes | StoreError:
         headers = list(self._host)
@@ -201,12 +204,14 @@
         if isinstance(answer, HttpError):
             return _connection_error(method, answer)
         status, content = answer
-        if status in (200, 201, 202, 204):
+        if status in SUCCESS_STATUSES:
             return content
         if status == 410:
             return StoreError(StoreErrorKind.NOT_FOUND, HISTORY_TRUNCATED)
-        kind = _STATUS_KINDS.get(status, StoreErrorKind.INVALID)
-        return StoreError(kind, f"status {status}")
+        kind = _STATUS_KINDS.get(status)
+        if kind is None and status in CLIENT_ERROR_STATUSES:
+            kind = StoreErrorKind.INVALID
+        return StoreError(kind or _kind_without_proof(method), f"status {status}")
 
 
 def _decode(answer: bytes, expected: type[_Document]) -> _Document | StoreError:
@@ -218,9 +223,14 @@
 
 def _connection_error(method: str, error: HttpError) -> StoreError:
     """Report a write as failed only if none of its bytes were sent."""
-    if method != "GET" and error.kind is not HttpErrorKind.NOT_SENT:
-        return StoreError(StoreErrorKind.OUTCOME_UNKNOWN, error.reason)
-    return StoreError(StoreErrorKind.UNAVAILABLE, error.reason)
+    if error.kind is HttpErrorKind.NOT_SENT:
+        return StoreError(StoreErrorKind.UNAVAILABLE, error.reason)
+    return StoreError(_kind_without_proof(method), error.reason)
+
+
+def _kind_without_proof(method: str) -> StoreErrorKind:
+    """Kind of a failure that does not prove that the store did nothing."""
+    return StoreErrorKind.UNAVAILABLE if method == "GET" else StoreErrorKind.OUTCOME_UNKNOWN
 
 
 def _stored(kind: str, item: _Object) -> StoredObject:
--- a/tests/expert_maps/test_leadership.py
+++ b/tests/expert_maps/test_leadership.py
@@ -10,6 +10,11 @@
 from bronzerudder.platform import StoreError
 from bronzerudder.platform.object_api import RemoteObjectStore
 from bronzerudder.standin.fleet import StandinStore
+from tests.http1.test_client import Peer
+
+
+def make_answer(status: int, body: bytes) -> bytes:
+    return f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body
 
 
 class LeaderRecordTest(unittest.IsolatedAsyncioTestCase):
@@ -40,6 +45,15 @@
         claimed = await self.record.claim(NO_LEADER, "a:1", "r:1")
         self.assertEqual((claimed.address, claimed.term), ("a:1", 1))
 
+    async def test_a_claim_whose_answer_cannot_be_decoded_is_settled_by_reading(self):
+        recorded = b'{"metadata":{"name":"g","revision":4},"spec":{"address":"a:1","term":1}}'
+        for status, body in ((200, b"{"), (500, b"failed")):
+            with self.subTest(status=status):
+                async with Peer(make_answer(status, body), make_answer(200, recorded)) as peer:
+                    record = LeaderRecord(RemoteObjectStore(peer.address), "g")
+                    claimed = await record.claim(NO_LEADER, "a:1", "r:1")
+                    self.assertEqual((claimed.address, claimed.term), ("a:1", 1))
+
     async def test_a_claim_that_another_one_overtook_is_lost(self):
         self.standin.put(LEADER_KIND, "g", {"address": "b:1", "term": 1})
         self.standin.lose_answers = True
--- a/tests/platform/test_object_api.py
+++ b/tests/platform/test_object_api.py
@@ -11,6 +11,7 @@
 from bronzerudder.platform import ABSENT_VERSION, ChangeBatch, StoreError, StoreErrorKind
 from bronzerudder.platform.object_api import RemoteObjectStore
 from bronzerudder.standin.fleet import StandinStore
+from tests.http1.test_client import EndlessPeer, Peer
 
 TIMEOUT_S = 5.0
 
@@ -106,5 +107,57 @@
         self.assertIs(written.kind, StoreErrorKind.OUTCOME_UNKNOWN)
 
 
+def make_answer(status: int, body: bytes) -> bytes:
+    return f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body
+
+
+class ScriptedAnswerTest(unittest.IsolatedAsyncioTestCase):
+    async def assert_outcome(self, answer: bytes, read_kind, write_kind):
+        async with Peer(answer) as peer:
+            read = await RemoteObjectStore(peer.address).get("kind", "a")
+            self.assertIs(read.kind, read_kind)
+        for version in (ABSENT_VERSION, 3):
+            async with Peer(answer) as peer:
+                written = await RemoteObjectStore(peer.address).put("kind", "a", b"1", version)
+                self.assertIs(written.kind, write_kind)
+        async with Peer(answer) as peer:
+            deleted = await RemoteObjectStore(peer.address).delete("kind", "a", 3)
+            self.assertIs(deleted.kind, write_kind)
+
+    async def test_a_success_that_cannot_be_decoded_leaves_a_write_unknown(self):
+        for body in (b"{", b"\xff\xfe", b"[]", b'{"metadata":{"revision":"x"}}'):
+            with self.subTest(body=body):
+                await self.assert_outcome(
+                    make_answer(200, body),
+                    StoreErrorKind.UNAVAILABLE,
+                    StoreErrorKind.OUTCOME_UNKNOWN,
+                )
+
+    async def test_a_server_error_leaves_a_write_unknown(self):
+        for status in (500, 502, 504, 599, 302):
+            with self.subTest(status=status):
+                await self.assert_outcome(
+                    make_answer(status, b"failed"),
+                    StoreErrorKind.UNAVAILABLE,
+                    StoreErrorKind.OUTCOME_UNKNOWN,
+                )
+
+    async def test_a_client_error_had_no_effect(self):
+        for status in (400, 405, 413):
+            with self.subTest(status=status):
+                await self.assert_outcome(
+                    make_answer(status, b""), StoreErrorKind.INVALID, StoreErrorKind.INVALID
+                )
+
+    async def test_an_answer_without_end_leaves_a_write_unknown(self):
+        head = b"HTTP/1.1 200 OK\r\n\r\n"
+        async with EndlessPeer(head, b" " * 65_536) as peer:
+            written = await RemoteObjectStore(peer.address).put("kind", "a", b"1", 3)
+            self.assertIs(written.kind, StoreErrorKind.OUTCOME_UNKNOWN)
+        async with EndlessPeer(head, b" " * 65_536) as peer:
+            read = await RemoteObjectStore(peer.address).get("kind", "a")
+            self.assertIs(read.kind, StoreErrorKind.UNAVAILABLE)
+
+
 if __name__ == "__main__":
     unittest.main()
