Check that an answer of the store is on the object that was asked for

Nothing identifies an answer of the store: one that belongs to another call on the same connection would have been taken for that of a read, so that an agent sees another group's leader, or for the success of a write, so that an agent leads without a record. A write without a version in its answer was taken for a success with version 0, which means an absent object in the next write. And a listing followed pages for as long as they claimed that more follow.

An object without a name is taken as before.

Evidence: test_an_answer_on_another_object_is_not_taken and test_a_write_whose_answer_names_no_version_is_unknown failed before with the other object's value and with version 0. test_a_listing_without_end_is_given_up passed before only because its stand-in runs out of pages, and ends by the limit now; test_an_answer_without_end_leaves_a_write_unknown holds since answers are bounded.

--- a/src/bronzerudder/platform/object_api.py
+++ b/src/bronzerudder/platform/object_api.py
@@ -30,6 +30,8 @@
 """The store answers within milliseconds; a call that takes longer is treated as an outage."""
 MAX_ANSWER_BYTES = 16 * 1_048_576
 """A page of a listing holds about 1 MB; a watch returns all changes at once, with their values."""
+MAX_PAGES = 1_000
+"""Pages of a listing; a page holds some hundred objects, and a kind some ten thousand."""
 WATCH_MARGIN_S = 1.0
 """Time that a watch may overrun its own timeout before the connection is considered dead."""
 MS_PER_S = 1000.0
@@ -113,6 +115,9 @@
         decoded = _decode(answer, _Object)
         if isinstance(decoded, StoreError):
             return decoded
+        answered = decoded.metadata.name
+        if answered and answered != name:
+            return StoreError(StoreErrorKind.UNAVAILABLE, f"answer on {answered!r}")
         return _stored(kind, decoded)
 
     async def put(self, kind: str, name: str, value: bytes, if_version: int) -> int | StoreError:
@@ -126,18 +131,22 @@
             metadata["revision"] = if_version
             method, path = "PUT", _path(kind, name)
         body = msgspec.json.encode({"metadata": metadata, "spec": msgspec.Raw(value)})
-        return await self._write(method, path, body)
+        written = await self._write(method, path, body, name)
+        if written == ABSENT_VERSION:
+            return StoreError(StoreErrorKind.OUTCOME_UNKNOWN, "answer without a version")
+        return written
 
     async def delete(self, kind: str, name: str, if_version: int) -> int | StoreError:
         """Delete an object if its version is still ``if_version``."""
-        return await self._write("DELETE", f"{_path(kind, name)}?revision={if_version}", b"")
+        path = f"{_path(kind, name)}?revision={if_version}"
+        return await self._write("DELETE", path, b"", name)
 
     async def list(self, kind: str, stale: bool = False) -> Listing | StoreError:
         """Read all objects of a kind; a stale read is cheaper but may be seconds out of date."""
         objects: list[StoredObject] = []
         version: int | None = None
         after = ""
-        while True:
+        for _ in range(MAX_PAGES):
             query = {"after": after} if after else {}
             if stale:
                 query["stale_ok"] = "1"
@@ -154,6 +163,7 @@
             if not page.has_more or not page.items:
                 return Listing(tuple(objects), version)
             after = page.items[-1].metadata.name
+        return StoreError(StoreErrorKind.UNAVAILABLE, f"listing exceeds {MAX_PAGES} pages")
 
     async def watch(
         self, kind: str, after_version: int, timeout_s: float
@@ -176,13 +186,16 @@
             changes.append(Change(kind, metadata.name, metadata.revision, value))
         return ChangeBatch(tuple(changes), batch.at)
 
-    async def _write(self, method: str, path: str, body: bytes) -> int | StoreError:
+    async def _write(self, method: str, path: str, body: bytes, name: str) -> int | StoreError:
         answer = await self._call(method, path, body)
         if isinstance(answer, StoreError):
             return answer
         decoded = _decode(answer or b'{"metadata":{}}', _Object)
         if isinstance(decoded, StoreError):
             return decoded._replace(kind=StoreErrorKind.OUTCOME_UNKNOWN)
+        answered = decoded.metadata.name
+        if answered and answered != name:
+            return StoreError(StoreErrorKind.OUTCOME_UNKNOWN, f"answer on {answered!r}")
         return decoded.metadata.revision
 
     async def _call(
--- a/tests/platform/test_object_api.py
+++ b/tests/platform/test_object_api.py
@@ -9,7 +9,7 @@
 
 from bronzerudder.http1 import listen
 from bronzerudder.platform import ABSENT_VERSION, ChangeBatch, StoreError, StoreErrorKind
-from bronzerudder.platform.object_api import RemoteObjectStore
+from bronzerudder.platform.object_api import MAX_PAGES, RemoteObjectStore
 from bronzerudder.standin.fleet import StandinStore
 from tests.http1.test_client import EndlessPeer, Peer
 
@@ -149,6 +149,17 @@
                     make_answer(status, b""), StoreErrorKind.INVALID, StoreErrorKind.INVALID
                 )
 
+    async def test_an_answer_on_another_object_is_not_taken(self):
+        other = make_answer(200, b'{"metadata":{"name":"b","revision":4},"spec":1}')
+        await self.assert_outcome(other, StoreErrorKind.UNAVAILABLE, StoreErrorKind.OUTCOME_UNKNOWN)
+
+    async def test_a_write_whose_answer_names_no_version_is_unknown(self):
+        for body in (b"", b'{"metadata":{"name":"a"}}'):
+            async with Peer(make_answer(200, body)) as peer:
+                store = RemoteObjectStore(peer.address)
+                written = await store.put("kind", "a", b"1", ABSENT_VERSION)
+                self.assertIs(written.kind, StoreErrorKind.OUTCOME_UNKNOWN)
+
     async def test_an_answer_without_end_leaves_a_write_unknown(self):
         head = b"HTTP/1.1 200 OK\r\n\r\n"
         async with EndlessPeer(head, b" " * 65_536) as peer:
@@ -158,6 +169,13 @@
             read = await RemoteObjectStore(peer.address).get("kind", "a")
             self.assertIs(read.kind, StoreErrorKind.UNAVAILABLE)
 
+    async def test_a_listing_without_end_is_given_up(self):
+        page = b'{"items":[{"metadata":{"name":"a","revision":1}}],"at":1,"has_more":true}'
+        async with Peer(*[make_answer(200, page)] * (2 * MAX_PAGES)) as peer:
+            with anyio.fail_after(TIMEOUT_S):
+                listing = await RemoteObjectStore(peer.address).list("kind")
+            self.assertIs(listing.kind, StoreErrorKind.UNAVAILABLE)
+
 
 if __name__ == "__main__":
     unittest.main()
