Send orders that the leader relies on over a new connection

A faulty backend server may send additional bytes after a complete answer, and an extra answer late, where the next one is due. Orders to ranks share their kept connections with reports and counts, and their answer is a status alone: a late 200 to a report was taken for the acceptance of an arm, disarm or hold that the rank had refused. The leader then lets the group begin a pass while one rank isn't armed: two ranks have different maps (the users' MAP), and the answers computed in that pass are wrong.

hold, arm and disarm now open a new connection, on which no other answer can be due. In a change they are mostly the first call of their relaying agent to that rank within 2 s, so most opened one before too. prepare and release stay on kept connections: a map counts as loaded only once the rank reports it, and a step that stays held shows in the rank's reports; a busy backend server resets new connections over its limit, which should not delay a release. Open: after an aborted change the leader takes an accepted prepare for certain (docs/design/answer-bounds.md).

Evidence: test_a_late_answer_is_not_taken_for_that_of_an_order failed before: ACCEPTED for a hold that a scripted rank refused, by the late second answer to a report. Tests beside it held before: a late answer of another kind can't be decoded, an order that timed out leaves no connection, and an answer without end fails the call.

--- a/src/bronzerudder/http1/client.py
+++ b/src/bronzerudder/http1/client.py
@@ -279,13 +279,19 @@
         headers: list[tuple[bytes, bytes]],
         body: bytes = b"",
         max_bytes: int = MAX_ANSWER_BYTES,
+        fresh: bool = False,
     ) -> tuple[int, bytes] | HttpError:
         """Send a request and read its complete answer: status and body.
 
         The time is the caller's to limit. If the call is cancelled, its connection is closed, so
         that a late answer can't be taken for that of another call.
+
+        Parameters
+        ----------
+        fresh : bool
+            Open a new connection, on which no answer to an earlier call can arrive.
         """
-        exchange = await self.open(address)
+        exchange = await self.open(address, fresh)
         if isinstance(exchange, HttpError):
             return exchange
         try:
--- a/src/bronzerudder/platform/ranks.py
+++ b/src/bronzerudder/platform/ranks.py
@@ -28,6 +28,9 @@
 ORDER_TIMEOUT_S = 0.05
 """An order that times out may still be carried out later. It is sent again, which is harmless; a
 longer timeout would stall the group for longer, as a step is held meanwhile."""
+CERTAIN_OPERATIONS = ("arm", "disarm", "hold")
+"""Orders on whose acceptance the leader relies without reading the rank's state. An answer doesn't
+say which order it is for, so these go on a new connection, where no other answer can be due."""
 ACCEPTED_STATUSES = (200, 202)
 
 _Document = TypeVar("_Document")
@@ -151,8 +154,9 @@
     async def _order(self, rank: RankState, body: dict[str, object]) -> OrderResult:
         self._orders += 1
         content = msgspec.json.encode({**body, "epoch": rank.epoch})
+        fresh = body["operation"] in CERTAIN_OPERATIONS
         with anyio.move_on_after(ORDER_TIMEOUT_S):
-            answer = await self._call(rank.address, b"POST", wire.ORDER_PATH, content)
+            answer = await self._call(rank.address, b"POST", wire.ORDER_PATH, content, fresh)
             if isinstance(answer, HttpError):
                 unsent = answer.kind is HttpErrorKind.NOT_SENT
                 return OrderResult.UNSENT if unsent else OrderResult.UNKNOWN
@@ -177,9 +181,9 @@
         return RankFailure(f"no answer within {CALL_TIMEOUT_S} s")
 
     async def _call(
-        self, address: str, method: bytes, path: bytes, body: bytes
+        self, address: str, method: bytes, path: bytes, body: bytes, fresh: bool = False
     ) -> tuple[int, bytes] | HttpError:
         headers = [(b"host", address.encode())]
         if body:
             headers.append((b"content-type", b"application/json"))
-        return await self._pool.call(address, method, path, headers, body)
+        return await self._pool.call(address, method, path, headers, body, fresh=fresh)
--- /dev/null
+++ b/tests/platform/test_ranks.py
@@ -0,0 +1,78 @@
+"""Tests of the client of a group's ranks against a rank with scripted answers."""
+
+from __future__ import annotations
+
+import unittest
+
+import msgspec
+
+from bronzerudder.expert_maps.api import OrderResult, RankFailure, RankState
+from bronzerudder.http1 import Connection
+from bronzerudder.platform.ranks import RankClient
+from tests.http1.test_client import EndlessPeer, Peer
+
+GROUP = {"name": "g", "epoch": 1, "rank": 0, "state": "open"}
+REPORT = msgspec.json.encode({"group": GROUP, "size": 4, "step": 9, "map": 0})
+
+
+def make_answer(status: int, body: bytes = b"{}") -> bytes:
+    return f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body
+
+
+class RepeatingRank(Peer):
+    """Reports its state, refuses all orders, and answers each call twice.
+
+    The second answer comes late, when the next call on the connection arrives.
+    """
+
+    async def _answer(self, connection: Connection):
+        late = b""
+        while True:
+            request = await connection.receive()
+            if not isinstance(request, bytes) or not request:
+                return
+            is_order = request.startswith(b"POST")
+            answer = make_answer(409) if is_order else make_answer(200, REPORT)
+            await connection.send(late + answer)
+            late = answer
+
+
+class RankClientTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_late_answer_is_not_taken_for_that_of_an_order(self):
+        orders = (
+            lambda client, rank: client.hold(rank, 12),
+            lambda client, rank: client.arm(rank, 3, 12),
+            lambda client, rank: client.disarm(rank, 3),
+        )
+        for order in orders:
+            async with RepeatingRank() as peer:
+                client = RankClient()
+                rank = await client.state(peer.address)
+                self.assertIsInstance(rank, RankState)
+                self.assertIs(await order(client, rank), OrderResult.REFUSED)
+
+    async def test_a_late_answer_of_another_kind_is_a_failure(self):
+        async with RepeatingRank() as peer:
+            client = RankClient()
+            self.assertIsInstance(await client.state(peer.address), RankState)
+            self.assertIsInstance(await client.counts(peer.address), RankFailure)
+
+    async def test_a_timed_out_order_leaves_no_connection_for_its_late_answer(self):
+        async with Peer(make_answer(200, REPORT), b"", make_answer(409)) as peer:
+            client = RankClient()
+            rank = await client.state(peer.address)
+            self.assertIs(await client.release(rank, 12), OrderResult.UNKNOWN)
+            self.assertIs(await client.release(rank, 12), OrderResult.REFUSED)
+            self.assertEqual(peer.accepted, 2)
+
+    async def test_an_answer_without_end_fails_the_call(self):
+        for head in (b"", b"HTTP/1.1 200 OK\r\n", b"HTTP/1.1 200 OK\r\n\r\n"):
+            async with EndlessPeer(head, b"header: x\r\n" * 5_000) as peer:
+                client = RankClient()
+                self.assertIsInstance(await client.state(peer.address), RankFailure)
+                rank = RankState(peer.address, "g", 1, 0, 4, True, 1, 9, 0, None, None, None, 0)
+                self.assertIs(await client.arm(rank, 3, 12), OrderResult.UNKNOWN)
+
+
+if __name__ == "__main__":
+    unittest.main()
