Notice a disconnect after many pipelined bytes

While a request is served, the server reads on to notice that its caller disconnects, and buffers what it reads for the next request. After 64 KiB it stopped reading, and from then on a close went unnoticed: the request ran until its deadline at a backend server for a caller that had left (the users' GONE).

Once no more is buffered, the connection is now polled for a close or a reset every 0.1 s, which reads nothing. A close behind more unread bytes than the kernel's buffer takes can't reach this side, and is still not seen.

The poll runs only for a connection that has sent that many bytes, so usual requests cost the same.

--- a/src/bronzerudder/http1/server.py
+++ b/src/bronzerudder/http1/server.py
@@ -21,6 +21,8 @@
 with unread bytes would reset the connection, and the caller could lose the answer."""
 MAX_READ_AHEAD_BYTES = 65_536
 """Bytes of pipelined requests that are buffered while a request is being served."""
+DISCONNECT_CHECK_INTERVAL_S = 0.1
+"""Interval of the checks for a disconnect once no more bytes are buffered."""
 ACCEPT_RETRY_S = 0.05
 """Pause after a failed accept, such as when the process has no file descriptors left."""
 
@@ -287,13 +289,9 @@
         async with anyio.create_task_group() as tasks:
 
             async def cancel_on_disconnect() -> None:
-                while len(self._read_ahead) < MAX_READ_AHEAD_BYTES:
-                    data = await self._connection.receive()
-                    if isinstance(data, TransportError) or not data:
-                        self._caller_disconnected = True
-                        tasks.cancel_scope.cancel()
-                        return
-                    self._read_ahead += data
+                await self._wait_for_disconnect()
+                self._caller_disconnected = True
+                tasks.cancel_scope.cancel()
 
             tasks.start_soon(cancel_on_disconnect)
             try:
@@ -304,6 +302,18 @@
                     await writer.respond(500, [], b"internal error\n")
             tasks.cancel_scope.cancel()
 
+    async def _wait_for_disconnect(self) -> None:
+        """Buffer pipelined requests up to the limit until the caller disconnects."""
+        while len(self._read_ahead) < MAX_READ_AHEAD_BYTES:
+            data = await self._connection.receive()
+            if isinstance(data, TransportError) or not data:
+                return
+            self._read_ahead += data
+        while True:
+            if self._connection.is_disconnected():
+                return
+            await anyio.sleep(DISCONNECT_CHECK_INTERVAL_S)
+
     async def _read_request(self, limits: ServerLimits) -> Request | _BadRequest | _Closed:
         head: h11.Request | None = None
         chunks: list[bytes] = []
--- a/src/bronzerudder/http1/sockets.py
+++ b/src/bronzerudder/http1/sockets.py
@@ -111,6 +111,17 @@
         poller.register(self._socket.fileno(), select.POLLIN | select.POLLRDHUP)
         return bool(poller.poll(0))
 
+    def is_disconnected(self) -> bool:
+        """Whether the connection is closed, on this side or by the peer; bytes may be unread.
+
+        A close that the peer can't deliver, as too many bytes before it are unread, is not seen.
+        """
+        if self._closed:
+            return True
+        poller = select.poll()
+        poller.register(self._socket.fileno(), select.POLLRDHUP)
+        return bool(poller.poll(0))
+
     def end_sending(self) -> None:
         """Shut down the sending side; the peer reads the end of the stream."""
         try:
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -7,6 +7,7 @@
 import anyio
 
 from bronzerudder.http1 import Connection, HttpServer, ServerLimits, connect, listen
+from bronzerudder.http1.server import MAX_READ_AHEAD_BYTES
 
 TIMEOUT_S = 5.0
 LIMITS = ServerLimits(
@@ -75,6 +76,27 @@
             answer = await read_until_closed(connection)
             return answer, served.rejected
 
+    async def test_a_disconnect_after_many_pipelined_bytes_cancels_the_request(self):
+        async def wait(request, writer):
+            started.set()
+            try:
+                await anyio.sleep_forever()
+            finally:
+                cancelled.set()
+
+        for size in (0, MAX_READ_AHEAD_BYTES, 3 * MAX_READ_AHEAD_BYTES):
+            for disconnect in (Connection.close, Connection.reset):
+                started, cancelled = anyio.Event(), anyio.Event()
+                with self.subTest(size=size, disconnect=disconnect):
+                    async with Served(wait) as served:
+                        connection = await served.open()
+                        await connection.send(GET)
+                        with anyio.fail_after(TIMEOUT_S):
+                            await started.wait()
+                            await connection.send(b"x" * size)
+                            disconnect(connection)
+                            await cancelled.wait()
+
     async def test_requests_follow_each_other_on_a_connection(self):
         async with Served() as served:
             connection = await served.open()
