Let other tasks run during a flood of datagrams

DatagramPort.run reads until no datagram waits. With datagrams that arrive faster than they are handled it never waited, so all requests of a gateway, and all time limits, stood still for as long as the flood lasted. After 32 datagrams without a wait, other tasks run now, and what the kernel's buffer can't hold meanwhile is lost, which receivers tolerate.

Evidence: test_datagrams_without_end_do_not_suspend_time_limits failed before, as 1,000 datagrams, each sent while the one before it was handled, were read inside a time limit of 0 s.

--- a/src/bronzerudder/peers/datagrams.py
+++ b/src/bronzerudder/peers/datagrams.py
@@ -6,11 +6,14 @@
 from collections.abc import Callable, Iterable
 
 import anyio
+import anyio.lowlevel
 from absl import logging
 
 from bronzerudder.peers.messages import Message, decode_message, encode_message
 
 MAX_DATAGRAM_BYTES = 65_536
+MAX_IMMEDIATE_READS = 32
+"""Datagrams that are handled before other tasks run; a flood of them would hold the event loop."""
 
 
 class DatagramPort:
@@ -47,10 +50,16 @@
 
     async def run(self, on_message: Callable[[Message], None]) -> None:
         """Call `on_message` with each message received, until cancelled."""
+        immediate_reads = 0
         while True:
+            immediate_reads += 1
+            if immediate_reads > MAX_IMMEDIATE_READS:
+                immediate_reads = 0
+                await anyio.lowlevel.checkpoint()
             try:
                 data = self._socket.recv(MAX_DATAGRAM_BYTES)
             except BlockingIOError:
+                immediate_reads = 0
                 await anyio.wait_readable(self._socket)
                 continue
             except OSError as error:
--- /dev/null
+++ b/tests/peers/test_datagrams.py
@@ -0,0 +1,36 @@
+"""Tests of the datagrams between processes."""
+
+from __future__ import annotations
+
+import unittest
+
+import anyio
+
+from bronzerudder.peers.datagrams import DatagramPort
+from bronzerudder.peers.messages import CrashSeen
+
+MESSAGE = CrashSeen("c", [])
+MESSAGES_AT_MOST = 1_000
+
+
+class DatagramPortTest(unittest.IsolatedAsyncioTestCase):
+    async def test_datagrams_without_end_do_not_suspend_time_limits(self):
+        port = DatagramPort("127.0.0.1:0")
+        self.addCleanup(port._socket.close)
+        address = "{}:{}".format(*port._socket.getsockname())
+        received = 0
+
+        def send_another(message):
+            nonlocal received
+            received += 1
+            if received < MESSAGES_AT_MOST:
+                port.send(message, [address])
+
+        port.send(MESSAGE, [address])
+        with anyio.move_on_after(0.0):
+            await port.run(send_another)
+        self.assertLess(received, MESSAGES_AT_MOST)
+
+
+if __name__ == "__main__":
+    unittest.main()
