Test that bytes that trickle without end reach the time limit of each call

A peer may send a byte now and then for ever, so that no time limit between two bytes is reached. Plain answers and streams of a gateway end at the request's deadline (tested in a head, a body and inside an event, repeatable and not), calls to the store and to ranks at their own time limits; the connection is closed each time.

--- a/tests/gateway/test_answer_bounds.py
+++ b/tests/gateway/test_answer_bounds.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import re
+import time
 import unittest
 
 import anyio
@@ -17,6 +18,10 @@
 HEAD = b"HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nResponse-Signature: s\r\n"
 STREAM = HEAD + b"Content-Type: text/event-stream\r\n\r\n"
 CALLERS = 100
+TRICKLE_PAUSE_S = 0.01
+DEADLINE_MS = 400
+DEADLINE_SLACK_S = 0.5
+"""The users' rule: no request is held half a second past its time."""
 PIECE = b"x" * 1_400
 
 
@@ -26,7 +31,8 @@
     With nothing to repeat, it waits until it is cut off.
     """
 
-    def __init__(self, head: bytes, first: bytes, repeated: bytes) -> None:
+    def __init__(self, head: bytes, first: bytes, repeated: bytes, pause_s: float) -> None:
+        self._pause_s = pause_s
         self._head = head
         self._first = first
         self._repeated = repeated
@@ -47,6 +53,7 @@
         request_id = re.search(rb"(?i)attempt-id: (\S+)", request).group(1)
         failed = await connection.send(self._head % request_id + self._first)
         while failed is None and self._repeated:
+            await anyio.sleep(self._pause_s)
             failed = await connection.send(self._repeated)
         if failed is None:
             await connection.receive()
@@ -60,8 +67,10 @@
         await self.gateway.start()
         self.addAsyncCleanup(self.gateway.stop)
 
-    def add(self, head: bytes, first: bytes, repeated: bytes) -> EndlessBackendServer:
-        server = EndlessBackendServer(head, first, repeated)
+    def add(
+        self, head: bytes, first: bytes, repeated: bytes, pause_s: float = 0.0
+    ) -> EndlessBackendServer:
+        server = EndlessBackendServer(head, first, repeated, pause_s)
         listener = listen("127.0.0.1:0")
         self.addCleanup(listener.close)
         task = asyncio.create_task(server.serve(listener))
@@ -94,6 +103,23 @@
         self.assertIn(b"answer exceeds", body)
         await self.assert_cut_off(server)
 
+    async def test_bytes_that_trickle_without_end_are_cut_off_at_the_deadline(self):
+        trickles = (
+            ("/book/", HEAD, b"", b"x"),
+            ("/book/", HEAD + b"\r\n", b"", b"x"),
+            ("/read/", HEAD + b"\r\n", b"", b"x"),
+            ("/once/", STREAM, b"id: 1\ndata: ", b"x"),
+        )
+        for path, head, first, repeated in trickles:
+            with self.subTest(path=path, head=head):
+                server = self.add(head, first, repeated, TRICKLE_PAUSE_S)
+                started_s = time.monotonic()
+                status, _, _ = await self.gateway.send_request(path, deadline_ms=str(DEADLINE_MS))
+                took_s = time.monotonic() - started_s
+                self.assertIn(status, (502, 504))
+                self.assertLess(took_s, DEADLINE_MS / 1_000 + DEADLINE_SLACK_S)
+                await self.assert_cut_off(server)
+
     async def test_many_plain_answers_without_end_hold_a_bounded_sum(self):
         first = b"x" * (MAX_BUFFERED_BYTES - 200_000)
         server = self.add(HEAD + b"Content-Length: 999999999\r\n\r\n", first, b"")
--- a/tests/platform/test_object_api.py
+++ b/tests/platform/test_object_api.py
@@ -169,6 +169,18 @@
             read = await RemoteObjectStore(peer.address).get("kind", "a")
             self.assertIs(read.kind, StoreErrorKind.UNAVAILABLE)
 
+    async def test_an_answer_that_trickles_without_end_is_given_up(self):
+        for head in (b"HTTP/1.1 200 OK\r\n", b"HTTP/1.1 200 OK\r\n\r\n"):
+            async with EndlessPeer(head, b"x", pause_s=0.01) as peer:
+                store = RemoteObjectStore(peer.address)
+                with anyio.fail_after(TIMEOUT_S):
+                    read = await store.get("kind", "a")
+                    written = await store.put("kind", "a", b"1", ABSENT_VERSION)
+                    batch = await store.watch("kind", 1, 0.1)
+                self.assertIs(read.kind, StoreErrorKind.UNAVAILABLE)
+                self.assertIs(written.kind, StoreErrorKind.OUTCOME_UNKNOWN)
+                self.assertIs(batch.kind, StoreErrorKind.UNAVAILABLE)
+
     async def test_a_listing_without_end_is_given_up(self):
         page = b'{"items":[{"metadata":{"name":"a","revision":1}}],"at":1,"has_more":true}'
         async with Peer(*[make_answer(200, page)] * (2 * MAX_PAGES)) as peer:
--- a/tests/platform/test_ranks.py
+++ b/tests/platform/test_ranks.py
@@ -4,6 +4,7 @@
 
 import unittest
 
+import anyio
 import msgspec
 
 from bronzerudder.expert_maps.api import OrderResult, RankFailure, RankState
@@ -11,6 +12,7 @@
 from bronzerudder.platform.ranks import RankClient
 from tests.http1.test_client import EndlessPeer, Peer
 
+TIMEOUT_S = 5.0
 GROUP = {"name": "g", "epoch": 1, "rank": 0, "state": "open"}
 REPORT = msgspec.json.encode({"group": GROUP, "size": 4, "step": 9, "map": 0})
 
@@ -67,11 +69,13 @@
 
     async def test_an_answer_without_end_fails_the_call(self):
         for head in (b"", b"HTTP/1.1 200 OK\r\n", b"HTTP/1.1 200 OK\r\n\r\n"):
-            async with EndlessPeer(head, b"header: x\r\n" * 5_000) as peer:
-                client = RankClient()
-                self.assertIsInstance(await client.state(peer.address), RankFailure)
-                rank = RankState(peer.address, "g", 1, 0, 4, True, 1, 9, 0, None, None, None, 0)
-                self.assertIs(await client.arm(rank, 3, 12), OrderResult.UNKNOWN)
+            for repeated, pause_s in ((b"header: x\r\n" * 5_000, 0.0), (b"x", 0.005)):
+                async with EndlessPeer(head, repeated, pause_s) as peer:
+                    client = RankClient()
+                    rank = RankState(peer.address, "g", 1, 0, 4, True, 1, 9, 0, None, None, None, 0)
+                    with anyio.fail_after(TIMEOUT_S):
+                        self.assertIsInstance(await client.state(peer.address), RankFailure)
+                        self.assertIs(await client.arm(rank, 3, 12), OrderResult.UNKNOWN)
 
 
 if __name__ == "__main__":
