--- a/src/bronzerudder/gateway/metrics.py
+++ b/src/bronzerudder/gateway/metrics.py
@@ -83,6 +83,11 @@
             "Connections opened to backend servers so far.",
             registry=registry,
         )
+        self.buffered_bytes = Gauge(
+            "bronzerudder_buffered_answer_bytes",
+            "Bytes buffered of plain answers that are being read, beyond the first 64 KiB of each.",
+            registry=registry,
+        )
         self.log_lines_dropped = Gauge(
             "bronzerudder_log_lines_dropped", "Log lines dropped so far.", registry=registry
         )
--- a/src/bronzerudder/processes/gateway.py
+++ b/src/bronzerudder/processes/gateway.py
@@ -293,6 +293,7 @@
         self._metrics.configuration_age_s.set(self._configuration_follower.age_s())
         self._metrics.store_calls.set(self._store.calls)
         self._metrics.connections_opened.set(self._connections.opened)
+        self._metrics.buffered_bytes.set(self._connections.buffered_bytes)
         self._metrics.log_lines_dropped.set(self._log.dropped)
 
 
