--- a/src/bronzerudder/gateway/attempt.py
+++ b/src/bronzerudder/gateway/attempt.py
@@ -146,6 +146,8 @@
         self._sent_at_s = 0.0
         self._has_event = False
         self._answer: AnswerHead | None = None
+        self._reused = False
+        self._skipped_ids: list[str] = []
 
     @property
     def sent(self) -> bool:
@@ -157,11 +159,22 @@
         """Head of the answer; None before it was received."""
         return self._answer
 
+    @property
+    def reused(self) -> bool:
+        """Whether the connection had served an earlier request."""
+        return self._reused
+
+    @property
+    def skipped_ids(self) -> list[str]:
+        """Ids of the requests whose late answers were skipped on the connection."""
+        return self._skipped_ids
+
     async def run(self) -> CompleteAnswer | StreamDelivered | AttemptFailure:
         """Make the attempt; on cancellation the connection is closed."""
         exchange = await self._connections.open(self._outgoing.address)
         if isinstance(exchange, HttpError):
             return _attempt_failure(exchange)
+        self._reused = exchange.reused
         try:
             return await self._send_and_read(exchange)
         finally:
@@ -201,6 +214,7 @@
             answer = decode_answer(head)
             if not answer.request_id or answer.request_id == self._outgoing.request_id:
                 return answer
+            self._skipped_ids.append(answer.request_id)
             skipped = await exchange.skip_stale_answer()
             if skipped is not None:
                 return _attempt_failure(skipped)
--- a/src/bronzerudder/gateway/forwarding.py
+++ b/src/bronzerudder/gateway/forwarding.py
@@ -249,7 +249,7 @@
         if isinstance(result, AttemptFailure) and result.has_not_run:
             self._possible_runs -= 1
             self._rejections += 1
-        self._log_attempt(candidate, result, time.monotonic() - sent_at_s)
+        self._log_attempt(candidate, attempt, result, time.monotonic() - sent_at_s)
         return result
 
     def _build_outgoing(self, candidate: Candidate, traceparent: str) -> OutgoingRequest:
@@ -384,6 +384,7 @@
     def _log_attempt(
         self,
         candidate: Candidate,
+        attempt: BackendAttempt,
         result: CompleteAnswer | StreamDelivered | AttemptFailure,
         took_s: float,
     ) -> None:
@@ -391,6 +392,15 @@
         name = self._pool.name
         if not isinstance(result, AttemptFailure):
             self._context.metrics.attempts.labels(name, "answered").inc()
+            if _is_notable(attempt, result.answer):
+                self._context.log.routine(
+                    "attempt answered",
+                    self._admitted.caller.request_id,
+                    instance=candidate.name,
+                    service=name,
+                    took_s=round(took_s, 4),
+                    **_describe_connection(attempt),
+                )
             return
         self._context.metrics.attempts.labels(name, result.kind.value).inc()
         if not result.has_not_run:
@@ -407,4 +417,19 @@
             own_requests=candidate.own_requests,
             others_requests=candidate.others_requests,
             load_age_s=round(time.monotonic() - candidate.reported_at_s, 2),
+            **_describe_connection(attempt),
         )
+
+
+def _is_notable(attempt: BackendAttempt, answer: AnswerHead) -> bool:
+    """Whether the answer could be confused with another one on its connection."""
+    return bool(attempt.skipped_ids) or not answer.delimited or not answer.request_id
+
+
+def _describe_connection(attempt: BackendAttempt) -> dict[str, object]:
+    """Log fields that tell which answers a connection carried."""
+    answer = attempt.answer
+    fields: dict[str, object] = {"reused": attempt.reused, "skipped": attempt.skipped_ids}
+    if answer is not None:
+        fields.update(status=answer.status, answer_id=answer.request_id, delimited=answer.delimited)
+    return fields
--- a/src/bronzerudder/http1/client.py
+++ b/src/bronzerudder/http1/client.py
@@ -39,6 +39,11 @@
                 return value
         return None
 
+    @property
+    def is_delimited(self) -> bool:
+        """Whether the body has a length or chunks; otherwise it ends with its connection."""
+        return any(name in (b"content-length", b"transfer-encoding") for name, _ in self.headers)
+
 
 class _IdleConnection(NamedTuple):
     connection: Connection
--- a/src/bronzerudder/platform/requests.py
+++ b/src/bronzerudder/platform/requests.py
@@ -74,6 +74,8 @@
         Load at the time of the answer.
     faulty_address : str
         Address of the backend server to which an error answer attributes the fault; empty if none.
+    delimited : bool
+        Whether the body has a length or chunks; otherwise it ends with its connection.
     """
 
     status: int
@@ -84,6 +86,7 @@
     encoded: bool
     load: ServerLoad | None
     faulty_address: str
+    delimited: bool
 
 
 def decode_request(request: Request) -> RequestHead:
@@ -159,6 +162,7 @@
         b"content-encoding" in found,
         _decode_load(_text(found.get(wire.LOAD))),
         _text(found.get(wire.FAULTY_ADDRESS)),
+        head.is_delimited,
     )
 
 
