--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -5,8 +5,16 @@
 import unittest
 
 import anyio
-
-from bronzerudder.http1 import Connection, HttpServer, ServerLimits, connect, listen
+import h11
+
+from bronzerudder.http1 import (
+    Connection,
+    HttpServer,
+    ResponseWriter,
+    ServerLimits,
+    connect,
+    listen,
+)
 
 TIMEOUT_S = 5.0
 LIMITS = ServerLimits(
@@ -219,5 +227,32 @@
             self.assertTrue((await read_until_closed(busy)).endswith(b"done"))
 
 
+class StuckConnection:
+    """A connection whose peer has stopped reading."""
+
+    def __init__(self):
+        self.stuck = False
+
+    async def send(self, data: bytes) -> None:
+        if self.stuck:
+            await anyio.sleep_forever()
+
+
+class ResponseWriterTest(unittest.IsolatedAsyncioTestCase):
+    async def test_an_answer_whose_last_bytes_were_not_sent_is_not_finished(self):
+        http = h11.Connection(h11.SERVER)
+        http.receive_data(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+        self.assertIsInstance(http.next_event(), h11.Request)
+        self.assertIsInstance(http.next_event(), h11.EndOfMessage)
+        connection = StuckConnection()
+        writer = ResponseWriter(http, connection, closing=False)
+        await writer.start(200, [])
+        await writer.write(b"event")
+        connection.stuck = True
+        with anyio.move_on_after(0.01):
+            await writer.finish()
+        self.assertFalse(writer.finished)
+
+
 if __name__ == "__main__":
     unittest.main()
