Relay events only if they are well formed and their ids rise

Callers got a second response inside their stream: status line, headers and the events once more, ended as complete with status 200. Cause: an answer with neither length nor chunks ends with its connection, so a duplicate response that arrives before that end is part of its body; the relay took any bytes up to an empty line for an event, and did not look at ids. Every line of an event must now be a field or a comment, and every id greater than the last one that this caller has, over all attempts; the events before a faulty one are sent, the attempt fails as malformed, its connection is closed, and the stream is resumed elsewhere or shown as cut. Whether such a stream was whole is not known, so it is never ended as complete. A stream without length that ends before its first event is not complete either, unless it was resumed. The check needs line ends without CR, which the splitter needed already.

--- a/src/bronzerudder/gateway/attempt.py
+++ b/src/bronzerudder/gateway/attempt.py
@@ -271,15 +271,30 @@
             if isinstance(chunk, HttpError):
                 return _attempt_failure(chunk)
             if chunk is None:
-                if splitter.partial_event:
-                    return AttemptFailure(FailureKind.BROKEN, "stream ended inside an event")
+                fault = self._find_end_fault(answer, splitter, relay)
+                if fault:
+                    return AttemptFailure(FailureKind.BROKEN, fault)
                 await relay.finish(answer.headers)
                 exchange.release()
                 return StreamDelivered(answer)
             events = splitter.split(chunk)
-            if events:
-                await relay.forward(answer.headers, events)
-                self._record_event(time.monotonic())
+            if not events:
+                continue
+            fault = await relay.forward(answer.headers, events)
+            if fault:
+                return AttemptFailure(FailureKind.MALFORMED, fault)
+            self._record_event(time.monotonic())
+
+    def _find_end_fault(
+        self, answer: AnswerHead, splitter: EventSplitter, relay: StreamRelay
+    ) -> str:
+        """Return why the stream is not complete at its end, or an empty string."""
+        if splitter.partial_event:
+            return "stream ended inside an event"
+        if not answer.delimited and not self._has_event and not relay.last_event_id:
+            # Only a stream that is resumed after its last event has none.
+            return "connection closed before the first event"
+        return ""
 
     def _record_event(self, now_s: float) -> None:
         self._progress.record(now_s)
--- a/src/bronzerudder/gateway/forwarding.py
+++ b/src/bronzerudder/gateway/forwarding.py
@@ -131,7 +131,9 @@
         self._pool = pool
         self._relay: StreamRelay | None = None
         if admitted.route.kind is RequestKind.STREAMING:
-            self._relay = StreamRelay(writer, admitted.caller.last_event_id, admitted.arrived_at_s)
+            # A backend server of a route without resumption may ignore where to resume.
+            resumed_after = admitted.caller.last_event_id if admitted.route.repeatable else ""
+            self._relay = StreamRelay(writer, resumed_after, admitted.arrived_at_s)
         self._possible_runs = 0
         self._rejections = 0
         self._tried: set[str] = set()
--- a/src/bronzerudder/gateway/relay.py
+++ b/src/bronzerudder/gateway/relay.py
@@ -5,7 +5,7 @@
 import time
 
 from bronzerudder.http1 import ResponseWriter
-from bronzerudder.web.event_stream import find_last_event_id
+from bronzerudder.web.event_stream import EventSequence
 
 
 class StreamRelay:
@@ -16,14 +16,14 @@
     writer : ResponseWriter
         Writes the response to the caller.
     last_event_id : str
-        Id of the last event that the caller already has; empty if none.
+        Id of the last event that the caller has when it sends the request; empty if none.
     arrived_at_s : float
         Monotonic arrival time of the request.
     """
 
     def __init__(self, writer: ResponseWriter, last_event_id: str, arrived_at_s: float) -> None:
         self._writer = writer
-        self._last_event_id = last_event_id
+        self._sequence = EventSequence(last_event_id)
         self._last_event_at_s = arrived_at_s
         self._longest_gap_s = 0.0
         self._started = False
@@ -36,7 +36,7 @@
     @property
     def last_event_id(self) -> str:
         """Id of the last event that the caller has; empty if none."""
-        return self._last_event_id
+        return self._sequence.last_event_id
 
     @property
     def last_event_at_s(self) -> float:
@@ -54,15 +54,18 @@
             self._started = True
             await self._writer.start(200, headers)
 
-    async def forward(self, headers: list[tuple[bytes, bytes]], events: bytes) -> None:
-        """Send complete events."""
+    async def forward(self, headers: list[tuple[bytes, bytes]], data: bytes) -> str:
+        """Send complete events up to the first faulty one; return its fault, or an empty string."""
+        events, fault = self._sequence.accept(data)
+        if not events:
+            return fault
         now_s = time.monotonic()
         if self._started:
             self._longest_gap_s = max(self._longest_gap_s, now_s - self._last_event_at_s)
         self._last_event_at_s = now_s
         await self.begin(headers)
         await self._writer.write(events)
-        self._last_event_id = find_last_event_id(events) or self._last_event_id
+        return fault
 
     async def finish(self, headers: list[tuple[bytes, bytes]]) -> None:
         """End the stream as complete."""
--- a/src/bronzerudder/web/event_stream.py
+++ b/src/bronzerudder/web/event_stream.py
@@ -6,11 +6,20 @@
 
 from __future__ import annotations
 
+import re
+from typing import NamedTuple
+
 EVENT_STREAM_TYPE = "text/event-stream"
 LAST_EVENT_ID = "last-event-id"
 EVENT_END = b"\n\n"
 ID_FIELD = b"id:"
 TERMINATOR = b"data: [DONE]\n\n"
+# A field with a value, a comment, or a field without a value. The quantifiers are possessive, so
+# that bytes of no event cost no backtracking.
+_LINE = rb"(?:(?:[A-Za-z][A-Za-z0-9_-]*+)?+:[^\r\n]*+|data|event|id|retry)\n"
+_EVENTS = re.compile(rb"(?:(?:" + _LINE + rb")*+\n)*+")
+_IDS = re.compile(rb"^id(?::[ ]?+([^\n]*+))?+$", re.MULTILINE)
+_MAX_ID_DIGITS = 18
 
 
 def is_event_stream(headers: tuple[tuple[str, str], ...]) -> bool:
@@ -62,6 +71,76 @@
             self._last_event_id = last_event_id
 
 
+class AcceptedEvents(NamedTuple):
+    """Result of `EventSequence.accept`.
+
+    Parameters
+    ----------
+    events : bytes
+        The events before the first faulty one.
+    fault : str
+        What is wrong with the event after them; empty if all were accepted.
+    """
+
+    events: bytes
+    fault: str
+
+
+class EventSequence:
+    """Checks that events are well formed and that their ids rise.
+
+    Parameters
+    ----------
+    last_event_id : str
+        Id that the first event must exceed; empty if there is none.
+    """
+
+    def __init__(self, last_event_id: str) -> None:
+        self._last_event_id = last_event_id
+        self._last_number = _parse_id(last_event_id.encode())
+
+    @property
+    def last_event_id(self) -> str:
+        """Id of the last event accepted; the initial one before the first."""
+        return self._last_event_id
+
+    def accept(self, events: bytes) -> AcceptedEvents:
+        """Accept complete events up to the first faulty one."""
+        if not self._find_fault(events):
+            return AcceptedEvents(events, "")
+        accepted = []
+        for event in events.split(EVENT_END):
+            event += EVENT_END
+            fault = self._find_fault(event)
+            if fault:
+                return AcceptedEvents(b"".join(accepted), fault)
+            accepted.append(event)
+        return AcceptedEvents(events, "")
+
+    def _find_fault(self, events: bytes) -> str:
+        """Return what is wrong with events, or record their last id."""
+        if _EVENTS.fullmatch(events) is None:
+            return "bytes that are no event"
+        last_id = b""
+        last_number = self._last_number
+        for last_id in _IDS.findall(events):
+            number = _parse_id(last_id)
+            if number <= last_number:
+                return f"event id {last_id!r} does not follow {self._last_event_id!r}"
+            last_number = number
+        if last_id:
+            self._last_event_id = last_id.decode("latin-1")
+            self._last_number = last_number
+        return ""
+
+
+def _parse_id(event_id: bytes) -> int:
+    """Return the number of an event; -1, which follows none, if it has none."""
+    if event_id.isdigit() and len(event_id) <= _MAX_ID_DIGITS:
+        return int(event_id)
+    return -1
+
+
 def find_last_event_id(events: bytes) -> str:
     """Return the last id in a sequence of complete events; empty if none has one."""
     start = events.rfind(b"\n" + ID_FIELD) + 1
