Do not take an answer without length that holds a second response for whole

Callers of plain routes got a body with a second response behind their own: an answer with neither length nor chunks ends with its connection, so a duplicate response that a backend server sends before the end is read as part of the body, and the gateway gave it a length and passed it on as 200. If such a body holds a further response head (status line and a header), the attempt now fails as malformed: a repeatable request is tried elsewhere, any other is answered 502 without a signature. Cutting the body off at the second head was considered and dropped: nothing shows that the first response was whole. Bodies with a length or chunks are not searched. Evidence: test_an_undelimited_answer_with_a_second_head_is_not_taken_for_whole got b'mineHTTP/1.1 200 OK...' with status 200 for a duplicate of the same and of another request, and the booking test 200 instead of 502; both pass now. A body that merely quotes a status line is still passed on.

--- a/src/bronzerudder/gateway/attempt.py
+++ b/src/bronzerudder/gateway/attempt.py
@@ -10,7 +10,13 @@
 
 from bronzerudder.gateway.errors import AttemptFailure, FailureKind
 from bronzerudder.gateway.relay import StreamRelay
-from bronzerudder.http1 import ClientPool, Exchange, HttpError, HttpErrorKind
+from bronzerudder.http1 import (
+    ClientPool,
+    Exchange,
+    HttpError,
+    HttpErrorKind,
+    contains_response_head,
+)
 from bronzerudder.platform.requests import AnswerHead, decode_answer
 from bronzerudder.web.event_stream import EventSplitter
 
@@ -252,8 +258,12 @@
             if isinstance(chunk, HttpError):
                 return _attempt_failure(chunk)
             if chunk is None:
+                body = b"".join(chunks)
+                if not answer.delimited and contains_response_head(body):
+                    reason = "a further response in a body without length"
+                    return AttemptFailure(FailureKind.MALFORMED, reason)
                 exchange.release()
-                return CompleteAnswer(answer, b"".join(chunks))
+                return CompleteAnswer(answer, body)
             size += len(chunk)
             if size > MAX_BUFFERED_BYTES:
                 reason = f"answer exceeds {MAX_BUFFERED_BYTES} bytes"
--- a/src/bronzerudder/http1/__init__.py
+++ b/src/bronzerudder/http1/__init__.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from bronzerudder.http1.client import ClientPool, Exchange, ResponseHead
+from bronzerudder.http1.client import ClientPool, Exchange, ResponseHead, contains_response_head
 from bronzerudder.http1.errors import HttpError, HttpErrorKind
 from bronzerudder.http1.server import HttpServer, Request, ResponseWriter, ServerLimits
 from bronzerudder.http1.sockets import Connection, TransportError, connect, listen
@@ -26,5 +26,6 @@
     "ServerLimits",
     "TransportError",
     "connect",
+    "contains_response_head",
     "listen",
 ]
--- a/src/bronzerudder/http1/client.py
+++ b/src/bronzerudder/http1/client.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import re
 import time
 from typing import NamedTuple
 
@@ -24,6 +25,8 @@
 MAX_IDLE_PER_ADDRESS = 32
 MAX_HEAD_BYTES = 65_536
 _ANY_HOST = [(b"host", b"-")]
+# A status line and the name of a header; bodies hardly contain both.
+_RESPONSE_HEAD = re.compile(rb"HTTP/1\.[01] \d{3}(?: [^\r\n]*)?\r?\n[!#$%&'*+.^_`|~0-9A-Za-z-]+:")
 
 
 class ResponseHead(NamedTuple):
@@ -45,6 +48,11 @@
         return any(name in (b"content-length", b"transfer-encoding") for name, _ in self.headers)
 
 
+def contains_response_head(body: bytes) -> bool:
+    """Whether a further response follows an answer that ends with its connection."""
+    return _RESPONSE_HEAD.search(body) is not None
+
+
 class _IdleConnection(NamedTuple):
     connection: Connection
     expires_at_s: float
