Do not believe an answer without an id on a connection that may owe one

A caller could get the failure of another request, with its signature, or a 503 that promises "not run" for a booking that ran. Cause: an answer without the request's id was taken for the request's own unless it was a success, and the connection of such an answer was kept, so that a duplicate of it met the next request. On a connection that served an earlier request an answer without an id now fails the attempt as malformed, which promises nothing, and a connection is kept only after an answer with the id. On a connection of its own an answer without an id still counts. Evidence: test_a_failure_without_an_id_on_a_reused_connection_is_not_passed_on got a foreign 500, test_a_rejection_without_an_id_on_a_reused_connection_ proves_nothing got 503 for a booking that ran, and test_a_failure_of_an_earlier_request_is_not_passed_on kept the connection; all pass now.

--- a/src/bronzerudder/gateway/attempt.py
+++ b/src/bronzerudder/gateway/attempt.py
@@ -229,6 +229,10 @@
 
     def _find_fault(self, answer: AnswerHead) -> AttemptFailure | None:
         """Return why the head is not an acceptable answer to this request, or None."""
+        if not answer.request_id and self._reused:
+            # It may answer an earlier request, and then proves nothing about this one.
+            reason = f"status {answer.status} without an id on a reused connection"
+            return AttemptFailure(FailureKind.MALFORMED, reason)
         if answer.not_executed:
             reason = f"status {answer.status}, not executed"
             return AttemptFailure(FailureKind.NOT_EXECUTED, reason, answer.faulty_address)
@@ -262,7 +266,9 @@
                 if not answer.delimited and contains_response_head(body):
                     reason = "a further response in a body without length"
                     return AttemptFailure(FailureKind.MALFORMED, reason)
-                exchange.release()
+                if answer.request_id:
+                    # A duplicate of an answer without an id could not be told from the next answer.
+                    exchange.release()
                 return CompleteAnswer(answer, body)
             size += len(chunk)
             if size > MAX_BUFFERED_BYTES:
