Give up a connection that a late answer holds

A request waited until its deadline and was answered 504 when a late answer to an earlier request came first and either had neither length nor chunks, so that it ends with the connection and takes the request's own answer with it, or stopped midway: skipping it had no time limit. An undelimited answer to another request now fails the attempt at once as malformed, and skipping has the idle timeout of any other read.

--- a/src/bronzerudder/gateway/attempt.py
+++ b/src/bronzerudder/gateway/attempt.py
@@ -222,8 +222,13 @@
             if not answer.request_id or answer.request_id == self._outgoing.request_id:
                 return answer
             self._skipped_ids.append(answer.request_id)
-            skipped = await exchange.skip_stale_answer()
-            if skipped is not None:
+            if not answer.delimited:
+                reason = "an answer to another request takes the rest of the connection"
+                return AttemptFailure(FailureKind.MALFORMED, reason)
+            skipped = await self._read_with_timeout(exchange.skip_stale_answer)
+            if isinstance(skipped, AttemptFailure):
+                return skipped
+            if isinstance(skipped, HttpError):
                 return _attempt_failure(skipped)
         return AttemptFailure(FailureKind.MALFORMED, "received only answers to other requests")
 
--- a/tests/gateway/test_answer_integrity.py
+++ b/tests/gateway/test_answer_integrity.py
@@ -328,6 +328,13 @@
             status, _, _ = await self.send("/book/", method=b"POST", deadline_ms="1000")
         self.assertEqual(status, 502)
 
+    async def test_a_late_answer_that_stops_midway_is_given_up_like_any_other(self):
+        late = HEAD % b"r0" + b"Content-Length: 9\r\n\r\nlate"
+        reply = FailsOnce(RawReply(late), lambda n, i, h: RawReply(make_plain(i, b"mine")))
+        await self.start(reply, reply)
+        status, _, body = await self.send("/read/")
+        self.assertEqual((status, body), (200, b"mine"))
+
     async def test_a_request_that_failed_is_not_sent_to_the_same_server_again(self):
         await self.start(
             lambda n, i, h: RawReply(FAILED + b"Attempt-Id: %s\r\n\r\nfailed" % i),
