Do not reuse a caller's connection whose last answer was not sent in full

If the deadline passed while the end of a stream was being written to a caller that reads slowly, the answer counted as finished, as the HTTP state machine had produced its last bytes; the connection was kept, and the next answer followed an incomplete chunk, which is no answer in the protocol. The writer now remembers that a write was interrupted, and the connection is closed. Evidence: ResponseWriterTest.test_an_answer_whose_last_bytes_were_not_sent_is_not_finished failed before (finished was true) and passes; tests.http1 and tests.gateway.test_handler pass (67 with platform and web).

--- a/src/bronzerudder/http1/server.py
+++ b/src/bronzerudder/http1/server.py
@@ -77,6 +77,7 @@
         self._connection = connection
         self._closing = closing
         self._failed = False
+        self._sending = False
         self._status = 0
 
     @property
@@ -92,6 +93,9 @@
     @property
     def finished(self) -> bool:
         """Whether the answer was sent completely."""
+        if self._sending:
+            # A write was cancelled, perhaps midway.
+            return False
         return self._http.our_state in (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
 
     async def start(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
@@ -130,8 +134,10 @@
     async def _write(self, data: bytes) -> None:
         if self._failed or not data:
             return
+        self._sending = True
         if await self._connection.send(data) is not None:
             self._failed = True
+        self._sending = False
 
 
 Handler = Callable[[Request, ResponseWriter], Awaitable[None]]
