--- a/src/bronzerudder/gateway/attempt.py
+++ b/src/bronzerudder/gateway/attempt.py
@@ -10,8 +10,15 @@
 
 from bronzerudder.gateway.errors import AttemptFailure, FailureKind
 from bronzerudder.gateway.relay import StreamRelay
-from bronzerudder.http1 import ClientPool, Exchange, HttpError, HttpErrorKind
+from bronzerudder.http1 import (
+    ClientPool,
+    Exchange,
+    HttpError,
+    HttpErrorKind,
+    contains_response_head,
+)
 from bronzerudder.platform.requests import AnswerHead, decode_answer
+from bronzerudder.web.event_stream import EventSplitter
 
 MAX_BUFFERED_BYTES = 1_048_576
 """Limit of a plain answer, which is buffered in full before the caller is answered."""
@@ -146,6 +153,8 @@
         self._sent_at_s = 0.0
         self._has_event = False
         self._answer: AnswerHead | None = None
+        self._reused = False
+        self._skipped_ids: list[str] = []
 
     @property
     def sent(self) -> bool:
@@ -157,11 +166,22 @@
         """Head of the answer; None before it was received."""
         return self._answer
 
+    @property
+    def reused(self) -> bool:
+        """Whether the connection had served an earlier request."""
+        return self._reused
+
+    @property
+    def skipped_ids(self) -> list[str]:
+        """Ids of the requests whose late answers were skipped on the connection."""
+        return self._skipped_ids
+
     async def run(self) -> CompleteAnswer | StreamDelivered | AttemptFailure:
         """Make the attempt; on cancellation the connection is closed."""
         exchange = await self._connections.open(self._outgoing.address)
         if isinstance(exchange, HttpError):
             return _attempt_failure(exchange)
+        self._reused = exchange.reused
         try:
             return await self._send_and_read(exchange)
         finally:
@@ -201,13 +221,23 @@
             answer = decode_answer(head)
             if not answer.request_id or answer.request_id == self._outgoing.request_id:
                 return answer
-            skipped = await exchange.skip_stale_answer()
-            if skipped is not None:
+            self._skipped_ids.append(answer.request_id)
+            if not answer.delimited:
+                reason = "an answer to another request takes the rest of the connection"
+                return AttemptFailure(FailureKind.MALFORMED, reason)
+            skipped = await self._read_with_timeout(exchange.skip_stale_answer)
+            if isinstance(skipped, AttemptFailure):
+                return skipped
+            if isinstance(skipped, HttpError):
                 return _attempt_failure(skipped)
         return AttemptFailure(FailureKind.MALFORMED, "received only answers to other requests")
 
     def _find_fault(self, answer: AnswerHead) -> AttemptFailure | None:
         """Return why the head is not an acceptable answer to this request, or None."""
+        if not answer.request_id and self._reused:
+            # It may answer an earlier request, and then proves nothing about this one.
+            reason = f"status {answer.status} without an id on a reused connection"
+            return AttemptFailure(FailureKind.MALFORMED, reason)
         if answer.not_executed:
             reason = f"status {answer.status}, not executed"
             return AttemptFailure(FailureKind.NOT_EXECUTED, reason, answer.faulty_address)
@@ -237,8 +267,14 @@
             if isinstance(chunk, HttpError):
                 return _attempt_failure(chunk)
             if chunk is None:
-                exchange.release()
-                return CompleteAnswer(answer, b"".join(chunks))
+                body = b"".join(chunks)
+                if not answer.delimited and contains_response_head(body):
+                    reason = "a further response in a body without length"
+                    return AttemptFailure(FailureKind.MALFORMED, reason)
+                if answer.request_id:
+                    # A duplicate of an answer without an id could not be told from the next answer.
+                    exchange.release()
+                return CompleteAnswer(answer, body)
             size += len(chunk)
             if size > MAX_BUFFERED_BYTES:
                 reason = f"answer exceeds {MAX_BUFFERED_BYTES} bytes"
@@ -248,6 +284,7 @@
     async def _relay_stream(
         self, exchange: Exchange, answer: AnswerHead, relay: StreamRelay
     ) -> StreamDelivered | AttemptFailure:
+        splitter = EventSplitter()
         while True:
             chunk = await self._read_with_timeout(exchange.read_body)
             if isinstance(chunk, AttemptFailure):
@@ -255,12 +292,30 @@
             if isinstance(chunk, HttpError):
                 return _attempt_failure(chunk)
             if chunk is None:
-                if not await relay.finish(answer.headers):
-                    return AttemptFailure(FailureKind.BROKEN, "stream ended inside an event")
+                fault = self._find_end_fault(answer, splitter, relay)
+                if fault:
+                    return AttemptFailure(FailureKind.BROKEN, fault)
+                await relay.finish(answer.headers)
                 exchange.release()
                 return StreamDelivered(answer)
-            if await relay.forward(answer.headers, chunk):
-                self._record_event(time.monotonic())
+            events = splitter.split(chunk)
+            if not events:
+                continue
+            fault = await relay.forward(answer.headers, events)
+            if fault:
+                return AttemptFailure(FailureKind.MALFORMED, fault)
+            self._record_event(time.monotonic())
+
+    def _find_end_fault(
+        self, answer: AnswerHead, splitter: EventSplitter, relay: StreamRelay
+    ) -> str:
+        """Return why the stream is not complete at its end, or an empty string."""
+        if splitter.partial_event:
+            return "stream ended inside an event"
+        if not answer.delimited and not self._has_event and not relay.last_event_id:
+            # Only a stream that is resumed after its last event has none.
+            return "connection closed before the first event"
+        return ""
 
     def _record_event(self, now_s: float) -> None:
         self._progress.record(now_s)
