Let the stand-in backend server crash on a part of a prompt

StandinBackendServer gets a CrashPlan: the bad part ids (never the last part of a prompt), the delay, the time that it is down, whether a stream's first event goes out before, and whether it returns as another instance.

--- a/src/bronzerudder/standin/fleet/backend_server.py
+++ b/src/bronzerudder/standin/fleet/backend_server.py
@@ -4,11 +4,14 @@
 
 import enum
 import time
+from collections.abc import Callable
+from typing import NamedTuple
 
 import anyio
 
-from bronzerudder.http1 import HttpServer, Request, ResponseWriter, ServerLimits
+from bronzerudder.http1 import Request, ResponseWriter, ServerLimits
 from bronzerudder.platform import wire
+from bronzerudder.standin.fleet.restartable import RestartableServer
 
 EVENTS = 6
 EVENT_GAP_S = 0.01
@@ -36,6 +39,48 @@
     BARE_503 = "bare-503"
 
 
+class CrashPlan(NamedTuple):
+    """Which requests crash the backend server, and how.
+
+    Parameters
+    ----------
+    parts : frozenset of str
+        Ids of prompt parts. A request crashes the server if any part of its prompt but the last one
+        is among them.
+    delay_s : float
+        Time from the start of the answer to the crash, in seconds.
+    down_s : float
+        Time until the server is back at its address, in seconds.
+    after_first_event : bool
+        Whether the first event of a stream is sent before the crash.
+    new_instance : bool
+        Whether the server comes back with another instance id.
+    """
+
+    parts: frozenset[str] = frozenset()
+    delay_s: float = 0.01
+    down_s: float = 0.5
+    after_first_event: bool = False
+    new_instance: bool = False
+
+    def crashes_on(self, request: Request) -> bool:
+        """Return whether a request crashes the server once its answer begins."""
+        return not self.parts.isdisjoint(prompt_part_ids(request)[:-1])
+
+
+class CrashingArrival(NamedTuple):
+    """A request with a crashing prompt part that reached the server, at a monotonic time."""
+
+    request: Request
+    at_s: float
+
+
+def prompt_part_ids(request: Request) -> list[str]:
+    """Return the ids of the parts of a request's prompt, in order."""
+    entries = (request.header(wire.PROMPT_PARTS) or b"").decode("latin-1").split(",")
+    return [entry.partition(":")[0].strip().lower() for entry in entries if entry.strip()]
+
+
 class StandinBackendServer:
     """Handles requests as scripted, and records those that it ran.
 
@@ -57,6 +102,16 @@
         Requests that are running.
     event_gap_s : float
         Pause before each event of a stream.
+    crash_plan : CrashPlan
+        Requests that crash it; none at first.
+    crash_at_s : list of float
+        Monotonic times of its crashes.
+    crashing_arrivals : list of CrashingArrival
+        Requests with a crashing prompt part that reached it, whether it ran them or not.
+    on_new_instance : callable
+        Called after a crash with its old instance id if `instance_id` has changed.
+    server : RestartableServer
+        Serves it; a crash takes this server down.
     """
 
     def __init__(self, instance_id: str) -> None:
@@ -68,10 +123,17 @@
         self.cancelled = 0
         self.event_gap_s = EVENT_GAP_S
         self.running = 0
-        self.server = HttpServer(self.handle, ServerLimits)
+        self.crash_plan = CrashPlan()
+        self.crash_at_s: list[float] = []
+        self.crashing_arrivals: list[CrashingArrival] = []
+        self.on_new_instance: Callable[[str], None] = lambda old_id: None
+        self.server = RestartableServer(self.handle, ServerLimits)
+        self._base_id = instance_id
 
     async def handle(self, request: Request, writer: ResponseWriter) -> None:
         """Serve one request."""
+        if self.crash_plan.crashes_on(request):
+            self.crashing_arrivals.append(CrashingArrival(request, time.monotonic()))
         expected = request.header(wire.EXPECTED_INSTANCE)
         headers = [(wire.LOAD, b"1,0,6")]
         if expected != self.instance_id.encode():
@@ -85,6 +147,8 @@
         self.run_at_s.append(time.monotonic())
         self.running += 1
         try:
+            if self.crash_plan.crashes_on(request):
+                await self._crash_while_answering(request, writer)
             await self._run(request, writer, behaviour, headers)
         except anyio.get_cancelled_exc_class():
             self.cancelled += 1
@@ -126,6 +190,32 @@
             return
         await writer.respond(200, headers, b"from " + self.instance_id.encode())
 
+    async def _crash_while_answering(self, request: Request, writer: ResponseWriter) -> None:
+        """Crash during the answer to a request; does not return."""
+        plan = self.crash_plan
+        if request.target.startswith(EVENT_STREAM_PATHS):
+            headers = [
+                (wire.REQUEST_ID, request.header(wire.REQUEST_ID) or b""),
+                (wire.SIGNATURE, b"signed"),
+                (b"content-type", b"text/event-stream"),
+            ]
+            await writer.start(200, headers)
+            if plan.after_first_event:
+                await writer.write(_event(_first_event_number(request)))
+        await anyio.sleep(plan.delay_s)
+        self.crash()
+        # The crash cancels this request with all others.
+        await anyio.sleep_forever()
+
+    def crash(self) -> None:
+        """Crash now, and be back after the time that `crash_plan` sets."""
+        self.crash_at_s.append(time.monotonic())
+        if self.crash_plan.new_instance:
+            old_id = self.instance_id
+            self.instance_id = f"{self._base_id}-{len(self.crash_at_s)}"
+            self.on_new_instance(old_id)
+        self.server.crash(self.crash_plan.down_s)
+
     async def _stream(
         self,
         request: Request,
@@ -133,13 +223,21 @@
         behaviour: Behaviour,
         headers: list[tuple[bytes, bytes]],
     ) -> None:
-        first = int(request.header(wire.LAST_EVENT_ID) or b"0") + 1
+        first = _first_event_number(request)
         await writer.start(200, [*headers, (b"content-type", b"text/event-stream")])
         for number in range(first, EVENTS + 1):
             await anyio.sleep(self.event_gap_s)
-            event = f"id: {number}\ndata: {number}\n\n".encode()
+            event = _event(number)
             if behaviour is Behaviour.TRUNCATED and number == first + 2:
                 await writer.write(event[:5])
                 return
             await writer.write(event)
         await writer.finish()
+
+
+def _first_event_number(request: Request) -> int:
+    return int(request.header(wire.LAST_EVENT_ID) or b"0") + 1
+
+
+def _event(number: int) -> bytes:
+    return f"id: {number}\ndata: {number}\n\n".encode()
--- a/src/bronzerudder/standin/fleet/rank.py
+++ b/src/bronzerudder/standin/fleet/rank.py
@@ -9,10 +9,11 @@
 import anyio
 import msgspec
 
-from bronzerudder.http1 import HttpServer, Request, ResponseWriter, ServerLimits
+from bronzerudder.http1 import Request, ResponseWriter, ServerLimits
 from bronzerudder.platform import wire
 from bronzerudder.standin.fleet.backend_server import StandinBackendServer
 from bronzerudder.standin.fleet.group import LockstepGroup, LockstepRank
+from bronzerudder.standin.fleet.restartable import RestartableServer
 
 DONE = 200
 REFUSED = 409
@@ -55,7 +56,9 @@
         self._lists: list[list[list[int]]] = self._initial_lists()
         self.late_share = 0.0
         self._hottest_expert = 0
-        self.server = HttpServer(self._handle, ServerLimits)
+        self.server = RestartableServer(self._handle, ServerLimits)
+        # A crash of the backend server takes down the rank that serves it.
+        backend_server.server = self.server
 
     def count_choices(self, generator: random.Random) -> None:
         """Count expert choices of a step, mostly of experts that one rank holds initially."""
--- /dev/null
+++ b/tests/standin/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the stand-ins for the users' platform."""
