Add a stand-in backend server that writes faulty answers byte by byte

FaultyAnswerServer writes its answers itself, by a script for each request (AnswerScript): framing by length, chunks or the end of the connection; extra answers next to the first, on the idle connection or before the next answer, with its id, another or none; answers and streams that break off in the head, in an id line, inside and between events; ends by FIN and by reset; bytes that are no answer; 1xx heads; heads, bodies, events, chunk extensions and trailers without end; a refusal before the body is read. Bodies and events name their request.

--- a/src/bronzerudder/standin/fleet/__init__.py
+++ b/src/bronzerudder/standin/fleet/__init__.py
@@ -2,21 +2,25 @@
 
 from __future__ import annotations
 
+from bronzerudder.standin.fleet.answer_script import AnswerScript
 from bronzerudder.standin.fleet.backend_server import (
     Behaviour,
     CrashingArrival,
     CrashPlan,
     StandinBackendServer,
 )
+from bronzerudder.standin.fleet.faulty_answers import FaultyAnswerServer
 from bronzerudder.standin.fleet.group import LockstepGroup, LockstepRank
 from bronzerudder.standin.fleet.rank import StandinRank
 from bronzerudder.standin.fleet.restartable import RestartableServer
 from bronzerudder.standin.fleet.store import StandinStore
 
 __all__ = [
+    "AnswerScript",
     "Behaviour",
     "CrashPlan",
     "CrashingArrival",
+    "FaultyAnswerServer",
     "LockstepGroup",
     "LockstepRank",
     "RestartableServer",
