--- a/src/bronzerudder/http1/client.py
+++ b/src/bronzerudder/http1/client.py
@@ -10,6 +10,7 @@
 import time
 from typing import NamedTuple
 
+import anyio.lowlevel
 import h11
 
 from bronzerudder.http1.errors import HttpError, HttpErrorKind
@@ -24,6 +25,15 @@
 just as a request is sent; the timeout is in whole seconds."""
 MAX_IDLE_PER_ADDRESS = 32
 MAX_HEAD_BYTES = 65_536
+MAX_INFORMATIONAL_HEADS = 8
+"""``1xx`` heads before an answer: one or two are usual, a faulty peer may send them without end."""
+MAX_ANSWER_BYTES = 1_048_576
+"""Default limit of the body of an answer that is read as a whole, framing included."""
+MAX_ANSWER_CHUNKS = 8_192
+"""Default limit of the chunks of such an answer; each takes time to parse, however small it is."""
+MAX_BUFFERED_EVENTS = 64
+"""Chunks of received data that are parsed before other tasks run; one read can hold 11,000."""
+_HEAD = b"HEAD"
 _ANY_HOST = [(b"host", b"-")]
 # A status line and the name of a header; bodies hardly contain both.
 _RESPONSE_HEAD = re.compile(rb"HTTP/1\.[01] \d{3}(?: [^\r\n]*)?\r?\n[!#$%&'*+.^_`|~0-9A-Za-z-]+:")
@@ -75,6 +85,8 @@
         self._request: h11.Request | None = None
         self._head: ResponseHead | None = None
         self._reused = reused
+        self._received_bytes = 0
+        self._buffered_events = 0
         self._ended = False
 
     @property
@@ -106,11 +118,16 @@
 
     async def read_head(self) -> ResponseHead | HttpError:
         """Read the status and headers of the answer."""
+        informational = 0
         while True:
             event = await self._next_event()
             if isinstance(event, HttpError):
                 return event
             if isinstance(event, h11.InformationalResponse):
+                informational += 1
+                if informational > MAX_INFORMATIONAL_HEADS:
+                    reason = f"more than {MAX_INFORMATIONAL_HEADS} informational heads"
+                    return self._fail(HttpErrorKind.MALFORMED, reason)
                 continue
             if isinstance(event, h11.Response):
                 self._head = ResponseHead(event.status_code, tuple(event.headers))
@@ -128,24 +145,38 @@
             return None
         return self._fail(HttpErrorKind.BROKEN, "connection closed before the end of the answer")
 
-    async def read_rest(self) -> bytes | HttpError:
-        """Read the body to its end."""
+    async def read_rest(self, max_bytes: int = MAX_ANSWER_BYTES) -> bytes | HttpError:
+        """Read the body to its end; ``MALFORMED`` if it takes more than ``max_bytes``.
+
+        Bytes are counted as received, as framing alone can also come without end.
+        """
         chunks: list[bytes] = []
+        received_before = self._received_bytes
         while True:
             chunk = await self.read_body()
             if isinstance(chunk, HttpError):
                 return chunk
             if chunk is None:
                 return b"".join(chunks)
+            if self._received_bytes - received_before > max_bytes:
+                return self._fail(HttpErrorKind.MALFORMED, f"answer exceeds {max_bytes} bytes")
+            if len(chunks) >= MAX_ANSWER_CHUNKS:
+                reason = f"answer exceeds {MAX_ANSWER_CHUNKS} chunks"
+                return self._fail(HttpErrorKind.MALFORMED, reason)
             chunks.append(chunk)
 
     async def skip_stale_answer(self) -> HttpError | None:
         """Skip the rest of an answer to an earlier request; `read_head` then reads the next one."""
+        if self._request is None or self._request.method == _HEAD:
+            # The answer to a HEAD request has no body, whatever its headers say.
+            return self._fail(
+                HttpErrorKind.BROKEN, "answer to an earlier request before that to HEAD"
+            )
         stale = await self.read_rest()
         if isinstance(stale, HttpError):
             return stale
         data, closed = self._http.trailing_data
-        if closed or self._request is None:
+        if closed:
             return self._fail(
                 HttpErrorKind.BROKEN, "connection closed after an answer to an earlier request"
             )
@@ -164,7 +195,10 @@
             return
         self._ended = True
         reusable = (
-            self._http.our_state is h11.DONE
+            self._request is not None
+            # A late answer to it would be framed differently from that to the next request.
+            and self._request.method != _HEAD
+            and self._http.our_state is h11.DONE
             and self._http.their_state is h11.DONE
             and not self._http.trailing_data[0]
         )
@@ -182,6 +216,10 @@
 
     async def _next_event(self) -> h11.Event | HttpError:
         peer_closed = False
+        self._buffered_events += 1
+        if self._buffered_events > MAX_BUFFERED_EVENTS:
+            self._buffered_events = 0
+            await anyio.lowlevel.checkpoint()
         while True:
             try:
                 event = self._http.next_event()
@@ -195,6 +233,8 @@
             if isinstance(data, TransportError):
                 return self._fail(HttpErrorKind.BROKEN, data.reason)
             peer_closed = not data
+            self._buffered_events = 0
+            self._received_bytes += len(data)
             self._http.receive_data(data)
 
     def _fail(self, kind: HttpErrorKind, reason: str) -> HttpError:
@@ -209,6 +249,16 @@
         self._connect_timeout_s = connect_timeout_s
         self._idle: dict[str, list[_IdleConnection]] = {}
         self._opened = 0
+        self._buffered_bytes = 0
+
+    @property
+    def buffered_bytes(self) -> int:
+        """Bytes of answers that users of the pool have reported as buffered."""
+        return self._buffered_bytes
+
+    def add_buffered(self, size: int) -> None:
+        """Report bytes of an answer as buffered, or with a negative size as no longer buffered."""
+        self._buffered_bytes += size
 
     @property
     def opened(self) -> int:
@@ -241,9 +291,20 @@
         target: bytes,
         headers: list[tuple[bytes, bytes]],
         body: bytes = b"",
+        max_bytes: int = MAX_ANSWER_BYTES,
+        fresh: bool = False,
     ) -> tuple[int, bytes] | HttpError:
-        """Send a request and read its complete answer: status and body."""
-        exchange = await self.open(address)
+        """Send a request and read its complete answer: status and body.
+
+        The time is the caller's to limit. If the call is cancelled, its connection is closed, so
+        that a late answer can't be taken for that of another call.
+
+        Parameters
+        ----------
+        fresh : bool
+            Open a new connection, on which no answer to an earlier call can arrive.
+        """
+        exchange = await self.open(address, fresh)
         if isinstance(exchange, HttpError):
             return exchange
         try:
@@ -253,7 +314,7 @@
             head = await exchange.read_head()
             if isinstance(head, HttpError):
                 return head
-            content = await exchange.read_rest()
+            content = await exchange.read_rest(max_bytes)
             if isinstance(content, HttpError):
                 return content
             exchange.release()
