Use a connection of its own for each call of a backend server

Callers of an entry could get another caller's answer: a backend server that answers twice leaves the second answer in the buffer of the kept connection, and httpx (h11) reads it as the answer to the next request. One that arrives late, after the next request was sent, can't be told from the right answer at all, since answers on this path carry no id.

Without kept connections the extra bytes end with the connection that they came on, whenever they arrive.

Ruled out: dropping only the connections with unread bytes, which leaves the late answers. An agent has about ten calls a second at the target size, so the connections themselves cost little.

--- a/src/bronzerudder/backend_server/http_server.py
+++ b/src/bronzerudder/backend_server/http_server.py
@@ -11,8 +11,8 @@
 CONNECT_TIMEOUT_S = 1.0
 PROBE_TIMEOUT_S = 1.0
 CANCEL_TIMEOUT_S = 1.0
-# Kept low because the pool of httpx checks every idle connection on each request.
-MAX_IDLE_CONNECTIONS = 16
+# An extra answer on a kept connection would be taken for the answer to the next request.
+MAX_IDLE_CONNECTIONS = 0
 HOP_BY_HOP = frozenset(
     ("connection", "content-length", "host", "keep-alive", "te", "transfer-encoding", "upgrade")
 )
@@ -56,7 +56,7 @@
 
 
 class HttpBackendServer(BackendServer):
-    """Sends requests to one backend server.
+    """Sends requests to one backend server, each on a connection of its own.
 
     Parameters
     ----------
