Treat a stream that ends inside an event as broken off

Callers of an entry got a part of an event and then the outcome `done`: the agent sent the rest of a stream after its last complete event as a chunk, and reported the answer complete. With neither length nor chunks an answer ends with its connection, so a backend server that stops in the middle of an event looks just like that. The outcome comment was appended to the partial line.

test_a_stream_that_ends_inside_an_event_is_not_complete failed: b'id: 1\ndata: a\n\nid: 2\nda' != b'id: 1\ndata: a\n\n'. Now the tail is dropped and the attempt ends as broken, so the entry continues after the last id at another backend server, or reports `unknown`. Nothing of a partial event leaves the agent, so none can be in front of a second attempt's bytes at the entry either. Blank lines at the end, and events that end in CRLF, which the splitter doesn't split, stay complete (second test).

--- a/src/bronzerudder/execution/relay.py
+++ b/src/bronzerudder/execution/relay.py
@@ -19,6 +19,8 @@
 
 MAX_REOPENS = 8
 MAX_PROBES = 5
+# `EventSplitter` doesn't split here, so such a stream is all tail.
+CRLF_EVENT_END = b"\r\n\r\n"
 
 
 class Relay:
@@ -102,11 +104,19 @@
         complete = splitter.split(chunk) if streaming else chunk
         if complete:
             attempt.emit_chunk(complete)
-    if splitter.partial_event:
-        attempt.emit_chunk(splitter.partial_event)
+    tail = splitter.partial_event
+    if _is_inside_event(tail):
+        return BackendError(BackendErrorKind.BROKEN, "the stream ended inside an event")
+    if tail:
+        attempt.emit_chunk(tail)
     return None
 
 
+def _is_inside_event(tail: bytes) -> bool:
+    """Return whether the end of a stream after its last complete event is a part of another one."""
+    return bool(tail.strip(b"\r\n")) and not tail.endswith(CRLF_EVENT_END)
+
+
 def _build_call(attempt: Attempt, last_event_id: str, traceparent: str) -> BackendCall:
     submit: pb.Submit = attempt.submit
     fields = {header.name: header.value for header in submit.headers}
--- a/tests/execution/test_executor.py
+++ b/tests/execution/test_executor.py
@@ -36,6 +36,9 @@
     def kinds(self):
         return [frame.WhichOneof("body") for frame in self.frames]
 
+    def body(self):
+        return b"".join(frame.chunk.payload for frame in self.frames if frame.HasField("chunk"))
+
     async def wait_for_any(self, *kinds):
         with anyio.fail_after(TIMEOUT_S):
             while not set(kinds) & set(self.kinds()):
@@ -203,6 +206,24 @@
         self.assertEqual(cut.state, pb.FINISH_STATE_BROKEN)
         self.assertEqual(unknown.state, pb.FINISH_STATE_UNKNOWN)
 
+    async def test_a_stream_that_ends_inside_an_event_is_not_complete(self):
+        async with run_executor(
+            ScriptedBackendServer([b"id: 1\ndata: a\n\nid: 2\nda"])
+        ) as executor:
+            entry = Recorder()
+            executor.submit(build_submit(), entry)
+            finished = await entry.wait_for("finished")
+        self.assertEqual(entry.body(), b"id: 1\ndata: a\n\n")
+        self.assertEqual(finished.state, pb.FINISH_STATE_BROKEN)
+
+    async def test_a_stream_with_other_line_ends_or_blank_lines_at_its_end_is_complete(self):
+        for stream in (b"id: 1\r\ndata: a\r\n\r\n", b"id: 1\ndata: a\n\n\n"):
+            async with run_executor(ScriptedBackendServer([stream])) as executor:
+                entry = Recorder()
+                executor.submit(build_submit(), entry)
+                finished = await entry.wait_for("finished")
+            self.assertEqual((entry.body(), finished.state), (stream, pb.FINISH_STATE_COMPLETE))
+
     async def test_a_request_that_waits_until_its_deadline_is_refused_unrun(self):
         backend_server = ScriptedBackendServer([anyio.Event()])
         async with run_executor(backend_server) as executor:
