Append only the rest of a stream to an answer that fell silent

Callers got parts of two answers as one whole: when an engine sent nothing for silence_timeout_s in the middle of an answer and its probe succeeded, the agent sent the request again and copied whatever came into the same answer. A plain body followed its own first part, a stream without ids started over, an error document ended a stream as `done`, and the body of a 500 followed the head of a 200. With an idempotency key the mixture was stored and replayed.

--- a/src/bronzerudder/execution/attempt.py
+++ b/src/bronzerudder/execution/attempt.py
@@ -36,6 +36,13 @@
     FINISHED = "finished"
 
 
+class AnswerHead(NamedTuple):
+    """Status and headers of an answer."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+
+
 class KeptAnswer(NamedTuple):
     """Copy of an answer as emitted so far, for replay to later requests with the same key."""
 
@@ -74,6 +81,7 @@
         self._refused = False
         self._kept_answer: KeptAnswer | None = None
         self._keeps_answer = False
+        self._head: AnswerHead | None = None
 
     @property
     def key(self) -> AttemptKey:
@@ -116,9 +124,9 @@
         return max(0, self._next_sequence - 1)
 
     @property
-    def has_head(self) -> bool:
-        """Whether the head has been emitted."""
-        return self._next_sequence > 0
+    def head(self) -> AnswerHead | None:
+        """Head of the answer, once it has been emitted."""
+        return self._head
 
     @property
     def refused(self) -> bool:
@@ -145,6 +153,7 @@
 
     def emit_head(self, status: int, headers: tuple[tuple[str, str], ...]) -> None:
         """Emit the status and headers."""
+        self._head = AnswerHead(status, headers)
         if self._keeps_answer:
             self._kept_answer = KeptAnswer(status, headers, b"")
         fields = [pb.Header(name=name, value=value) for name, value in headers]
--- a/src/bronzerudder/execution/relay.py
+++ b/src/bronzerudder/execution/relay.py
@@ -11,7 +11,7 @@
     BackendErrorKind,
     BackendServer,
 )
-from bronzerudder.execution.attempt import Attempt
+from bronzerudder.execution.attempt import AnswerHead, Attempt
 from bronzerudder.frames import exchange_pb2 as pb
 from bronzerudder.observability import Tracing
 from bronzerudder.observability.traces import TRACEPARENT
@@ -46,7 +46,9 @@
         splitter = EventSplitter()
         error = await self._relay_once(attempt, splitter)
         for _ in range(MAX_REOPENS):
-            if error is None or not await self._may_reopen(error):
+            if error is None or not _can_continue(attempt, splitter):
+                return error
+            if not await self._may_reopen(error):
                 return error
             splitter.drop_partial_event()
             error = await self._relay_once(attempt, splitter)
@@ -82,8 +84,11 @@
     answer: BackendAnswer, attempt: Attempt, splitter: EventSplitter
 ) -> BackendError | None:
     try:
-        if not attempt.has_head:
+        if attempt.head is None:
             attempt.emit_head(answer.status, answer.headers)
+        elif not _matches(answer, attempt.head):
+            reason = f"the answer with status {answer.status} is not the rest of the one begun"
+            return BackendError(BackendErrorKind.BROKEN, reason)
         return await _copy_body(answer, attempt, splitter)
     finally:
         with anyio.CancelScope(shield=True):
@@ -112,6 +117,20 @@
     return None
 
 
+def _can_continue(attempt: Attempt, splitter: EventSplitter) -> bool:
+    """Return whether a new answer to the request can continue what has been emitted."""
+    return attempt.chunk_count == 0 or bool(splitter.last_event_id)
+
+
+def _matches(answer: BackendAnswer, head: AnswerHead) -> bool:
+    """Return whether the body of an answer may follow the head of an earlier one."""
+    if answer.status != head.status:
+        return False
+    if is_event_stream(head.headers):
+        return is_event_stream(answer.headers)
+    return answer.headers == head.headers
+
+
 def _is_inside_event(tail: bytes) -> bool:
     """Return whether the end of a stream after its last complete event is a part of another one."""
     return bool(tail.strip(b"\r\n")) and not tail.endswith(CRLF_EVENT_END)
--- a/src/bronzerudder/execution/runner.py
+++ b/src/bronzerudder/execution/runner.py
@@ -167,7 +167,7 @@
             self._backend_up = True
             attempt.emit_finished(pb.FINISH_STATE_COMPLETE)
             return
-        if error.kind is BackendErrorKind.UNREACHABLE and not attempt.has_head:
+        if error.kind is BackendErrorKind.UNREACHABLE and attempt.head is None:
             self._backend_up = False
             self._refuse(
                 attempt, pb.REFUSAL_REASON_BACKEND_DOWN, error.reason, BACKEND_DOWN_RETRY_AFTER_MS
@@ -195,4 +195,4 @@
 
 
 def _incomplete_state(attempt: Attempt) -> pb.FinishState:
-    return pb.FINISH_STATE_BROKEN if attempt.has_head else pb.FINISH_STATE_UNKNOWN
+    return pb.FINISH_STATE_BROKEN if attempt.head is not None else pb.FINISH_STATE_UNKNOWN
--- a/tests/execution/test_executor.py
+++ b/tests/execution/test_executor.py
@@ -15,10 +15,12 @@
 from bronzerudder.observability import Tracing
 from bronzerudder.policy.admission import FairQueue, FairQueueLimits
 from bronzerudder.quarantine import QuarantineFeed
-from tests.fakes import ScriptedBackendServer
+from tests.fakes import ScriptedAnswer, ScriptedBackendServer
 
 INCARNATION = 7
 TIMEOUT_S = 5.0
+JSON = (("content-type", "application/json"),)
+UNRESPONSIVE = BackendError(BackendErrorKind.UNRESPONSIVE, "silent")
 
 
 class Recorder:
@@ -150,6 +152,31 @@
         self.assertEqual(finished.state, pb.FINISH_STATE_COMPLETE)
         self.assertIn(("last-event-id", "1"), backend_server.calls[1].headers)
 
+    async def check_not_continued(self, body, *answers):
+        async with run_executor(ScriptedBackendServer(*answers)) as executor:
+            entry = Recorder()
+            executor.submit(build_submit(), entry)
+            finished = await entry.wait_for("finished")
+        self.assertEqual((entry.body(), finished.state), (body, pb.FINISH_STATE_BROKEN))
+
+    async def test_a_second_plain_answer_is_not_appended_to_a_part_of_the_first(self):
+        first = ScriptedAnswer([b'{"a":', UNRESPONSIVE], JSON)
+        await self.check_not_continued(b'{"a":', first, ScriptedAnswer([b'{"a": 1}'], JSON))
+
+    async def test_a_stream_without_ids_is_not_repeated_after_its_first_event(self):
+        await self.check_not_continued(
+            b"data: a\n\n", [b"data: a\n\n", UNRESPONSIVE], [b"data: a\n\ndata: b\n\n"]
+        )
+
+    async def test_an_error_is_not_appended_to_the_stream_that_it_should_continue(self):
+        stream = b"id: 1\ndata: a\n\n"
+        problem = ScriptedAnswer([b'{"error": "no such stream"}'], JSON, 404)
+        await self.check_not_continued(stream, [stream, UNRESPONSIVE], problem)
+
+    async def test_the_body_of_an_answer_does_not_follow_the_head_of_another(self):
+        first = ScriptedAnswer([UNRESPONSIVE], JSON)
+        await self.check_not_continued(b"", first, ScriptedAnswer([b"{}"], JSON, 500))
+
     async def test_a_slow_answer_to_the_probe_does_not_end_a_silent_answer(self):
         unresponsive = BackendError(BackendErrorKind.UNRESPONSIVE, "silent")
         backend_server = ScriptedBackendServer(
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -12,13 +12,14 @@
 class ScriptedAnswer(BackendAnswer):
     """Returns the given chunks; an event among them delays the next chunk until it is set."""
 
-    def __init__(self, chunks, headers=EVENT_STREAM):
+    def __init__(self, chunks, headers=EVENT_STREAM, status=200):
         self._chunks = list(chunks)
         self._headers = tuple(headers)
+        self._status = status
 
     @property
     def status(self):
-        return 200
+        return self._status
 
     @property
     def headers(self):
@@ -38,7 +39,7 @@
 
 
 class ScriptedBackendServer(BackendServer):
-    """Answers each call with the next script: an error, or the chunks of an answer."""
+    """Answers each call with the next script: an error, an answer, or the chunks of a stream."""
 
     def __init__(self, *scripts):
         self._scripts = list(scripts)
@@ -49,7 +50,7 @@
     async def open(self, call):
         self.calls.append(call)
         script = self._scripts.pop(0)
-        if isinstance(script, BackendError):
+        if isinstance(script, BackendError | BackendAnswer):
             return script
         return ScriptedAnswer(script)
 
