Give the service of the keyed tests plain answers

tests.execution.test_keyed failed since streams that end inside an event count as broken off: its service answered b"booked" with the fake's default headers, those of an event stream, in which that is a part of an event. The bookings that it stands for are plain answers. The fake takes headers now, and the tests say what they said; no assertion changed.

--- a/tests/execution/test_keyed.py
+++ b/tests/execution/test_keyed.py
@@ -16,13 +16,17 @@
 from bronzerudder.policy.admission import FairQueue, FairQueueLimits
 from bronzerudder.quarantine import QuarantineFeed
 from tests.execution.test_executor import INCARNATION, Recorder, build_submit
-from tests.fakes import ScriptedBackendServer
+from tests.fakes import PLAIN, ScriptedBackendServer
 
 MAX_ATTEMPTS = 8
 SETTLE_S = 0.1
 SETTINGS = {"retry_after_s": 0.2}
 
 
+def build_service(*scripts) -> ScriptedBackendServer:
+    return ScriptedBackendServer(*scripts, headers=PLAIN)
+
+
 def keyed(request_id: str, **fields) -> pb.Submit:
     values = {"idempotency_key": "k", "workspace": "w", "method": "POST", "path": "/bookings"}
     return build_submit(request_id, **{**values, **fields})
@@ -54,7 +58,7 @@
 
 class KeyedTest(unittest.IsolatedAsyncioTestCase):
     async def test_a_repeat_of_a_finished_key_gets_the_stored_answer(self):
-        backend_server = ScriptedBackendServer([b"booked"])
+        backend_server = build_service([b"booked"])
         async with keyed_executor(backend_server) as executor:
             first, repeat = Recorder(), Recorder()
             executor.submit(keyed("r"), first)
@@ -67,7 +71,7 @@
 
     async def test_a_repeat_of_a_running_key_attaches_to_it(self):
         hold = anyio.Event()
-        backend_server = ScriptedBackendServer([hold, b"booked"])
+        backend_server = build_service([hold, b"booked"])
         async with keyed_executor(backend_server) as executor:
             first, repeat = Recorder(), Recorder()
             executor.submit(keyed("r"), first)
@@ -81,7 +85,7 @@
     async def test_a_key_claimed_by_another_process_is_unknown_and_does_not_run(self):
         store = MemoryStore(Objects())
         other = StoredClaimRegister(store, "p", INCARNATION + 1, SETTINGS)
-        backend_server = ScriptedBackendServer([b"booked"])
+        backend_server = build_service([b"booked"])
         async with keyed_executor(backend_server, store) as executor:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(other.run)
@@ -96,7 +100,7 @@
         self.assertEqual(backend_server.calls, [])
 
     async def test_a_key_of_another_request_is_refused(self):
-        backend_server = ScriptedBackendServer([b"booked"])
+        backend_server = build_service([b"booked"])
         async with keyed_executor(backend_server) as executor:
             first, other = Recorder(), Recorder()
             executor.submit(keyed("r", payload=b"a"), first)
@@ -107,7 +111,7 @@
 
     async def test_an_answer_that_broke_off_is_unknown_to_every_repeat(self):
         broken = BackendError(BackendErrorKind.BROKEN, "reset")
-        backend_server = ScriptedBackendServer([b"boo", broken])
+        backend_server = build_service([b"boo", broken])
         async with keyed_executor(backend_server) as executor:
             first, repeat = Recorder(), Recorder()
             executor.submit(keyed("r"), first)
@@ -119,7 +123,7 @@
 
     async def test_a_request_that_did_not_reach_the_backend_server_can_run_later(self):
         unreachable = BackendError(BackendErrorKind.UNREACHABLE, "refused")
-        backend_server = ScriptedBackendServer(unreachable, [b"booked"])
+        backend_server = build_service(unreachable, [b"booked"])
         async with keyed_executor(backend_server) as executor:
             first = Recorder()
             executor.submit(keyed("r"), first)
@@ -130,7 +134,7 @@
 
     async def test_a_request_withdrawn_while_it_is_claimed_never_starts(self):
         store = MemoryStore(Objects(), round_trip_s=0.05)
-        backend_server = ScriptedBackendServer([b"booked"])
+        backend_server = build_service([b"booked"])
         async with keyed_executor(backend_server, store) as executor:
             first = Recorder()
             executor.submit(keyed("r"), first)
@@ -142,7 +146,7 @@
 
     async def test_a_repeat_of_a_key_given_back_does_not_pass_the_queue(self):
         hold = anyio.Event()
-        backend_server = ScriptedBackendServer([hold, b"x"], [b"booked"])
+        backend_server = build_service([hold, b"x"], [b"booked"])
         async with keyed_executor(backend_server, max_running=1) as executor:
             occupant, first, repeat = Recorder(), Recorder(), Recorder()
             executor.submit(keyed("o", idempotency_key=""), occupant)
@@ -162,7 +166,7 @@
     async def test_while_the_platform_is_down_keyed_requests_are_refused(self):
         store = MemoryStore(Objects())
         store.down = True
-        async with keyed_executor(ScriptedBackendServer([b"x"]), store) as executor:
+        async with keyed_executor(build_service([b"x"]), store) as executor:
             entry, unkeyed = Recorder(), Recorder()
             executor.submit(keyed("r"), entry)
             refused = await entry.wait_for("refused")
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -7,6 +7,7 @@
 from bronzerudder.backend_server import BackendAnswer, BackendCall, BackendError, BackendServer
 
 EVENT_STREAM = (("content-type", "text/event-stream"),)
+PLAIN = (("content-type", "text/plain"),)
 
 
 class ScriptedAnswer(BackendAnswer):
@@ -41,8 +42,9 @@
 class ScriptedBackendServer(BackendServer):
     """Answers each call with the next script: an error, an answer, or the chunks of a stream."""
 
-    def __init__(self, *scripts):
+    def __init__(self, *scripts, headers=EVENT_STREAM):
         self._scripts = list(scripts)
+        self._headers = headers
         self.calls: list[BackendCall] = []
         self.cancelled: list[str] = []
         self.probes: list[BackendError | None] = []
@@ -52,7 +54,7 @@
         script = self._scripts.pop(0)
         if isinstance(script, BackendError | BackendAnswer):
             return script
-        return ScriptedAnswer(script)
+        return ScriptedAnswer(script, self._headers)
 
     async def cancel(self, request_id):
         self.cancelled.append(request_id)
