Continue a stream at another agent only with a stream

Callers of an entry got the body of an error in the middle of their stream, and the outcome `done`: when a stream moved to another backend server, the entry dropped the head of the second answer unread and delivered its body, so a 404 or 503 of a server that couldn't continue it became a part of the answer.

test_an_error_is_not_appended_to_the_stream_that_it_should_continue failed with DONE and b'id: 1\ndata: a\n\nx'. Progress now compares the heads; another status or type is an incomplete attempt, which is cancelled and retried or reported like any other. A stream whose head alone was delivered is under the same rule.

--- a/src/bronzerudder/dispatch/dispatcher.py
+++ b/src/bronzerudder/dispatch/dispatcher.py
@@ -37,6 +37,7 @@
 from bronzerudder.dispatch.request import CallerRequest
 from bronzerudder.dispatch.submit import build_submit
 from bronzerudder.dispatch.targets import Target, TargetTable
+from bronzerudder.frames import exchange_pb2 as pb
 from bronzerudder.observability import Tracing
 from bronzerudder.policy.limits import RouteLimited, RouteLimiter, RouteLimits, RoutePermit
 from bronzerudder.policy.retry import RetryBudget, RetryDenial
@@ -213,7 +214,9 @@
             return event
         if isinstance(event, Body):
             assignment.count_answer_token()
-        await progress.deliver(event)
+        mismatch = await progress.deliver(event)
+        if mismatch is not None:
+            return Incomplete(pb.FINISH_STATE_BROKEN, mismatch.reason)
 
 
 async def _await_final(attempt: RemoteAttempt) -> FinalEvent:
--- a/tests/dispatch/test_dispatcher.py
+++ b/tests/dispatch/test_dispatcher.py
@@ -23,6 +23,10 @@
 )
 LOST = "lost"
 UNANSWERED = ()
+STREAM_HEAD = pb.Head(
+    status=200, headers=[pb.Header(name="content-type", value="text/event-stream")]
+)
+EVENT = b"id: 1\ndata: a\n\n"
 NOT_RUN, UNKNOWN = OutcomeKind.NOT_RUN, OutcomeKind.UNKNOWN
 
 
@@ -57,10 +61,10 @@
             self._play(attempt, self._cancelled_script)
 
     def _play(self, attempt, script):
-        if script == LOST:
-            attempt.fail("the agent's process is gone")
-            return
-        for frame in script:
+        for frame in (LOST,) if script == LOST else script:
+            if frame == LOST:
+                attempt.fail("the agent's process is gone")
+                return
             attempt.handle_frame(frame, frame.WhichOneof("body"))
 
 
@@ -146,6 +150,16 @@
         outcome = await self.serve(LOST, LEAVING, LEAVING)
         self.assertEqual(outcome.kind, UNKNOWN)
 
+    async def test_an_error_is_not_appended_to_the_stream_that_it_should_continue(self):
+        begun = (
+            pb.AgentFrame(head=STREAM_HEAD),
+            pb.AgentFrame(chunk=pb.Chunk(sequence=1, payload=EVENT)),
+            LOST,
+        )
+        error_head = pb.AgentFrame(head=pb.Head(status=404))
+        outcome = await self.serve(begun, (error_head, *DONE[1:]))
+        self.assertEqual((outcome.kind, self.sink.body), (UNKNOWN, EVENT))
+
     async def test_refusals_for_load_spend_the_retry_budget(self):
         outcome = await self.serve(QUEUE_FULL, QUEUE_FULL, QUEUE_FULL, deadline_s=1.0)
         self.assertEqual((outcome.kind, outcome.status), (NOT_RUN, 503))
--- a/tests/dispatch/test_progress.py
+++ b/tests/dispatch/test_progress.py
@@ -13,13 +13,16 @@
 
 
 class Sink(AnswerSink):
-    """Discards the answer."""
+    """Collects the body."""
+
+    def __init__(self):
+        self.body = b""
 
     async def begin(self, status, headers):
         return None
 
     async def write(self, payload):
-        return None
+        self.body += payload
 
 
 class ProgressTest(unittest.IsolatedAsyncioTestCase):
@@ -43,6 +46,13 @@
     async def test_an_answer_that_is_no_stream_may_not_move_after_its_head(self):
         self.assertFalse((await self.deliver(PLAIN)).can_fail_over)
 
+    async def test_only_a_stream_with_the_same_status_continues_a_stream(self):
+        for head in (PLAIN, EVENT_STREAM._replace(status=503)):
+            progress = await self.deliver(EVENT_STREAM)
+            self.assertIsNotNone(await progress.deliver(head))
+        progress = await self.deliver(EVENT_STREAM)
+        self.assertIsNone(await progress.deliver(EVENT_STREAM))
+
 
 if __name__ == "__main__":
     unittest.main()
