Replay a stored stream only from where the caller's begins to lack it

A caller with an idempotency key could get the start of its stream twice: when the agent was lost in the middle, the entry sent the request to another agent with `last-event-id`, and there the key was on record as finished, so the stored answer was replayed from its first event on, behind what had been delivered. The entry can't see this, as `replayed` comes in the last frame.

test_a_stored_stream_is_not_repeated_to_a_caller_that_has_its_start failed: b'id: 1\ndata: a\n\nid: 2\ndata: b\n\n' != b'id: 2\ndata: b\n\n'. The agent now replays what follows the event with that id, and reports `unknown` where the stored stream has no such event, since nothing of it can then be appended.

--- a/src/bronzerudder/execution/keyed.py
+++ b/src/bronzerudder/execution/keyed.py
@@ -19,6 +19,12 @@
 )
 from bronzerudder.execution.attempt import Attempt, AttemptState
 from bronzerudder.frames import exchange_pb2 as pb
+from bronzerudder.web.event_stream import (
+    EVENT_END,
+    LAST_EVENT_ID,
+    find_last_event_id,
+    is_event_stream,
+)
 
 CLAIM_TIMEOUT_S = 3.0
 STATUS_ANSWER_NOT_KEPT = 409
@@ -115,12 +121,38 @@
     if answer is None:
         headers = (("content-type", "text/plain"),)
         answer = StoredAnswer(STATUS_ANSWER_NOT_KEPT, headers, ANSWER_NOT_KEPT)
+    body = _find_undelivered(answer, _find_last_event_id(attempt.submit))
+    if body is None:
+        attempt.emit_finished(
+            pb.FINISH_STATE_UNKNOWN, "the stored stream lacks the last event delivered"
+        )
+        return
     attempt.emit_head(answer.status, answer.headers)
-    if answer.body:
-        attempt.emit_chunk(answer.body)
+    if body:
+        attempt.emit_chunk(body)
     attempt.emit_finished(pb.FINISH_STATE_COMPLETE, replayed=True)
 
 
+def _find_last_event_id(submit: pb.Submit) -> str:
+    for header in submit.headers:
+        if header.name == LAST_EVENT_ID:
+            return header.value
+    return ""
+
+
+def _find_undelivered(answer: StoredAnswer, last_event_id: str) -> bytes | None:
+    """Return a stored body from the event after the given one on; None if it has no such event."""
+    if not last_event_id or not is_event_stream(answer.headers):
+        return answer.body
+    start = 0
+    while (end := answer.body.find(EVENT_END, start)) >= 0:
+        end += len(EVENT_END)
+        if find_last_event_id(answer.body[start:end]) == last_event_id:
+            return answer.body[end:]
+        start = end
+    return None
+
+
 def _make_key(submit: pb.Submit) -> ClaimKey:
     return make_claim_key(
         submit.workspace, submit.idempotency_key, submit.method, submit.path, submit.payload
--- a/tests/execution/test_keyed.py
+++ b/tests/execution/test_keyed.py
@@ -69,6 +69,27 @@
         self.assertEqual((await repeat.wait_for("chunk")).payload, b"booked")
         self.assertEqual(len(backend_server.calls), 1)
 
+    async def replay_stream(self, last_event_id):
+        """Return the body and the final frame of a repeat that continues a stored stream."""
+        backend_server = ScriptedBackendServer([b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"])
+        header = pb.Header(name="last-event-id", value=last_event_id)
+        async with keyed_executor(backend_server) as executor:
+            first, repeat = Recorder(), Recorder()
+            executor.submit(keyed("r"), first)
+            await first.wait_for("finished")
+            executor.submit(keyed("r", attempt=2, headers=[header]), repeat)
+            finished = await repeat.wait_for("finished")
+        return repeat.body(), finished
+
+    async def test_a_stored_stream_is_not_repeated_to_a_caller_that_has_its_start(self):
+        body, finished = await self.replay_stream("1")
+        self.assertEqual(body, b"id: 2\ndata: b\n\n")
+        self.assertEqual(finished.state, pb.FINISH_STATE_COMPLETE)
+
+    async def test_a_stored_stream_without_the_last_event_delivered_is_not_sent(self):
+        body, finished = await self.replay_stream("9")
+        self.assertEqual((body, finished.state), (b"", pb.FINISH_STATE_UNKNOWN))
+
     async def test_a_repeat_of_a_running_key_attaches_to_it(self):
         hold = anyio.Event()
         backend_server = build_service([hold, b"booked"])
