Bound the bytes of a message between entry and agent

Callers of one entry and agent waited until their deadlines, all of them, when several large answers were due at once: a message took up to 256 frames of any size and the entry receives 16 MB, so gRPC ended the stream. After the reconnect the agent replayed the same buffered frames in the same message, and so on; the resume window never ran out, as each connection came up for a moment. Requests had it too: five of 4 MB at once ended the connection of every stream.

--- a/src/bronzerudder/agent/connection.py
+++ b/src/bronzerudder/agent/connection.py
@@ -14,6 +14,7 @@
 from bronzerudder.configuration import ConfigurationSource
 from bronzerudder.frames import exchange_pb2 as pb
 from bronzerudder.frames import exchange_pb2_grpc
+from bronzerudder.frames.batches import MAX_MESSAGE_BYTES, take_batch
 from bronzerudder.quarantine import QuarantineFeed
 
 HEARTBEAT_INTERVAL_S = 0.5
@@ -30,7 +31,7 @@
     ("grpc.use_local_subchannel_pool", 1),
     ("grpc.enable_retries", 0),
     ("grpc.enable_http_proxy", 0),
-    ("grpc.max_receive_message_length", 16_000_000),
+    ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
     ("grpc.initial_reconnect_backoff_ms", 100),
     ("grpc.max_reconnect_backoff_ms", 1_000),
 )
@@ -186,8 +187,7 @@
                 await self._due.wait()
             if idle.cancelled_caught:
                 return [pb.EntryFrame(ping=pb.Ping(reply=True))]
-        frames = self._pending[:MAX_FRAMES_PER_BATCH]
-        del self._pending[:MAX_FRAMES_PER_BATCH]
+        frames = take_batch(self._pending, MAX_FRAMES_PER_BATCH)
         for frame in frames:
             self._mark_sent(frame)
         return frames
--- a/src/bronzerudder/entry/session.py
+++ b/src/bronzerudder/entry/session.py
@@ -8,6 +8,7 @@
 
 from bronzerudder.entry.context import SessionContext
 from bronzerudder.frames import exchange_pb2 as pb
+from bronzerudder.frames.batches import take_batch
 
 HEARTBEAT_TIMEOUT_S = 5.0
 LOAD_INTERVAL_S = 0.25
@@ -84,9 +85,7 @@
                 await writer.write(self._next_batch())
 
     def _next_batch(self) -> pb.AgentBatch:
-        count = self._packing.max_frames
-        frames = self._pending[:count]
-        del self._pending[:count]
+        frames = take_batch(self._pending, self._packing.max_frames)
         return pb.AgentBatch(
             incarnation=self._incarnation, revision=self._source.revision, frames=frames
         )
--- a/src/bronzerudder/processes/agent.py
+++ b/src/bronzerudder/processes/agent.py
@@ -23,6 +23,7 @@
 from bronzerudder.execution import CrashGuard, Executor
 from bronzerudder.frames import exchange_pb2 as pb
 from bronzerudder.frames import exchange_pb2_grpc
+from bronzerudder.frames.batches import MAX_MESSAGE_BYTES
 from bronzerudder.observability import AdminApp, Tracing, configure_logs, log_event
 from bronzerudder.observability.traces import DEFAULT_SAMPLE_RATIO
 from bronzerudder.policy.admission import STALL_THRESHOLD_S, FairQueue, FairQueueLimits
@@ -43,7 +44,7 @@
 INCARNATION_BITS = 63
 GRPC_OPTIONS = (
     ("grpc.so_reuseport", 0),
-    ("grpc.max_receive_message_length", 16_000_000),
+    ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
 )
 
 
