Detach the answers of a session that has ended

An agent kept the answer of every request whose entry was lost, up to 1 MB each, until its own process ended: such a request counted as outstanding in the load that entries route by, a repeatable one ran on for nobody, and a drain waited for its whole timeout. Callers saw the slots that were taken.

The cause: a session passes `self.send` to each attempt and to `detach`, and `detach` compared the two with `is`.

test_answers_of_an_entry_that_never_returns_are_dropped timed out after 5 s and passes now: compared by value, the method of the same session matches, and that of an older session, after a resume on a new one, still doesn't.

--- a/src/bronzerudder/execution/attempt.py
+++ b/src/bronzerudder/execution/attempt.py
@@ -213,7 +213,8 @@
 
     def detach(self, send: SendFrame, now: float) -> None:
         """Only buffer frames until another connection is attached; ignored if one already is."""
-        if self._send is not send:
+        # A bound method is a new object each time, so it is compared by value.
+        if self._send != send:
             return
         self._send = None
         self._detached_at = now
--- a/tests/entry/test_session.py
+++ b/tests/entry/test_session.py
@@ -13,7 +13,7 @@
 from bronzerudder.entry import AgentIdentity, EntrySession, SessionContext
 from bronzerudder.frames import exchange_pb2 as pb
 from bronzerudder.quarantine import QuarantineFeed
-from tests.execution.test_executor import INCARNATION, run_executor
+from tests.execution.test_executor import INCARNATION, TIMEOUT_S, build_submit, run_executor
 from tests.fakes import ScriptedBackendServer
 
 EXAMPLES = 60
@@ -89,5 +89,26 @@
         self.assertEqual(anyio.run(handle_all, [batch])[-1], "ping")
 
 
+class LostEntryTest(unittest.IsolatedAsyncioTestCase):
+    @mock.patch("bronzerudder.execution.executor.SWEEP_INTERVAL_S", 0.01)
+    @mock.patch("bronzerudder.execution.executor.ORPHAN_TIMEOUT_S", 0.05)
+    async def test_answers_of_an_entry_that_never_returns_are_dropped(self):
+        backend_server = ScriptedBackendServer([b"data: x\n\n"], [anyio.Event()])
+        async with run_executor(backend_server, max_running=2) as executor:
+            identity = AgentIdentity("a", "d", INCARNATION)
+            source = mock.Mock(revision=0)
+            session = EntrySession(SessionContext(identity, executor, source, QuarantineFeed()))
+            submits = [build_submit(f"r{number}", repeatable=True) for number in range(2)]
+            hello = pb.EntryFrame(hello=pb.EntryHello(entry_id="e"))
+            frames = [pb.EntryFrame(submit=submit) for submit in submits]
+            session.handle_batch(pb.EntryBatch(frames=[hello, *frames]))
+            session.close()
+            with anyio.fail_after(TIMEOUT_S):
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(executor.sweep)
+                    await executor.wait_drained()
+                    tasks.cancel_scope.cancel()
+
+
 if __name__ == "__main__":
     unittest.main()
