Bound probes and cancellations of a backend server as a whole

Callers of a service whose `/cancel` or `/healthz` answers without end would see attempts that never finish, and an agent that takes no requests any more: both calls read the whole body, with 1 s for each read only. A cancelled attempt, or one past its deadline, waits for its cancellation outside every other limit, and the watch of a backend server that was down probes without any.

Three tests timed out after 5 s: a probe and a cancellation with an endless body, and a probe with endless `1xx` heads, which httpx skips without a count. They pass now. The time covers the whole call and the connection is closed once the head is there, as nothing in the body was ever used.

--- a/src/bronzerudder/backend_server/http_server.py
+++ b/src/bronzerudder/backend_server/http_server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import anyio
 import httpx
 
 from bronzerudder.backend_server.api import BackendAnswer, BackendCall, BackendServer
@@ -9,6 +10,7 @@
 from bronzerudder.web.client import open_client
 
 CONNECT_TIMEOUT_S = 1.0
+# Of the whole call. A limit for each read would not end one whose answer trickles.
 PROBE_TIMEOUT_S = 1.0
 CANCEL_TIMEOUT_S = 1.0
 # An extra answer on a kept connection would be taken for the answer to the next request.
@@ -93,23 +95,27 @@
 
     async def cancel(self, request_id: str) -> None:
         """Ask the backend server to stop generating; best effort, so errors are ignored."""
+        document = {"request_id": request_id}
         try:
-            await self._client.post(
-                "/cancel", json={"request_id": request_id}, timeout=CANCEL_TIMEOUT_S
-            )
+            with anyio.move_on_after(CANCEL_TIMEOUT_S):
+                async with self._client.stream("POST", "/cancel", json=document):
+                    return
         except httpx.HTTPError:
             return
 
     async def probe(self) -> BackendError | None:
         """Check on a new connection whether the backend server answers."""
         try:
-            async with open_client(self._url, timeout=PROBE_TIMEOUT_S) as client:
-                await client.get("/healthz")
+            with anyio.fail_after(PROBE_TIMEOUT_S):
+                async with (
+                    open_client(self._url, timeout=None) as client,
+                    client.stream("GET", "/healthz"),
+                ):
+                    return None
         except httpx.ConnectError as error:
             return BackendError(BackendErrorKind.UNREACHABLE, f"cannot connect: {error}")
-        except httpx.HTTPError as error:
+        except (httpx.HTTPError, TimeoutError) as error:
             return BackendError(BackendErrorKind.UNRESPONSIVE, f"probe failed: {error!r}")
-        return None
 
     async def close(self) -> None:
         """Close all connections."""
--- a/tests/backend_server/test_http_server.py
+++ b/tests/backend_server/test_http_server.py
@@ -13,12 +13,13 @@
     BackendErrorKind,
     HttpBackendServer,
 )
-from tests.backend_server.raw_server import CLOSE, RESET, RawServer
+from tests.backend_server.raw_server import CLOSE, ENDLESS, RESET, RawServer
 
 TIMEOUT_S = 5.0
 SILENCE_TIMEOUT_S = 2.0
 CALL = BackendCall("r.1", "POST", "/x", (), b"body")
 UNFRAMED = b"HTTP/1.1 200 OK\r\n\r\n"
+INFORMATIONAL = b"HTTP/1.1 100 Continue\r\n\r\n"
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 
@@ -83,6 +84,23 @@
         head = b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 5\r\n\r\n"
         await self.check_broken([head + b"abcde", CLOSE], b"")
 
+    async def test_a_probe_does_not_read_a_body_without_end(self):
+        async with serve([UNFRAMED, ENDLESS, b"x" * 1_000]) as (server, backend_server):
+            self.assertIsNone(await backend_server.probe())
+            await server.wait_closed(1)
+
+    async def test_a_probe_ends_while_heads_that_are_no_answer_keep_coming(self):
+        async with serve([ENDLESS, INFORMATIONAL]) as (server, backend_server):
+            error = await backend_server.probe()
+            self.assertEqual(error.kind, BackendErrorKind.UNRESPONSIVE)
+            await server.wait_closed(1)
+
+    async def test_a_cancellation_does_not_wait_for_an_answer_without_end(self):
+        for script in ([UNFRAMED, ENDLESS, b"x" * 1_000], [ENDLESS, INFORMATIONAL]):
+            async with serve(script) as (server, backend_server):
+                await backend_server.cancel("r")
+                await server.wait_closed(1)
+
 
 if __name__ == "__main__":
     unittest.main()
