Bound events and plain answers of backend servers

The splitter keeps an incomplete event, and the entry keeps a plain answer until it is complete.

The agent ends the attempt as broken at 1 MB of an incomplete event, which thus fits a message to the entry, and at 16 MB of a plain answer, four times the largest request body by default. The bounds are at the agent, since it holds the connection and the slot; the entry gets no more than the agent sends. A stream as a whole has no bound in bytes: it isn't kept, and ends at the deadline.

--- a/src/bronzerudder/execution/relay.py
+++ b/src/bronzerudder/execution/relay.py
@@ -19,6 +19,10 @@
 
 MAX_REOPENS = 8
 MAX_PROBES = 5
+MAX_PLAIN_ANSWER_BYTES = 16_000_000
+"""Length of an answer that is no stream; the entry holds it until it is complete."""
+MAX_EVENT_BYTES = 1_000_000
+"""Length of an incomplete event, which must fit a message to the entry once it is complete."""
 # `EventSplitter` doesn't split here, so such a stream is all tail.
 CRLF_EVENT_END = b"\r\n\r\n"
 
@@ -99,6 +103,7 @@
     answer: BackendAnswer, attempt: Attempt, splitter: EventSplitter
 ) -> BackendError | None:
     streaming = is_event_stream(answer.headers)
+    plain_bytes = 0
     while True:
         await attempt.wait_for_space()
         chunk = await answer.read()
@@ -106,9 +111,13 @@
             return chunk
         if chunk is None:
             break
+        plain_bytes += 0 if streaming else len(chunk)
         complete = splitter.split(chunk) if streaming else chunk
         if complete:
             attempt.emit_chunk(complete)
+        excess = _find_excess(plain_bytes, len(splitter.partial_event))
+        if excess is not None:
+            return excess
     tail = splitter.partial_event
     if _is_inside_event(tail):
         return BackendError(BackendErrorKind.BROKEN, "the stream ended inside an event")
@@ -131,6 +140,16 @@
     return answer.headers == head.headers
 
 
+def _find_excess(plain_bytes: int, event_bytes: int) -> BackendError | None:
+    """Return an error if an answer has become too long to hold in memory."""
+    if plain_bytes > MAX_PLAIN_ANSWER_BYTES:
+        reason = f"plain answer longer than {MAX_PLAIN_ANSWER_BYTES} bytes"
+        return BackendError(BackendErrorKind.BROKEN, reason)
+    if event_bytes > MAX_EVENT_BYTES:
+        return BackendError(BackendErrorKind.BROKEN, f"event longer than {MAX_EVENT_BYTES} bytes")
+    return None
+
+
 def _is_inside_event(tail: bytes) -> bool:
     """Return whether the end of a stream after its last complete event is a part of another one."""
     return bool(tail.strip(b"\r\n")) and not tail.endswith(CRLF_EVENT_END)
--- /dev/null
+++ b/tests/execution/test_bounds.py
@@ -0,0 +1,68 @@
+"""Tests of answers of a backend server that have no end."""
+
+from __future__ import annotations
+
+import contextlib
+import unittest
+
+from bronzerudder.backend_server import HttpBackendServer
+from bronzerudder.frames import exchange_pb2 as pb
+from tests.backend_server.raw_server import ENDLESS, RawServer
+from tests.execution.test_executor import Recorder, build_submit, run_executor
+
+SILENCE_TIMEOUT_S = 2.0
+STREAM_HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
+PLAIN_HEAD = b"HTTP/1.1 200 OK\r\n\r\n"
+EVENT = b"id: 1\ndata: a\n\n"
+PIECE = b"x" * 60_000
+
+
+class AcknowledgingRecorder(Recorder):
+    """Records frames, and acknowledges every chunk."""
+
+    def __init__(self, executor):
+        super().__init__()
+        self._executor = executor
+
+    def __call__(self, frame):
+        super().__call__(frame)
+        if frame.HasField("chunk"):
+            ack = pb.Ack(request_id="r", attempt=1, next_sequence=frame.chunk.sequence + 1)
+            self._executor.acknowledge(ack)
+
+
+@contextlib.asynccontextmanager
+async def run_against(server):
+    """Run an executor whose backend server is the given one."""
+    async with server.serving():
+        backend_server = HttpBackendServer(server.url, SILENCE_TIMEOUT_S)
+        async with run_executor(backend_server) as executor:
+            yield executor
+        await backend_server.close()
+
+
+class EndlessAnswerTest(unittest.IsolatedAsyncioTestCase):
+    async def run_until_finished(self, *script):
+        """Return the final frame of the answer; the server must see its connection closed."""
+        server = RawServer(script)
+        async with run_against(server) as executor:
+            self.entry = AcknowledgingRecorder(executor)
+            executor.submit(build_submit(method="POST", path="/x"), self.entry)
+            finished = await self.entry.wait_for("finished")
+            await server.wait_closed(1)
+        return finished
+
+    async def test_an_event_without_end_is_broken_off(self):
+        finished = await self.run_until_finished(STREAM_HEAD, EVENT, ENDLESS, PIECE)
+        self.assertEqual(finished.state, pb.FINISH_STATE_BROKEN)
+        self.assertEqual(finished.detail, "event longer than 1000000 bytes")
+        self.assertEqual(self.entry.body(), EVENT)
+
+    async def test_a_plain_body_without_end_is_broken_off(self):
+        finished = await self.run_until_finished(PLAIN_HEAD, ENDLESS, PIECE)
+        self.assertEqual(finished.state, pb.FINISH_STATE_BROKEN)
+        self.assertEqual(finished.detail, "plain answer longer than 16000000 bytes")
+
+
+if __name__ == "__main__":
+    unittest.main()
