--- a/tests/execution/test_bounds.py
+++ b/tests/execution/test_bounds.py
@@ -13,6 +13,7 @@
 SILENCE_TIMEOUT_S = 2.0
 STREAM_HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
 PLAIN_HEAD = b"HTTP/1.1 200 OK\r\n\r\n"
+EMPTY_ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
 EVENT = b"id: 1\ndata: a\n\n"
 PIECE = b"x" * 60_000
 
@@ -44,7 +45,8 @@
 class EndlessAnswerTest(unittest.IsolatedAsyncioTestCase):
     async def run_until_finished(self, *script):
         """Return the final frame of the answer; the server must see its connection closed."""
-        server = RawServer(script)
+        # The second request is the probe that checks for a crash.
+        server = RawServer(script, [EMPTY_ANSWER])
         async with run_against(server) as executor:
             self.entry = AcknowledgingRecorder(executor)
             executor.submit(build_submit(method="POST", path="/x"), self.entry)
