Bound the frames that are buffered of one answer

A backend server that sends an answer in chunks of a byte to a caller that reads slowly filled the agent's memory: the buffer of an answer is bounded by 1 MB of payload, but a frame costs some hundred bytes beside its payload, so up to a million frames were kept, and as many events at the entry.

test_an_answer_in_tiny_chunks_is_not_buffered_by_the_million failed with 25003 and 23003 frames after 2 s, and growing. At 4,096 frames the agent now stops to read, as it does at 1 MB; an entry acknowledges each 64 chunks, so this bound can't stall a caller that reads. The entry keeps a plain answer in one buffer instead of a list of its chunks.

--- a/src/bronzerudder/caller/sink.py
+++ b/src/bronzerudder/caller/sink.py
@@ -27,7 +27,7 @@
         self._status = 0
         self._fields: tuple[tuple[str, str], ...] = ()
         self._streaming = False
-        self._parts: list[bytes] = []
+        self._body = bytearray()
 
     async def begin(self, status: int, headers: tuple[tuple[str, str], ...]) -> None:
         """Receive the status and headers."""
@@ -40,7 +40,7 @@
     async def write(self, payload: bytes) -> None:
         """Receive the next part of the body."""
         if not self._streaming:
-            self._parts.append(payload)
+            self._body += payload
             return
         await self._send({"type": "http.response.body", "body": payload, "more_body": True})
 
@@ -64,7 +64,7 @@
         fields = [*self._fields, (self._headers.outcome, outcome.kind.value)]
         if outcome.replayed:
             fields.append((self._headers.replayed, "true"))
-        body = b"".join(self._parts)
+        body = bytes(self._body)
         fields.append(("content-length", str(len(body))))
         await self._start(tuple(fields))
         await self._send({"type": "http.response.body", "body": body})
--- a/src/bronzerudder/execution/attempt.py
+++ b/src/bronzerudder/execution/attempt.py
@@ -12,6 +12,8 @@
 from bronzerudder.frames import exchange_pb2 as pb
 
 BUFFER_LIMIT_BYTES = 1_000_000
+# A frame takes some hundred bytes of memory beside its payload.
+BUFFER_LIMIT_FRAMES = 4_096
 # Equals the largest `answer_limit_bytes`. A longer copy stops growing at the first chunk beyond it:
 # it then exceeds every limit, so that the claim register never stores a truncated answer.
 KEPT_ANSWER_LIMIT_BYTES = 65_536
@@ -226,11 +228,14 @@
 
     async def wait_for_space(self) -> None:
         """Wait until the buffer is within its limit or a cancellation is requested."""
-        while self._buffered_bytes > BUFFER_LIMIT_BYTES and not self._cancel_requested.is_set():
+        while self._is_buffer_full() and not self._cancel_requested.is_set():
             if self.on_buffer_full is not None:
                 self.on_buffer_full()
             await self._space_freed.wait()
 
+    def _is_buffer_full(self) -> bool:
+        return self._buffered_bytes > BUFFER_LIMIT_BYTES or len(self._frames) > BUFFER_LIMIT_FRAMES
+
     def _emit(self, frame: pb.AgentFrame, size: int) -> None:
         self._frames.append(_BufferedFrame(self._next_sequence, frame, size))
         self._next_sequence += 1
