Bound the time until the head of an engine's answer

A stream whose engine sends heads of status 1xx and nothing else stood still until the caller's deadline: httpx skips these heads without a count, and each one renews the time without data after which the agent probes the engine and resumes elsewhere. The agent was busy with parsing them all the while.

test_heads_that_are_no_answer_do_not_keep_a_silent_engine_alive timed out after 5 s. The head now has to come within silence_timeout_s and the time to connect, so the call ends as unresponsive, is probed and resumed.

--- a/src/bronzerudder/backend_server/http_server.py
+++ b/src/bronzerudder/backend_server/http_server.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import anyio
 import httpx
 
@@ -72,6 +74,8 @@
     def __init__(self, url: str, silence_timeout_s: float | None) -> None:
         self._url = url.rstrip("/")
         timeout = httpx.Timeout(silence_timeout_s, connect=CONNECT_TIMEOUT_S, pool=None)
+        # Heads of status 1xx are data, but no sign that the answer will come.
+        self._head_timeout_s = (silence_timeout_s or math.inf) + CONNECT_TIMEOUT_S
         limits = httpx.Limits(max_connections=None, max_keepalive_connections=MAX_IDLE_CONNECTIONS)
         self._client = open_client(self._url, timeout=timeout, limits=limits)
 
@@ -83,10 +87,11 @@
             call.method, call.path, headers=headers, content=call.body
         )
         try:
-            return HttpAnswer(await self._client.send(request, stream=True))
+            with anyio.fail_after(self._head_timeout_s):
+                return HttpAnswer(await self._client.send(request, stream=True))
         except (httpx.ConnectError, httpx.ConnectTimeout) as error:
             return BackendError(BackendErrorKind.UNREACHABLE, f"cannot connect: {error}")
-        except httpx.ReadTimeout:
+        except (httpx.ReadTimeout, TimeoutError):
             return BackendError(BackendErrorKind.UNRESPONSIVE, "no answer within silence_timeout_s")
         except httpx.HTTPError as error:
             return BackendError(
--- a/tests/execution/test_bounds.py
+++ b/tests/execution/test_bounds.py
@@ -7,7 +7,7 @@
 
 from bronzerudder.backend_server import HttpBackendServer
 from bronzerudder.frames import exchange_pb2 as pb
-from tests.backend_server.raw_server import ENDLESS, RawServer
+from tests.backend_server.raw_server import CLOSE, ENDLESS, RawServer
 from tests.execution.test_executor import Recorder, build_submit, run_executor
 
 SILENCE_TIMEOUT_S = 1.0
@@ -15,6 +15,7 @@
 STREAM_HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
 PLAIN_HEAD = b"HTTP/1.1 200 OK\r\n\r\n"
 CHUNKED_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+INFORMATIONAL = b"HTTP/1.1 100 Continue\r\n\r\n" * 40
 EMPTY_ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
 EVENT = b"id: 1\ndata: a\n\n"
 PIECE = b"x" * 60_000
@@ -67,6 +68,14 @@
         self.assertEqual(finished.state, pb.FINISH_STATE_BROKEN)
         self.assertEqual(finished.detail, "plain answer longer than 16000000 bytes")
 
+    async def test_heads_that_are_no_answer_do_not_keep_a_silent_engine_alive(self):
+        server = RawServer([ENDLESS, INFORMATIONAL], [EMPTY_ANSWER], [STREAM_HEAD, EVENT, CLOSE])
+        async with run_against(server) as executor:
+            entry = AcknowledgingRecorder(executor)
+            executor.submit(build_submit(method="POST", path="/x"), entry)
+            finished = await entry.wait_for("finished")
+        self.assertEqual((entry.body(), finished.state), (EVENT, pb.FINISH_STATE_COMPLETE))
+
     async def test_an_answer_in_tiny_chunks_is_not_buffered_by_the_million(self):
         # The second request is the cancellation at the deadline.
         server = RawServer([CHUNKED_HEAD, ENDLESS, b"1\r\nx\r\n" * 1_000], [EMPTY_ANSWER])
