Use a connection of its own for each order to a rank's engine

An engine that answers an order twice made the agent take the second answer for that of its next order: a wrong status of maps in a lock-step group, on which a proposer decides. After a timeout the client was replaced to avoid just that, but a complete answer followed by another kept its connection; and the replaced client, with the connection that another order had used, was never closed.

test_an_extra_answer_does_not_become_that_of_the_next_order failed with versions [1, 9] != [1, 2], test_orders_leave_no_connection_open_after_one_of_them_times_out timed out after 5 s. Without kept connections nothing has to be replaced. An agent reads its engine ten times a second over the loopback, so a connection for each order costs little.

--- a/src/bronzerudder/backend_server/rank_http.py
+++ b/src/bronzerudder/backend_server/rank_http.py
@@ -9,8 +9,10 @@
 
 from bronzerudder.backend_server.rank_api import RankEngine, RankStatus
 from bronzerudder.backend_server.rank_errors import RankEngineError, RankEngineErrorKind
+from bronzerudder.web.client import open_client
 
 ORDER_TIMEOUT_S = 0.25
+MAX_CONNECTIONS = 2
 HTTP_OK = 200
 
 
@@ -42,7 +44,7 @@
 
 
 class HttpRankEngine(RankEngine):
-    """Sends orders to one rank's engine, over at most two connections.
+    """Sends orders to one rank's engine, each on a connection of its own, two at a time.
 
     Parameters
     ----------
@@ -51,8 +53,9 @@
     """
 
     def __init__(self, url: str) -> None:
-        self._url = url.rstrip("/")
-        self._client = _open_client()
+        # An extra answer on a kept connection would be taken for the answer to the next order.
+        limits = httpx.Limits(max_connections=MAX_CONNECTIONS, max_keepalive_connections=0)
+        self._client = open_client(url, timeout=ORDER_TIMEOUT_S, limits=limits)
 
     async def read(self, term: int) -> RankStatus | RankEngineError:
         """Read maps and progress."""
@@ -91,28 +94,16 @@
     ) -> RankStatus | RankEngineError:
         document = OrderDocument(term=term, version=version, step=step, expert_map=expert_map)
         body = msgspec.json.encode(document)
-        client = self._client
-        answered = False
         try:
-            response = await client.post(f"{self._url}/rank/{name}", content=body)
-            answered = True
+            response = await self._client.post(f"/rank/{name}", content=body)
         except httpx.HTTPError as error:
             return RankEngineError(RankEngineErrorKind.UNREACHABLE, repr(error))
-        finally:
-            # After a timeout or a cancellation the old answer may still arrive on the connection.
-            if not answered and client is self._client:
-                self._client = _open_client()
         try:
             return _decode(response.status_code, response.content)
         except (msgspec.MsgspecError, ValueError) as error:
             return RankEngineError(RankEngineErrorKind.INVALID, str(error))
 
 
-def _open_client() -> httpx.AsyncClient:
-    limits = httpx.Limits(max_connections=2)
-    return httpx.AsyncClient(timeout=ORDER_TIMEOUT_S, limits=limits, trust_env=False)
-
-
 def _decode(status: int, body: bytes) -> RankStatus | RankEngineError:
     if status == HTTP_OK:
         return RankStatus(**msgspec.json.decode(body, type=StatusDocument))
--- /dev/null
+++ b/tests/backend_server/test_rank_http.py
@@ -0,0 +1,55 @@
+"""Tests of orders to a rank's engine whose answers are extra, undecodable or endless."""
+
+from __future__ import annotations
+
+import contextlib
+import unittest
+
+import anyio
+import msgspec
+
+from bronzerudder.backend_server.rank_api import RankStatus
+from bronzerudder.backend_server.rank_http import HttpRankEngine
+from tests.backend_server.raw_server import RawServer
+
+TIMEOUT_S = 5.0
+
+
+def build_answer(body, status=b"200 OK"):
+    return b"HTTP/1.1 %s\r\nContent-Length: %d\r\n\r\n%s" % (status, len(body), body)
+
+
+def build_status(active):
+    return build_answer(msgspec.json.encode(RankStatus(active=active)._asdict()))
+
+
+@contextlib.asynccontextmanager
+async def serve(*scripts):
+    """Run a `RawServer` and the client of a rank's engine."""
+    server = RawServer(*scripts)
+    async with server.serving():
+        engine = HttpRankEngine(server.url)
+        try:
+            with anyio.fail_after(TIMEOUT_S):
+                yield server, engine
+        finally:
+            await engine.close()
+
+
+class HttpRankEngineTest(unittest.IsolatedAsyncioTestCase):
+    async def test_an_extra_answer_does_not_become_that_of_the_next_order(self):
+        scripts = ([build_status(1) + build_status(9)], [build_status(2)])
+        async with serve(*scripts) as (_, engine):
+            versions = [(await engine.read(1)).active for _ in range(2)]
+        self.assertEqual(versions, [1, 2])
+
+    async def test_orders_leave_no_connection_open_after_one_of_them_times_out(self):
+        async with serve([], [build_status(1)]) as (server, engine):
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(engine.read, 1)
+                tasks.start_soon(engine.read, 1)
+            await server.wait_closed(2)
+
+
+if __name__ == "__main__":
+    unittest.main()
