Don't take an answer that can't be decoded for a refused order

An order to a rank's engine that took effect, but whose answer was cut or malformed, was reported as `invalid`, a kind of which a reader has to know that the order may have taken effect nevertheless; one nested too deeply raised RecursionError, which ended the task that watches the engine.

They are `unreachable` now, the kind after which the outcome is unknown; `invalid` is left to engines that say so. The participant refuses both in the same way, so a proposer's decision doesn't change.

--- a/src/bronzerudder/backend_server/rank_errors.py
+++ b/src/bronzerudder/backend_server/rank_errors.py
@@ -24,8 +24,8 @@
     Parameters
     ----------
     kind : RankEngineErrorKind
-        After ``UNREACHABLE`` the order may have taken effect, and after ``INVALID`` if the answer
-        could not be decoded; after any other kind it has not.
+        After ``UNREACHABLE``, which includes an answer that cannot be decoded, the order may have
+        taken effect; after any other kind it has not.
     reason : str
         Explanation for logs and operators.
     """
--- a/src/bronzerudder/backend_server/rank_http.py
+++ b/src/bronzerudder/backend_server/rank_http.py
@@ -100,8 +100,9 @@
             return RankEngineError(RankEngineErrorKind.UNREACHABLE, repr(error))
         try:
             return _decode(response.status_code, response.content)
-        except (msgspec.MsgspecError, ValueError) as error:
-            return RankEngineError(RankEngineErrorKind.INVALID, str(error))
+        except (msgspec.MsgspecError, ValueError, RecursionError) as error:
+            reason = f"status {response.status_code}, answer cannot be decoded: {error}"
+            return RankEngineError(RankEngineErrorKind.UNREACHABLE, reason)
 
 
 def _decode(status: int, body: bytes) -> RankStatus | RankEngineError:
--- a/tests/backend_server/test_rank_http.py
+++ b/tests/backend_server/test_rank_http.py
@@ -9,8 +9,9 @@
 import msgspec
 
 from bronzerudder.backend_server.rank_api import RankStatus
+from bronzerudder.backend_server.rank_errors import RankEngineErrorKind
 from bronzerudder.backend_server.rank_http import HttpRankEngine
-from tests.backend_server.raw_server import RawServer
+from tests.backend_server.raw_server import CLOSE, RawServer
 
 TIMEOUT_S = 5.0
 
@@ -37,6 +38,23 @@
 
 
 class HttpRankEngineTest(unittest.IsolatedAsyncioTestCase):
+    async def check_outcome_unknown(self, *script):
+        async with serve(script) as (server, engine):
+            error = await engine.activate(1, 1)
+            self.assertEqual(error.kind, RankEngineErrorKind.UNREACHABLE)
+            await server.wait_closed(1)
+
+    async def test_an_order_whose_answer_can_not_be_decoded_may_have_taken_effect(self):
+        for body in (b"", b"{", b'{"next_step": 1}', b"\xff", b'{"x":' + b"[" * 100_000):
+            with self.subTest(body[:20]):
+                await self.check_outcome_unknown(build_answer(body), CLOSE)
+
+    async def test_an_order_refused_without_a_reason_may_have_taken_effect(self):
+        for body in (b"", b'{"kind": "unheard-of", "reason": ""}'):
+            with self.subTest(body):
+                answer = build_answer(body, b"500 Internal Server Error")
+                await self.check_outcome_unknown(answer, CLOSE)
+
     async def test_an_extra_answer_does_not_become_that_of_the_next_order(self):
         scripts = ([build_status(1) + build_status(9)], [build_status(2)])
         async with serve(*scripts) as (_, engine):
