Bound the orders to a rank's engine as a whole

An engine whose answer trickles, or whose `1xx` heads never end, held the agent's order for ever: 0.25 s applied to each read only, and the body was read without a bound in bytes. Meanwhile the agent answers no proposer, as it holds its lock over the order, and the whole lock-step group can't change its map.

test_an_order_ends_while_its_answer_keeps_coming timed out after 5 s, for a body and for heads. An order now ends after 0.5 s in all, twice the limit of a read, so that a slow engine is judged as before, and after 64 KiB, of which a status takes some hundred bytes.

--- a/src/bronzerudder/backend_server/rank_http.py
+++ b/src/bronzerudder/backend_server/rank_http.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-from typing import TypedDict
+from typing import NamedTuple, TypedDict
 
+import anyio
 import httpx
 import msgspec
 
@@ -11,7 +12,12 @@
 from bronzerudder.backend_server.rank_errors import RankEngineError, RankEngineErrorKind
 from bronzerudder.web.client import open_client
 
-ORDER_TIMEOUT_S = 0.25
+STEP_TIMEOUT_S = 0.25
+"""Of connecting, and of each write and read."""
+ORDER_TIMEOUT_S = 0.5
+"""Of a whole order, whose answer may trickle; the group waits for its slowest rank."""
+MAX_ANSWER_BYTES = 65_536
+"""A status takes some hundred bytes."""
 MAX_CONNECTIONS = 2
 HTTP_OK = 200
 
@@ -43,6 +49,11 @@
     reason: str
 
 
+class _Response(NamedTuple):
+    status: int
+    body: bytes
+
+
 class HttpRankEngine(RankEngine):
     """Sends orders to one rank's engine, each on a connection of its own, two at a time.
 
@@ -55,7 +66,7 @@
     def __init__(self, url: str) -> None:
         # An extra answer on a kept connection would be taken for the answer to the next order.
         limits = httpx.Limits(max_connections=MAX_CONNECTIONS, max_keepalive_connections=0)
-        self._client = open_client(url, timeout=ORDER_TIMEOUT_S, limits=limits)
+        self._client = open_client(url, timeout=STEP_TIMEOUT_S, limits=limits)
 
     async def read(self, term: int) -> RankStatus | RankEngineError:
         """Read maps and progress."""
@@ -93,20 +104,29 @@
         self, name: str, term: int, version: int = 0, step: int = 0, expert_map: bytes = b""
     ) -> RankStatus | RankEngineError:
         document = OrderDocument(term=term, version=version, step=step, expert_map=expert_map)
-        body = msgspec.json.encode(document)
         try:
-            response = await self._client.post(f"/rank/{name}", content=body)
-        except httpx.HTTPError as error:
+            with anyio.fail_after(ORDER_TIMEOUT_S):
+                response = await self._send(name, msgspec.json.encode(document))
+        except (httpx.HTTPError, TimeoutError) as error:
             return RankEngineError(RankEngineErrorKind.UNREACHABLE, repr(error))
         try:
-            return _decode(response.status_code, response.content)
+            return _decode(response)
         except (msgspec.MsgspecError, ValueError, RecursionError) as error:
-            reason = f"status {response.status_code}, answer cannot be decoded: {error}"
+            reason = f"status {response.status}, answer cannot be decoded: {error}"
             return RankEngineError(RankEngineErrorKind.UNREACHABLE, reason)
 
+    async def _send(self, name: str, content: bytes) -> _Response:
+        body = bytearray()
+        async with self._client.stream("POST", f"/rank/{name}", content=content) as response:
+            async for chunk in response.aiter_raw():
+                body += chunk
+                if len(body) > MAX_ANSWER_BYTES:
+                    raise httpx.ReadError(f"answer longer than {MAX_ANSWER_BYTES} bytes")
+        return _Response(response.status_code, bytes(body))
+
 
-def _decode(status: int, body: bytes) -> RankStatus | RankEngineError:
-    if status == HTTP_OK:
-        return RankStatus(**msgspec.json.decode(body, type=StatusDocument))
-    refusal = msgspec.json.decode(body, type=RefusalDocument)
+def _decode(response: _Response) -> RankStatus | RankEngineError:
+    if response.status == HTTP_OK:
+        return RankStatus(**msgspec.json.decode(response.body, type=StatusDocument))
+    refusal = msgspec.json.decode(response.body, type=RefusalDocument)
     return RankEngineError(RankEngineErrorKind(refusal["kind"]), refusal["reason"])
--- a/tests/backend_server/test_rank_http.py
+++ b/tests/backend_server/test_rank_http.py
@@ -11,9 +11,10 @@
 from bronzerudder.backend_server.rank_api import RankStatus
 from bronzerudder.backend_server.rank_errors import RankEngineErrorKind
 from bronzerudder.backend_server.rank_http import HttpRankEngine
-from tests.backend_server.raw_server import CLOSE, RawServer
+from tests.backend_server.raw_server import CLOSE, ENDLESS, RawServer
 
 TIMEOUT_S = 5.0
+UNFRAMED = b"HTTP/1.1 200 OK\r\n\r\n"
 
 
 def build_answer(body, status=b"200 OK"):
@@ -55,6 +56,10 @@
                 answer = build_answer(body, b"500 Internal Server Error")
                 await self.check_outcome_unknown(answer, CLOSE)
 
+    async def test_an_order_ends_while_its_answer_keeps_coming(self):
+        await self.check_outcome_unknown(UNFRAMED, ENDLESS, b" " * 10)
+        await self.check_outcome_unknown(ENDLESS, b"HTTP/1.1 100 Continue\r\n\r\n")
+
     async def test_an_extra_answer_does_not_become_that_of_the_next_order(self):
         scripts = ([build_status(1) + build_status(9)], [build_status(2)])
         async with serve(*scripts) as (_, engine):
