Use a connection of its own for each call of the platform's store

A write could be taken for accepted that the platform had refused: a second answer behind that of an earlier call stays in the buffer of the kept connection and is read as the answer to the next call. For a claim this means that an idempotency key is held by two agents, and that its request can run twice.

test_an_extra_answer_does_not_make_the_next_write_succeed failed with 9 != CONFLICT: the second `put` returned the version of the extra answer. Entries and agents make one watch, a poll of instances each 2 s, and a write for a batch of claims, so a connection for each costs little; tests.processes.test_at_most_once and test_restart pass.

--- a/src/bronzerudder/platform/http_client.py
+++ b/src/bronzerudder/platform/http_client.py
@@ -32,7 +32,7 @@
 
 
 class PlatformClient:
-    """Connection pool of one process to the platform.
+    """Calls the platform for one process, each time on a connection of its own.
 
     Parameters
     ----------
@@ -43,10 +43,10 @@
     """
 
     def __init__(self, address: str, caller: str) -> None:
+        # An extra answer on a kept connection would be taken for the answer to the next call.
+        limits = httpx.Limits(max_connections=MAX_CONNECTIONS, max_keepalive_connections=0)
         self._client = open_client(
-            f"http://{address}",
-            headers={CALLER_HEADER: caller},
-            limits=httpx.Limits(max_connections=MAX_CONNECTIONS),
+            f"http://{address}", headers={CALLER_HEADER: caller}, limits=limits
         )
 
     async def close(self) -> None:
