--- a/src/bronzerudder/execution/relay.py
+++ b/src/bronzerudder/execution/relay.py
@@ -11,19 +11,20 @@
     BackendErrorKind,
     BackendServer,
 )
-from bronzerudder.execution.attempt import Attempt
+from bronzerudder.execution.attempt import AnswerHead, Attempt
 from bronzerudder.frames import exchange_pb2 as pb
 from bronzerudder.observability import Tracing
 from bronzerudder.observability.traces import TRACEPARENT
-from bronzerudder.web.event_stream import (
-    LAST_EVENT_ID,
-    MAX_EVENT_BYTES,
-    EventSplitter,
-    is_event_stream,
-)
+from bronzerudder.web.event_stream import LAST_EVENT_ID, EventSplitter, is_event_stream
 
 MAX_REOPENS = 8
 MAX_PROBES = 5
+MAX_PLAIN_ANSWER_BYTES = 16_000_000
+"""Length of an answer that is no stream; the entry holds it until it is complete."""
+MAX_EVENT_BYTES = 1_000_000
+"""Length of an incomplete event, which must fit a message to the entry once it is complete."""
+# `EventSplitter` doesn't split here, so such a stream is all tail.
+CRLF_EVENT_END = b"\r\n\r\n"
 
 
 class Relay:
@@ -49,7 +50,9 @@
         splitter = EventSplitter()
         error = await self._relay_once(attempt, splitter)
         for _ in range(MAX_REOPENS):
-            if error is None or not await self._may_reopen(error):
+            if error is None or not _can_continue(attempt, splitter):
+                return error
+            if not await self._may_reopen(error):
                 return error
             splitter.drop_partial_event()
             error = await self._relay_once(attempt, splitter)
@@ -85,8 +88,11 @@
     answer: BackendAnswer, attempt: Attempt, splitter: EventSplitter
 ) -> BackendError | None:
     try:
-        if not attempt.has_head:
+        if attempt.head is None:
             attempt.emit_head(answer.status, answer.headers)
+        elif not _matches(answer, attempt.head):
+            reason = f"the answer with status {answer.status} is not the rest of the one begun"
+            return BackendError(BackendErrorKind.BROKEN, reason)
         return await _copy_body(answer, attempt, splitter)
     finally:
         with anyio.CancelScope(shield=True):
@@ -97,6 +103,7 @@
     answer: BackendAnswer, attempt: Attempt, splitter: EventSplitter
 ) -> BackendError | None:
     streaming = is_event_stream(answer.headers)
+    plain_bytes = 0
     while True:
         await attempt.wait_for_space()
         chunk = await answer.read()
@@ -104,16 +111,50 @@
             return chunk
         if chunk is None:
             break
+        plain_bytes += 0 if streaming else len(chunk)
         complete = splitter.split(chunk) if streaming else chunk
         if complete:
             attempt.emit_chunk(complete)
-        if splitter.exceeds_limit:
-            return BackendError(BackendErrorKind.BROKEN, f"event exceeds {MAX_EVENT_BYTES} bytes")
-    if splitter.partial_event:
-        attempt.emit_chunk(splitter.partial_event)
+        excess = _find_excess(plain_bytes, len(splitter.partial_event))
+        if excess is not None:
+            return excess
+    tail = splitter.partial_event
+    if _is_inside_event(tail):
+        return BackendError(BackendErrorKind.BROKEN, "the stream ended inside an event")
+    if tail:
+        attempt.emit_chunk(tail)
+    return None
+
+
+def _can_continue(attempt: Attempt, splitter: EventSplitter) -> bool:
+    """Return whether a new answer to the request can continue what has been emitted."""
+    return attempt.chunk_count == 0 or bool(splitter.last_event_id)
+
+
+def _matches(answer: BackendAnswer, head: AnswerHead) -> bool:
+    """Return whether the body of an answer may follow the head of an earlier one."""
+    if answer.status != head.status:
+        return False
+    if is_event_stream(head.headers):
+        return is_event_stream(answer.headers)
+    return answer.headers == head.headers
+
+
+def _find_excess(plain_bytes: int, event_bytes: int) -> BackendError | None:
+    """Return an error if an answer has become too long to hold in memory."""
+    if plain_bytes > MAX_PLAIN_ANSWER_BYTES:
+        reason = f"plain answer exceeds {MAX_PLAIN_ANSWER_BYTES} bytes"
+        return BackendError(BackendErrorKind.BROKEN, reason)
+    if event_bytes > MAX_EVENT_BYTES:
+        return BackendError(BackendErrorKind.BROKEN, f"event exceeds {MAX_EVENT_BYTES} bytes")
     return None
 
 
+def _is_inside_event(tail: bytes) -> bool:
+    """Return whether the end of a stream after its last complete event is a part of another one."""
+    return bool(tail.strip(b"\r\n")) and not tail.endswith(CRLF_EVENT_END)
+
+
 def _build_call(attempt: Attempt, last_event_id: str, traceparent: str) -> BackendCall:
     submit: pb.Submit = attempt.submit
     fields = {header.name: header.value for header in submit.headers}
