--- a/src/bronzerudder/backend_server/http_server.py
+++ b/src/bronzerudder/backend_server/http_server.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import math
+
+import anyio
 import httpx
 
 from bronzerudder.backend_server.api import BackendAnswer, BackendCall, BackendServer
@@ -9,10 +12,11 @@
 from bronzerudder.web.client import open_client
 
 CONNECT_TIMEOUT_S = 1.0
+# Of the whole call. A limit for each read would not end one whose answer trickles.
 PROBE_TIMEOUT_S = 1.0
 CANCEL_TIMEOUT_S = 1.0
-# Kept low because the pool of httpx checks every idle connection on each request.
-MAX_IDLE_CONNECTIONS = 16
+# An extra answer on a kept connection would be taken for the answer to the next request.
+MAX_IDLE_CONNECTIONS = 0
 HOP_BY_HOP = frozenset(
     ("connection", "content-length", "host", "keep-alive", "te", "transfer-encoding", "upgrade")
 )
@@ -56,7 +60,7 @@
 
 
 class HttpBackendServer(BackendServer):
-    """Sends requests to one backend server.
+    """Sends requests to one backend server, each on a connection of its own.
 
     Parameters
     ----------
@@ -70,6 +74,8 @@
     def __init__(self, url: str, silence_timeout_s: float | None) -> None:
         self._url = url.rstrip("/")
         timeout = httpx.Timeout(silence_timeout_s, connect=CONNECT_TIMEOUT_S, pool=None)
+        # Heads of status 1xx are data, but no sign that the answer will come.
+        self._head_timeout_s = (silence_timeout_s or math.inf) + CONNECT_TIMEOUT_S
         limits = httpx.Limits(max_connections=None, max_keepalive_connections=MAX_IDLE_CONNECTIONS)
         self._client = open_client(self._url, timeout=timeout, limits=limits)
 
@@ -81,10 +87,11 @@
             call.method, call.path, headers=headers, content=call.body
         )
         try:
-            return HttpAnswer(await self._client.send(request, stream=True))
+            with anyio.fail_after(self._head_timeout_s):
+                return HttpAnswer(await self._client.send(request, stream=True))
         except (httpx.ConnectError, httpx.ConnectTimeout) as error:
             return BackendError(BackendErrorKind.UNREACHABLE, f"cannot connect: {error}")
-        except httpx.ReadTimeout:
+        except (httpx.ReadTimeout, TimeoutError):
             return BackendError(BackendErrorKind.UNRESPONSIVE, "no answer within silence_timeout_s")
         except httpx.HTTPError as error:
             return BackendError(
@@ -93,23 +100,27 @@
 
     async def cancel(self, request_id: str) -> None:
         """Ask the backend server to stop generating; best effort, so errors are ignored."""
+        document = {"request_id": request_id}
         try:
-            await self._client.post(
-                "/cancel", json={"request_id": request_id}, timeout=CANCEL_TIMEOUT_S
-            )
+            with anyio.move_on_after(CANCEL_TIMEOUT_S):
+                async with self._client.stream("POST", "/cancel", json=document):
+                    return
         except httpx.HTTPError:
             return
 
     async def probe(self) -> BackendError | None:
         """Check on a new connection whether the backend server answers."""
         try:
-            async with open_client(self._url, timeout=PROBE_TIMEOUT_S) as client:
-                await client.get("/healthz")
+            with anyio.fail_after(PROBE_TIMEOUT_S):
+                async with (
+                    open_client(self._url, timeout=None) as client,
+                    client.stream("GET", "/healthz"),
+                ):
+                    return None
         except httpx.ConnectError as error:
             return BackendError(BackendErrorKind.UNREACHABLE, f"cannot connect: {error}")
-        except httpx.HTTPError as error:
+        except (httpx.HTTPError, TimeoutError) as error:
             return BackendError(BackendErrorKind.UNRESPONSIVE, f"probe failed: {error!r}")
-        return None
 
     async def close(self) -> None:
         """Close all connections."""
--- a/src/bronzerudder/execution/attempt.py
+++ b/src/bronzerudder/execution/attempt.py
@@ -12,6 +12,8 @@
 from bronzerudder.frames import exchange_pb2 as pb
 
 BUFFER_LIMIT_BYTES = 1_000_000
+# A frame takes some hundred bytes of memory beside its payload.
+BUFFER_LIMIT_FRAMES = 4_096
 # Equals the largest `answer_limit_bytes`. A longer copy stops growing at the first chunk beyond it:
 # it then exceeds every limit, so that the claim register never stores a truncated answer.
 KEPT_ANSWER_LIMIT_BYTES = 65_536
@@ -36,6 +38,13 @@
     FINISHED = "finished"
 
 
+class AnswerHead(NamedTuple):
+    """Status and headers of an answer."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+
+
 class KeptAnswer(NamedTuple):
     """Copy of an answer as emitted so far, for replay to later requests with the same key."""
 
@@ -74,6 +83,7 @@
         self._refused = False
         self._kept_answer: KeptAnswer | None = None
         self._keeps_answer = False
+        self._head: AnswerHead | None = None
 
     @property
     def key(self) -> AttemptKey:
@@ -116,9 +126,9 @@
         return max(0, self._next_sequence - 1)
 
     @property
-    def has_head(self) -> bool:
-        """Whether the head has been emitted."""
-        return self._next_sequence > 0
+    def head(self) -> AnswerHead | None:
+        """Head of the answer, once it has been emitted."""
+        return self._head
 
     @property
     def refused(self) -> bool:
@@ -145,6 +155,7 @@
 
     def emit_head(self, status: int, headers: tuple[tuple[str, str], ...]) -> None:
         """Emit the status and headers."""
+        self._head = AnswerHead(status, headers)
         if self._keeps_answer:
             self._kept_answer = KeptAnswer(status, headers, b"")
         fields = [pb.Header(name=name, value=value) for name, value in headers]
@@ -204,7 +215,8 @@
 
     def detach(self, send: SendFrame, now: float) -> None:
         """Only buffer frames until another connection is attached; ignored if one already is."""
-        if self._send is not send:
+        # A bound method is a new object each time, so it is compared by value.
+        if self._send != send:
             return
         self._send = None
         self._detached_at = now
@@ -216,11 +228,14 @@
 
     async def wait_for_space(self) -> None:
         """Wait until the buffer is within its limit or a cancellation is requested."""
-        while self._buffered_bytes > BUFFER_LIMIT_BYTES and not self._cancel_requested.is_set():
+        while self._is_buffer_full() and not self._cancel_requested.is_set():
             if self.on_buffer_full is not None:
                 self.on_buffer_full()
             await self._space_freed.wait()
 
+    def _is_buffer_full(self) -> bool:
+        return self._buffered_bytes > BUFFER_LIMIT_BYTES or len(self._frames) > BUFFER_LIMIT_FRAMES
+
     def _emit(self, frame: pb.AgentFrame, size: int) -> None:
         self._frames.append(_BufferedFrame(self._next_sequence, frame, size))
         self._next_sequence += 1
--- a/src/bronzerudder/gateway/relay.py
+++ b/src/bronzerudder/gateway/relay.py
@@ -1,11 +1,11 @@
-"""Relays the events of a stream to the caller, complete events only."""
+"""Sends the events of a stream to the caller."""
 
 from __future__ import annotations
 
 import time
 
 from bronzerudder.http1 import ResponseWriter
-from bronzerudder.web.event_stream import EventSplitter
+from bronzerudder.web.event_stream import EventSequence
 
 
 class StreamRelay:
@@ -16,15 +16,14 @@
     writer : ResponseWriter
         Writes the response to the caller.
     last_event_id : str
-        Id of the last event that the caller already has; empty if none.
+        Id of the last event that the caller has when it sends the request; empty if none.
     arrived_at_s : float
         Monotonic arrival time of the request.
     """
 
     def __init__(self, writer: ResponseWriter, last_event_id: str, arrived_at_s: float) -> None:
         self._writer = writer
-        self._splitter = EventSplitter()
-        self._initial_event_id = last_event_id
+        self._sequence = EventSequence(last_event_id)
         self._last_event_at_s = arrived_at_s
         self._longest_gap_s = 0.0
         self._started = False
@@ -36,8 +35,8 @@
 
     @property
     def last_event_id(self) -> str:
-        """Id of the last complete event sent to the caller; empty before the first."""
-        return self._splitter.last_event_id or self._initial_event_id
+        """Id of the last event that the caller has; empty if none."""
+        return self._sequence.last_event_id
 
     @property
     def last_event_at_s(self) -> float:
@@ -49,38 +48,26 @@
         """Longest pause between two events."""
         return self._longest_gap_s
 
-    @property
-    def event_exceeds_limit(self) -> bool:
-        """Whether an incomplete event is too long to be buffered further."""
-        return self._splitter.exceeds_limit
-
-    def discard_partial_event(self) -> None:
-        """Discard the incomplete event at the end of a broken answer."""
-        self._splitter.drop_partial_event()
-
     async def begin(self, headers: list[tuple[bytes, bytes]]) -> None:
         """Send the head, unless an earlier answer of this stream has sent it."""
         if not self._started:
             self._started = True
             await self._writer.start(200, headers)
 
-    async def forward(self, headers: list[tuple[bytes, bytes]], data: bytes) -> bool:
-        """Send the events that `data` completes; return whether there were any."""
-        events = self._splitter.split(data)
+    async def forward(self, headers: list[tuple[bytes, bytes]], data: bytes) -> str:
+        """Send complete events up to the first faulty one; return its fault, or an empty string."""
+        events, fault = self._sequence.accept(data)
         if not events:
-            return False
+            return fault
         now_s = time.monotonic()
         if self._started:
             self._longest_gap_s = max(self._longest_gap_s, now_s - self._last_event_at_s)
         self._last_event_at_s = now_s
         await self.begin(headers)
         await self._writer.write(events)
-        return True
+        return fault
 
-    async def finish(self, headers: list[tuple[bytes, bytes]]) -> bool:
-        """End the stream as complete; return False if an event is incomplete."""
-        if self._splitter.partial_event:
-            return False
+    async def finish(self, headers: list[tuple[bytes, bytes]]) -> None:
+        """End the stream as complete."""
         await self.begin(headers)
         await self._writer.finish()
-        return True
--- a/src/bronzerudder/http1/client.py
+++ b/src/bronzerudder/http1/client.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import re
 import time
 from typing import NamedTuple
 
@@ -34,6 +35,8 @@
 """Chunks of received data that are parsed before other tasks run; one read can hold 11,000."""
 _HEAD = b"HEAD"
 _ANY_HOST = [(b"host", b"-")]
+# A status line and the name of a header; bodies hardly contain both.
+_RESPONSE_HEAD = re.compile(rb"HTTP/1\.[01] \d{3}(?: [^\r\n]*)?\r?\n[!#$%&'*+.^_`|~0-9A-Za-z-]+:")
 
 
 class ResponseHead(NamedTuple):
@@ -49,6 +52,16 @@
                 return value
         return None
 
+    @property
+    def is_delimited(self) -> bool:
+        """Whether the body has a length or chunks; otherwise it ends with its connection."""
+        return any(name in (b"content-length", b"transfer-encoding") for name, _ in self.headers)
+
+
+def contains_response_head(body: bytes) -> bool:
+    """Whether a further response follows an answer that ends with its connection."""
+    return _RESPONSE_HEAD.search(body) is not None
+
 
 class _IdleConnection(NamedTuple):
     connection: Connection
