Check the size of an incomplete event without copying it

On the path of entry and agent, each chunk of a stream checked the length of a copy of the incomplete event, up to 1 MB: an event without end in small chunks cost processor time that grows with the square of its length, while other requests of the agent wait. EventSplitter now has the length as a property.

Evidence: test_an_event_is_not_copied_for_each_chunk failed before, with one copy for each of the chunks read.

--- a/src/bronzerudder/execution/relay.py
+++ b/src/bronzerudder/execution/relay.py
@@ -115,7 +115,7 @@
         complete = splitter.split(chunk) if streaming else chunk
         if complete:
             attempt.emit_chunk(complete)
-        excess = _find_excess(plain_bytes, len(splitter.partial_event))
+        excess = _find_excess(plain_bytes, splitter.partial_size)
         if excess is not None:
             return excess
     tail = splitter.partial_event
--- a/src/bronzerudder/web/event_stream.py
+++ b/src/bronzerudder/web/event_stream.py
@@ -49,6 +49,11 @@
         """Bytes of an incomplete event."""
         return bytes(self._partial_event)
 
+    @property
+    def partial_size(self) -> int:
+        """Length of the incomplete event in bytes."""
+        return len(self._partial_event)
+
     @property
     def exceeds_limit(self) -> bool:
         """Whether the incomplete event is longer than `MAX_EVENT_BYTES`."""
--- a/tests/execution/test_relay.py
+++ b/tests/execution/test_relay.py
@@ -40,6 +40,19 @@
         self.chunks.append(chunk)
 
 
+class CountingSplitter(EventSplitter):
+    """Counts how often the incomplete event is copied."""
+
+    def __init__(self):
+        super().__init__()
+        self.copies = 0
+
+    @property
+    def partial_event(self):
+        self.copies += 1
+        return super().partial_event
+
+
 class RelayTest(unittest.IsolatedAsyncioTestCase):
     async def test_an_event_without_end_fails_the_answer(self):
         answer, attempt = EndlessEvent(), RecordingAttempt()
@@ -48,6 +61,11 @@
         self.assertIn("event exceeds", error.reason)
         self.assertEqual(attempt.chunks, [b"id: 1\ndata: a\n\n"])
 
+    async def test_an_event_is_not_copied_for_each_chunk(self):
+        splitter = CountingSplitter()
+        await _copy_body(EndlessEvent(), RecordingAttempt(), splitter)
+        self.assertLessEqual(splitter.copies, 1)
+
 
 if __name__ == "__main__":
     unittest.main()
