Do not keep a late answer in memory while it is skipped

skip_stale_answer collected the body of a late answer, up to 1 MiB, and joined it, only to drop it. These bytes are not counted in the sum of the plain answers that a gateway reads, so many late answers at the same time went around that limit. The body is now dropped chunk by chunk, under the same limits of size and count.

--- a/src/bronzerudder/http1/client.py
+++ b/src/bronzerudder/http1/client.py
@@ -8,6 +8,7 @@
 
 import re
 import time
+from collections.abc import Callable
 from typing import NamedTuple
 
 import anyio.lowlevel
@@ -151,19 +152,21 @@
         Bytes are counted as received, as framing alone can also come without end.
         """
         chunks: list[bytes] = []
+        failed = await self._read_to_end(max_bytes, chunks.append)
+        return b"".join(chunks) if failed is None else failed
+
+    async def _read_to_end(
+        self, max_bytes: int, on_chunk: Callable[[bytes], None]
+    ) -> HttpError | None:
         received_before = self._received_bytes
-        while True:
+        for _ in range(MAX_ANSWER_CHUNKS + 1):
             chunk = await self.read_body()
-            if isinstance(chunk, HttpError):
+            if chunk is None or isinstance(chunk, HttpError):
                 return chunk
-            if chunk is None:
-                return b"".join(chunks)
             if self._received_bytes - received_before > max_bytes:
                 return self._fail(HttpErrorKind.MALFORMED, f"answer exceeds {max_bytes} bytes")
-            if len(chunks) >= MAX_ANSWER_CHUNKS:
-                reason = f"answer exceeds {MAX_ANSWER_CHUNKS} chunks"
-                return self._fail(HttpErrorKind.MALFORMED, reason)
-            chunks.append(chunk)
+            on_chunk(chunk)
+        return self._fail(HttpErrorKind.MALFORMED, f"answer exceeds {MAX_ANSWER_CHUNKS} chunks")
 
     async def skip_stale_answer(self) -> HttpError | None:
         """Skip the rest of an answer to an earlier request; `read_head` then reads the next one."""
@@ -172,9 +175,9 @@
             return self._fail(
                 HttpErrorKind.BROKEN, "answer to an earlier request before that to HEAD"
             )
-        stale = await self.read_rest()
-        if isinstance(stale, HttpError):
-            return stale
+        failed = await self._read_to_end(MAX_ANSWER_BYTES, lambda chunk: None)
+        if failed is not None:
+            return failed
         data, closed = self._http.trailing_data
         if closed:
             return self._fail(
--- a/tests/http1/test_client.py
+++ b/tests/http1/test_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import tracemalloc
 import unittest
 
 import anyio
@@ -16,6 +17,10 @@
 HOST = [(b"host", b"h")]
 
 
+def make_answer(body: bytes) -> bytes:
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+
+
 class Peer:
     """A server that answers each read with the next scripted bytes; an async context manager."""
 
@@ -203,6 +208,21 @@
                 self.assertIs(skipped.kind, HttpErrorKind.MALFORMED)
                 await peer.cut_off.wait()
 
+    async def test_a_stale_answer_is_not_kept_in_memory(self):
+        late = make_answer(b"x" * 1_000_000)
+        async with Peer(late + OK) as peer:
+            exchange = await ClientPool().open(peer.address)
+            with anyio.fail_after(TIMEOUT_S):
+                await exchange.send(b"GET", b"/", HOST, b"")
+                await exchange.read_head()
+                tracemalloc.start()
+                self.addCleanup(tracemalloc.stop)
+                before, _ = tracemalloc.get_traced_memory()
+                self.assertIsNone(await exchange.skip_stale_answer())
+                _, peak = tracemalloc.get_traced_memory()
+            exchange.discard()
+        self.assertLess(peak - before, 500_000)
+
     async def test_a_cancelled_call_leaves_no_connection_for_its_late_answer(self):
         async with Peer(OK[:-1], OK) as peer:
             pool = ClientPool()
