Test that answers without end of an agent leave its orders unknown

Orders that agents relay have a time limit of their own, and an answer that trickles, or comes faster than it is read, must not hold a leader while a step is held.

--- a/tests/expert_maps/test_relay.py
+++ b/tests/expert_maps/test_relay.py
@@ -5,6 +5,9 @@
 import asyncio
 import unittest
 
+import anyio
+import msgspec
+
 from bronzerudder.expert_maps.api import OrderResult, RankCalls, RankState
 from bronzerudder.expert_maps.messages import (
     ORDER_PATH,
@@ -16,9 +19,11 @@
 )
 from bronzerudder.expert_maps.relay import RelayedOrders, execute_order
 from bronzerudder.http1 import HttpServer, ServerLimits, listen
+from tests.http1.test_client import EndlessPeer
 
 LAYOUT = [[[0, 1], [2], [3], [0]]]
 RANKS = 4
+TIMEOUT_S = 5.0
 
 
 class RecordingRank(RankCalls):
@@ -121,6 +126,26 @@
             self.assertIs(await self.leader.arm(rank, 7, 9), OrderResult.ACCEPTED)
         self.assertEqual(self.calls[0].armed, [])
 
+    async def test_answers_without_end_of_an_agent_leave_orders_unknown(self):
+        ok = b"HTTP/1.1 200 OK\r\n"
+        cases = (
+            (b"", b"x", 0.005),
+            (ok + b"\r\n", b"x", 0.005),
+            (ok + b"\r\n", b"x" * 65_536, 0.0),
+        )
+        for head, repeated, pause_s in cases:
+            with self.subTest(head=head, pause_s=pause_s):
+                async with EndlessPeer(head, repeated, pause_s) as peer:
+                    host, _, port = peer.address.rpartition(":")
+                    ranks = [
+                        msgspec.structs.replace(rank, address=f"{host}:{rank.rank}")
+                        for rank in self.ranks
+                    ]
+                    leader = RelayedOrders(RecordingRank(), port)
+                    with anyio.fail_after(TIMEOUT_S):
+                        self.assertIs(await leader.arm(ranks[1], 7, 9), OrderResult.UNKNOWN)
+                        self.assertEqual(await leader.prepare_many(ranks, 7, LAYOUT), {})
+
     async def test_a_small_group_is_given_its_orders_one_by_one(self):
         self.assertEqual(await self.leader.prepare_many(self.ranks[:3], 7, LAYOUT), {})
 
