Send prepare orders over a new connection as well

Only a prepare of a usual change is confirmed by the rank's reports. When a change is aborted, the leader takes an accepted prepare as proof that a rank can no longer be armed for the old map; if the acceptance is a late answer to another call, an arm that is carried out seconds later still takes effect, and two ranks have different maps.

So prepare goes the way of arm, hold and disarm; release stays.

Evidence: test_a_late_answer_is_not_taken_for_that_of_an_order failed before for prepare (ACCEPTED for a refused order). The cost is a connection to the rank for each prepare, which its own agent mostly makes on the same instance. A backend server over its number of connections resets new ones; the order is then sent again. How often was not measured.

--- a/src/bronzerudder/platform/ranks.py
+++ b/src/bronzerudder/platform/ranks.py
@@ -28,7 +28,7 @@
 ORDER_TIMEOUT_S = 0.05
 """An order that times out may still be carried out later. It is sent again, which is harmless; a
 longer timeout would stall the group for longer, as a step is held meanwhile."""
-CERTAIN_OPERATIONS = ("arm", "disarm", "hold")
+CERTAIN_OPERATIONS = ("prepare", "arm", "disarm", "hold")
 """Orders on whose acceptance the leader relies without reading the rank's state. An answer doesn't
 say which order it is for, so these go on a new connection, where no other answer can be due."""
 ACCEPTED_STATUSES = (200, 202)
--- a/tests/platform/test_ranks.py
+++ b/tests/platform/test_ranks.py
@@ -42,6 +42,7 @@
 class RankClientTest(unittest.IsolatedAsyncioTestCase):
     async def test_a_late_answer_is_not_taken_for_that_of_an_order(self):
         orders = (
+            lambda client, rank: client.prepare(rank, 3, [[[0]]]),
             lambda client, rank: client.hold(rank, 12),
             lambda client, rank: client.arm(rank, 3, 12),
             lambda client, rank: client.disarm(rank, 3),
