Let other tasks run while a body of small chunks is read

A request's body in chunks of one byte was parsed without returning to the event loop, 11,000 chunks for each read of 64 KiB, and kept as one object a chunk: 4 MB of body, the usual limit, are 4 million objects and 24 MB on the wire.

Other tasks now run after 64 chunks, which is where the time limit takes effect, and the body is collected in one buffer.

Evidence: test_a_body_of_small_chunks_does_not_suspend_time_limits failed before: with a time limit of 0 s a body of 2,000 chunks was still read and served, so the 408 that the test waits for did not come (TimeoutError).

--- a/src/bronzerudder/http1/server.py
+++ b/src/bronzerudder/http1/server.py
@@ -11,6 +11,7 @@
 from typing import NamedTuple
 
 import anyio
+import anyio.lowlevel
 import h11
 from absl import logging
 
@@ -21,6 +22,8 @@
 with unread bytes would reset the connection, and the caller could lose the answer."""
 MAX_READ_AHEAD_BYTES = 65_536
 """Bytes of pipelined requests that are buffered while a request is being served."""
+CHUNKS_BETWEEN_PAUSES = 64
+"""Chunks of a body that are parsed before other tasks run; one read can hold 11,000."""
 DISCONNECT_CHECK_INTERVAL_S = 0.1
 """Interval of the checks for a disconnect once no more bytes are buffered."""
 ACCEPT_RETRY_S = 0.05
@@ -322,8 +325,8 @@
 
     async def _read_request(self, limits: ServerLimits) -> Request | _BadRequest | _Closed:
         head: h11.Request | None = None
-        chunks: list[bytes] = []
-        size = 0
+        body = bytearray()
+        chunks = 0
         while True:
             event = await self._next_event()
             if isinstance(event, _BadRequest | _Closed):
@@ -338,13 +341,15 @@
                     await self._connection.send(self._http.send(continue_response))
                 continue
             if isinstance(event, h11.Data):
-                size += len(event.data)
-                if size > limits.body_bytes:
+                body += event.data
+                if len(body) > limits.body_bytes:
                     return _BadRequest(413, f"body exceeds {limits.body_bytes} bytes")
-                chunks.append(bytes(event.data))
+                chunks += 1
+                if chunks % CHUNKS_BETWEEN_PAUSES == 0:
+                    await anyio.lowlevel.checkpoint()
                 continue
             if isinstance(event, h11.EndOfMessage) and head is not None:
-                return Request(head.method, head.target, tuple(head.headers), b"".join(chunks))
+                return Request(head.method, head.target, tuple(head.headers), bytes(body))
             return _Closed("connection closed by the caller")
 
     async def _next_event(self) -> h11.Event | _BadRequest | _Closed:
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -105,6 +105,16 @@
                             disconnect(connection)
                             await cancelled.wait()
 
+    async def test_a_body_of_small_chunks_does_not_suspend_time_limits(self):
+        limits = ServerLimits(header_timeout_s=0.0)
+        head = b"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+        async with Served(limits=limits) as served:
+            connection = await served.open()
+            await connection.send(head + b"1\r\nx\r\n" * 2_000 + b"0\r\n\r\n")
+            answer = await read_answer(connection, b"time\n")
+            self.assertTrue(answer.startswith(b"HTTP/1.1 408"), answer[:40])
+            connection.close()
+
     async def test_requests_follow_each_other_on_a_connection(self):
         async with Served() as served:
             connection = await served.open()
