--- a/src/bronzerudder/platform/object_api.py
+++ b/src/bronzerudder/platform/object_api.py
@@ -28,11 +28,19 @@
 
 CALL_TIMEOUT_S = 1.0
 """The store answers within milliseconds; a call that takes longer is treated as an outage."""
+MAX_ANSWER_BYTES = 16 * 1_048_576
+"""A page of a listing holds about 1 MB; a watch returns all changes at once, with their values."""
+MAX_PAGES = 1_000
+"""Pages of a listing; a page holds some hundred objects, and a kind some ten thousand."""
 WATCH_MARGIN_S = 1.0
 """Time that a watch may overrun its own timeout before the connection is considered dead."""
 MS_PER_S = 1000.0
 HISTORY_TRUNCATED = "watch history truncated"
 
+SUCCESS_STATUSES = (200, 201, 202, 204)
+CLIENT_ERROR_STATUSES = range(400, 500)
+"""The store refused the call as it was made, and did nothing."""
+
 _Document = TypeVar("_Document")
 
 _STATUS_KINDS = {
@@ -107,6 +115,9 @@
         decoded = _decode(answer, _Object)
         if isinstance(decoded, StoreError):
             return decoded
+        answered = decoded.metadata.name
+        if answered and answered != name:
+            return StoreError(StoreErrorKind.UNAVAILABLE, f"answer on {answered!r}")
         return _stored(kind, decoded)
 
     async def put(self, kind: str, name: str, value: bytes, if_version: int) -> int | StoreError:
@@ -120,18 +131,22 @@
             metadata["revision"] = if_version
             method, path = "PUT", _path(kind, name)
         body = msgspec.json.encode({"metadata": metadata, "spec": msgspec.Raw(value)})
-        return await self._write(method, path, body)
+        written = await self._write(method, path, body, name)
+        if written == ABSENT_VERSION:
+            return StoreError(StoreErrorKind.OUTCOME_UNKNOWN, "answer without a version")
+        return written
 
     async def delete(self, kind: str, name: str, if_version: int) -> int | StoreError:
         """Delete an object if its version is still ``if_version``."""
-        return await self._write("DELETE", f"{_path(kind, name)}?revision={if_version}", b"")
+        path = f"{_path(kind, name)}?revision={if_version}"
+        return await self._write("DELETE", path, b"", name)
 
     async def list(self, kind: str, stale: bool = False) -> Listing | StoreError:
         """Read all objects of a kind; a stale read is cheaper but may be seconds out of date."""
         objects: list[StoredObject] = []
         version: int | None = None
         after = ""
-        while True:
+        for _ in range(MAX_PAGES):
             query = {"after": after} if after else {}
             if stale:
                 query["stale_ok"] = "1"
@@ -148,6 +163,7 @@
             if not page.has_more or not page.items:
                 return Listing(tuple(objects), version)
             after = page.items[-1].metadata.name
+        return StoreError(StoreErrorKind.UNAVAILABLE, f"listing exceeds {MAX_PAGES} pages")
 
     async def watch(
         self, kind: str, after_version: int, timeout_s: float
@@ -170,39 +186,45 @@
             changes.append(Change(kind, metadata.name, metadata.revision, value))
         return ChangeBatch(tuple(changes), batch.at)
 
-    async def _write(self, method: str, path: str, body: bytes) -> int | StoreError:
+    async def _write(self, method: str, path: str, body: bytes, name: str) -> int | StoreError:
         answer = await self._call(method, path, body)
         if isinstance(answer, StoreError):
             return answer
         decoded = _decode(answer or b'{"metadata":{}}', _Object)
         if isinstance(decoded, StoreError):
-            return decoded
+            return decoded._replace(kind=StoreErrorKind.OUTCOME_UNKNOWN)
+        answered = decoded.metadata.name
+        if answered and answered != name:
+            return StoreError(StoreErrorKind.OUTCOME_UNKNOWN, f"answer on {answered!r}")
         return decoded.metadata.revision
 
     async def _call(
         self, method: str, path: str, body: bytes = b"", timeout_s: float = CALL_TIMEOUT_S
     ) -> bytes | StoreError:
         self._calls += 1
-        is_write = method != "GET"
         with anyio.move_on_after(timeout_s):
             return await self._exchange(method, path, body)
-        kind = StoreErrorKind.OUTCOME_UNKNOWN if is_write else StoreErrorKind.UNAVAILABLE
-        return StoreError(kind, f"{method} {path}: no answer within {timeout_s} s")
+        reason = f"{method} {path}: no answer within {timeout_s} s"
+        return StoreError(_kind_without_proof(method), reason)
 
     async def _exchange(self, method: str, path: str, body: bytes) -> bytes | StoreError:
         headers = list(self._host)
         if body:
             headers.append((b"content-type", b"application/json"))
-        answer = await self._pool.call(self._address, method.encode(), path.encode(), headers, body)
+        answer = await self._pool.call(
+            self._address, method.encode(), path.encode(), headers, body, MAX_ANSWER_BYTES
+        )
         if isinstance(answer, HttpError):
             return _connection_error(method, answer)
         status, content = answer
-        if status in (200, 201, 202, 204):
+        if status in SUCCESS_STATUSES:
             return content
         if status == 410:
             return StoreError(StoreErrorKind.NOT_FOUND, HISTORY_TRUNCATED)
-        kind = _STATUS_KINDS.get(status, StoreErrorKind.INVALID)
-        return StoreError(kind, f"status {status}")
+        kind = _STATUS_KINDS.get(status)
+        if kind is None and status in CLIENT_ERROR_STATUSES:
+            kind = StoreErrorKind.INVALID
+        return StoreError(kind or _kind_without_proof(method), f"status {status}")
 
 
 def _decode(answer: bytes, expected: type[_Document]) -> _Document | StoreError:
@@ -214,9 +236,14 @@
 
 def _connection_error(method: str, error: HttpError) -> StoreError:
     """Report a write as failed only if none of its bytes were sent."""
-    if method != "GET" and error.kind is not HttpErrorKind.NOT_SENT:
-        return StoreError(StoreErrorKind.OUTCOME_UNKNOWN, error.reason)
-    return StoreError(StoreErrorKind.UNAVAILABLE, error.reason)
+    if error.kind is HttpErrorKind.NOT_SENT:
+        return StoreError(StoreErrorKind.UNAVAILABLE, error.reason)
+    return StoreError(_kind_without_proof(method), error.reason)
+
+
+def _kind_without_proof(method: str) -> StoreErrorKind:
+    """Kind of a failure that does not prove that the store did nothing."""
+    return StoreErrorKind.UNAVAILABLE if method == "GET" else StoreErrorKind.OUTCOME_UNKNOWN
 
 
 def _stored(kind: str, item: _Object) -> StoredObject:
