--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -12,6 +12,7 @@
     HttpServer,
     ResponseWriter,
     ServerLimits,
+    TransportError,
     connect,
     listen,
 )
@@ -227,6 +228,22 @@
             self.assertTrue((await read_until_closed(busy)).endswith(b"done"))
 
 
+class IncompleteAnswerTest(unittest.IsolatedAsyncioTestCase):
+    async def test_an_incomplete_answer_to_http_1_0_does_not_look_complete(self):
+        async def begin(request, writer):
+            await writer.start(200, [])
+            await writer.write(b"event")
+
+        async with Served(begin) as served:
+            connection = await served.open()
+            await connection.send(b"GET /a HTTP/1.0\r\nHost: h\r\n\r\n")
+            with anyio.fail_after(TIMEOUT_S):
+                data = await connection.receive()
+                while isinstance(data, bytes) and data:
+                    data = await connection.receive()
+            self.assertIsInstance(data, TransportError)
+
+
 class StuckConnection:
     """A connection whose peer has stopped reading."""
 
