--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -7,18 +7,20 @@
 from bronzerudder.backend_server import BackendAnswer, BackendCall, BackendError, BackendServer
 
 EVENT_STREAM = (("content-type", "text/event-stream"),)
+PLAIN = (("content-type", "text/plain"),)
 
 
 class ScriptedAnswer(BackendAnswer):
     """Returns the given chunks; an event among them delays the next chunk until it is set."""
 
-    def __init__(self, chunks, headers=EVENT_STREAM):
+    def __init__(self, chunks, headers=EVENT_STREAM, status=200):
         self._chunks = list(chunks)
         self._headers = tuple(headers)
+        self._status = status
 
     @property
     def status(self):
-        return 200
+        return self._status
 
     @property
     def headers(self):
@@ -38,10 +40,11 @@
 
 
 class ScriptedBackendServer(BackendServer):
-    """Answers each call with the next script: an error, or the chunks of an answer."""
+    """Answers each call with the next script: an error, an answer, or the chunks of a stream."""
 
-    def __init__(self, *scripts):
+    def __init__(self, *scripts, headers=EVENT_STREAM):
         self._scripts = list(scripts)
+        self._headers = headers
         self.calls: list[BackendCall] = []
         self.cancelled: list[str] = []
         self.probes: list[BackendError | None] = []
@@ -49,9 +52,9 @@
     async def open(self, call):
         self.calls.append(call)
         script = self._scripts.pop(0)
-        if isinstance(script, BackendError):
+        if isinstance(script, BackendError | BackendAnswer):
             return script
-        return ScriptedAnswer(script)
+        return ScriptedAnswer(script, self._headers)
 
     async def cancel(self, request_id):
         self.cancelled.append(request_id)
