Skip a late answer that has no body by its status

An answer of status 204 or 304 has neither length nor chunks and no body either; since a late one to another request failed the attempt as if it took the rest of the connection. Such answers count as delimited now. test_a_late_answer_without_a_body_is_skipped got 502 before and passes; tests.gateway.test_answer_integrity, tests.http1.test_client and tests.platform.test_requests pass.

--- a/src/bronzerudder/http1/client.py
+++ b/src/bronzerudder/http1/client.py
@@ -25,6 +25,8 @@
 just as a request is sent; the timeout is in whole seconds."""
 MAX_IDLE_PER_ADDRESS = 32
 MAX_HEAD_BYTES = 65_536
+EMPTY_STATUSES = (204, 304)
+"""Answers that never have a body."""
 MAX_INFORMATIONAL_HEADS = 8
 """``1xx`` heads before an answer: one or two are usual, a faulty peer may send them without end."""
 MAX_ANSWER_BYTES = 1_048_576
@@ -54,7 +56,12 @@
 
     @property
     def is_delimited(self) -> bool:
-        """Whether the body has a length or chunks; otherwise it ends with its connection."""
+        """Whether the body is empty by its status, or has a length or chunks.
+
+        Otherwise it ends with its connection.
+        """
+        if self.status in EMPTY_STATUSES:
+            return True
         return any(name in (b"content-length", b"transfer-encoding") for name, _ in self.headers)
 
 
--- a/tests/gateway/test_answer_integrity.py
+++ b/tests/gateway/test_answer_integrity.py
@@ -322,6 +322,12 @@
         status, _, body = await self.send("/book/", "r2", method=b"POST")
         self.assertEqual((status, body), (200, b"mine"))
 
+    async def test_a_late_answer_without_a_body_is_skipped(self):
+        late = b"HTTP/1.1 204 No Content\r\nAttempt-Id: r0\r\n\r\n"
+        await self.start(lambda n, i, h: RawReply(late + make_plain(i, b"mine")))
+        status, _, body = await self.send("/book/", method=b"POST")
+        self.assertEqual((status, body), (200, b"mine"))
+
     async def test_an_undelimited_answer_to_another_request_ends_the_attempt_at_once(self):
         await self.start(lambda n, i, h: RawReply(UNDELIMITED % b"r0" + make_plain(i, b"mine")))
         with anyio.fail_after(0.5):
