--- a/src/bronzerudder/http1/server.py
+++ b/src/bronzerudder/http1/server.py
@@ -11,6 +11,7 @@
 from typing import NamedTuple
 
 import anyio
+import anyio.lowlevel
 import h11
 from absl import logging
 
@@ -21,6 +22,10 @@
 with unread bytes would reset the connection, and the caller could lose the answer."""
 MAX_READ_AHEAD_BYTES = 65_536
 """Bytes of pipelined requests that are buffered while a request is being served."""
+CHUNKS_BETWEEN_PAUSES = 64
+"""Chunks of a body that are parsed before other tasks run; one read can hold 11,000."""
+DISCONNECT_CHECK_INTERVAL_S = 0.1
+"""Interval of the checks for a disconnect once no more bytes are buffered."""
 ACCEPT_RETRY_S = 0.05
 """Pause after a failed accept, such as when the process has no file descriptors left."""
 
@@ -298,13 +303,9 @@
         async with anyio.create_task_group() as tasks:
 
             async def cancel_on_disconnect() -> None:
-                while len(self._read_ahead) < MAX_READ_AHEAD_BYTES:
-                    data = await self._connection.receive()
-                    if isinstance(data, TransportError) or not data:
-                        self._caller_disconnected = True
-                        tasks.cancel_scope.cancel()
-                        return
-                    self._read_ahead += data
+                await self._wait_for_disconnect()
+                self._caller_disconnected = True
+                tasks.cancel_scope.cancel()
 
             tasks.start_soon(cancel_on_disconnect)
             try:
@@ -315,10 +316,22 @@
                     await writer.respond(500, [], b"internal error\n")
             tasks.cancel_scope.cancel()
 
+    async def _wait_for_disconnect(self) -> None:
+        """Buffer pipelined requests up to the limit until the caller disconnects."""
+        while len(self._read_ahead) < MAX_READ_AHEAD_BYTES:
+            data = await self._connection.receive()
+            if isinstance(data, TransportError) or not data:
+                return
+            self._read_ahead += data
+        while True:
+            if self._connection.is_disconnected():
+                return
+            await anyio.sleep(DISCONNECT_CHECK_INTERVAL_S)
+
     async def _read_request(self, limits: ServerLimits) -> Request | _BadRequest | _Closed:
         head: h11.Request | None = None
-        chunks: list[bytes] = []
-        size = 0
+        body = bytearray()
+        chunks = 0
         while True:
             event = await self._next_event()
             if isinstance(event, _BadRequest | _Closed):
@@ -333,13 +346,15 @@
                     await self._connection.send(self._http.send(continue_response))
                 continue
             if isinstance(event, h11.Data):
-                size += len(event.data)
-                if size > limits.body_bytes:
+                body += event.data
+                if len(body) > limits.body_bytes:
                     return _BadRequest(413, f"body exceeds {limits.body_bytes} bytes")
-                chunks.append(bytes(event.data))
+                chunks += 1
+                if chunks % CHUNKS_BETWEEN_PAUSES == 0:
+                    await anyio.lowlevel.checkpoint()
                 continue
             if isinstance(event, h11.EndOfMessage) and head is not None:
-                return Request(head.method, head.target, tuple(head.headers), b"".join(chunks))
+                return Request(head.method, head.target, tuple(head.headers), bytes(body))
             return _Closed("connection closed by the caller")
 
     async def _next_event(self) -> h11.Event | _BadRequest | _Closed:
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -16,6 +16,7 @@
     connect,
     listen,
 )
+from bronzerudder.http1.server import MAX_READ_AHEAD_BYTES
 
 TIMEOUT_S = 5.0
 LIMITS = ServerLimits(
@@ -84,6 +85,37 @@
             answer = await read_until_closed(connection)
             return answer, served.rejected
 
+    async def test_a_disconnect_after_many_pipelined_bytes_cancels_the_request(self):
+        async def wait(request, writer):
+            started.set()
+            try:
+                await anyio.sleep_forever()
+            finally:
+                cancelled.set()
+
+        for size in (0, MAX_READ_AHEAD_BYTES, 3 * MAX_READ_AHEAD_BYTES):
+            for disconnect in (Connection.close, Connection.reset):
+                started, cancelled = anyio.Event(), anyio.Event()
+                with self.subTest(size=size, disconnect=disconnect):
+                    async with Served(wait) as served:
+                        connection = await served.open()
+                        await connection.send(GET)
+                        with anyio.fail_after(TIMEOUT_S):
+                            await started.wait()
+                            await connection.send(b"x" * size)
+                            disconnect(connection)
+                            await cancelled.wait()
+
+    async def test_a_body_of_small_chunks_does_not_suspend_time_limits(self):
+        limits = ServerLimits(header_timeout_s=0.0)
+        head = b"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+        async with Served(limits=limits) as served:
+            connection = await served.open()
+            await connection.send(head + b"1\r\nx\r\n" * 2_000 + b"0\r\n\r\n")
+            answer = await read_answer(connection, b"time\n")
+            self.assertTrue(answer.startswith(b"HTTP/1.1 408"), answer[:40])
+            connection.close()
+
     async def test_requests_follow_each_other_on_a_connection(self):
         async with Served() as served:
             connection = await served.open()
