Bound the bytes of an answer of the platform's store

An answer of the platform that has no end went into the memory of every entry and agent for up to 4 s, and for a watch until 3 s after its time; several hundred megabytes a second over the loopback.

A call now ends at 32 MB; a listing of a row of 400 bytes for each of 36,000 workspaces takes about 20 MB in base64. The client asks for no content encoding, so a small answer can't unpack to a large one either.

--- a/src/bronzerudder/platform/http_client.py
+++ b/src/bronzerudder/platform/http_client.py
@@ -16,6 +16,8 @@
 CONNECT_TIMEOUT_S = 1.0
 CALL_TIMEOUT_S = 3.0
 MAX_CONNECTIONS = 16
+MAX_ANSWER_BYTES = 32_000_000
+"""Above a listing of every workspace's rows at the target size, base64-encoded."""
 
 _Document = TypeVar("_Document")
 
@@ -31,6 +33,11 @@
     timeout_s: float = CALL_TIMEOUT_S
 
 
+class _Answer(NamedTuple):
+    status_code: int
+    content: bytes
+
+
 class PlatformClient:
     """Calls the platform for one process, each time on a connection of its own.
 
@@ -46,7 +53,9 @@
         # An extra answer on a kept connection would be taken for the answer to the next call.
         limits = httpx.Limits(max_connections=MAX_CONNECTIONS, max_keepalive_connections=0)
         self._client = open_client(
-            f"http://{address}", headers={CALLER_HEADER: caller}, limits=limits
+            f"http://{address}",
+            headers={CALLER_HEADER: caller, "accept-encoding": "identity"},
+            limits=limits,
         )
 
     async def close(self) -> None:
@@ -65,22 +74,27 @@
         except (msgspec.DecodeError, RecursionError) as error:
             return _lost_answer(call, f"answer cannot be decoded: {error}")
 
-    async def _send(self, call: Call) -> httpx.Response | StoreError:
+    async def _send(self, call: Call) -> _Answer | StoreError:
         timeout = httpx.Timeout(call.timeout_s, connect=CONNECT_TIMEOUT_S)
         try:
             with anyio.fail_after(call.timeout_s + CONNECT_TIMEOUT_S):
-                return await self._client.request(
-                    call.method,
-                    call.path,
-                    params=call.parameters,
-                    content=call.body,
-                    timeout=timeout,
-                )
+                return await self._receive(call, timeout)
         except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as error:
             return StoreError(StoreErrorKind.UNAVAILABLE, f"{type(error).__name__}: {error}")
         except (httpx.HTTPError, TimeoutError) as error:
             return _lost_answer(call, f"{type(error).__name__}: {error}")
 
+    async def _receive(self, call: Call, timeout: httpx.Timeout) -> _Answer | StoreError:
+        content = bytearray()
+        async with self._client.stream(
+            call.method, call.path, params=call.parameters, content=call.body, timeout=timeout
+        ) as response:
+            async for chunk in response.aiter_raw():
+                content += chunk
+                if len(content) > MAX_ANSWER_BYTES:
+                    return _lost_answer(call, f"answer longer than {MAX_ANSWER_BYTES} bytes")
+        return _Answer(response.status_code, bytes(content))
+
 
 def _lost_answer(call: Call, reason: str) -> StoreError:
     if call.writes:
@@ -88,7 +102,7 @@
     return StoreError(StoreErrorKind.UNAVAILABLE, reason)
 
 
-def _decode_error(call: Call, answer: httpx.Response) -> StoreError:
+def _decode_error(call: Call, answer: _Answer) -> StoreError:
     try:
         document = msgspec.json.decode(answer.content, type=ErrorDocument)
         return StoreError(StoreErrorKind(document["kind"]), document["reason"])
--- a/tests/platform/test_http_client.py
+++ b/tests/platform/test_http_client.py
@@ -10,9 +10,10 @@
 from bronzerudder.platform import StoreErrorKind
 from bronzerudder.platform.http_client import PlatformClient
 from bronzerudder.platform.http_store import HttpObjectStore
-from tests.backend_server.raw_server import RawServer
+from tests.backend_server.raw_server import ENDLESS, RawServer
 
 TIMEOUT_S = 5.0
+UNFRAMED = b"HTTP/1.1 200 OK\r\n\r\n"
 
 
 def build_answer(body, status=b"200 OK", fields=b""):
@@ -66,6 +67,10 @@
             with self.subTest(answer[:60]):
                 await self.check_lost(answer)
 
+    async def test_an_answer_without_end_is_not_read_to_the_end_of_the_time(self):
+        written = await self.check_lost(UNFRAMED, ENDLESS, b"x" * 60_000)
+        self.assertIn("longer than", written.reason)
+
 
 if __name__ == "__main__":
     unittest.main()
