Require the terminator of an engine's stream without length or chunks

Callers got `done` for a stream of which only a part had come: an engine that sends neither a length nor chunks and dies between two events ends its connection in the same way as one that has finished, as the kernel closes the sockets of a killed process in order. With chunks the missing last one shows it.

`data: [DONE]` is what INTERFACES.md promises to callers at the end of a stream, and without framing nothing else proves it. The attempt now ends as broken and the stream continues elsewhere. Only engines are held to it, since they can resume; a framed stream is complete without.

--- a/src/bronzerudder/backend_server/api.py
+++ b/src/bronzerudder/backend_server/api.py
@@ -34,6 +34,11 @@
     def headers(self) -> tuple[tuple[str, str], ...]:
         """HTTP headers."""
 
+    @property
+    @abc.abstractmethod
+    def framed(self) -> bool:
+        """Whether its length or chunks show where it ends, and not only the connection's end."""
+
     @abc.abstractmethod
     async def read(self) -> bytes | None | BackendError:
         """Read the next chunk of the body; None at its end."""
--- a/src/bronzerudder/backend_server/http_server.py
+++ b/src/bronzerudder/backend_server/http_server.py
@@ -20,6 +20,7 @@
 HOP_BY_HOP = frozenset(
     ("connection", "content-length", "host", "keep-alive", "te", "transfer-encoding", "upgrade")
 )
+FRAMING_HEADERS = frozenset(("content-length", "transfer-encoding"))
 SET_BY_EACH_SERVER = frozenset(("date", "server"))
 
 
@@ -42,6 +43,11 @@
         items = self._response.headers.multi_items()
         return tuple((name, value) for name, value in items if name.lower() not in dropped)
 
+    @property
+    def framed(self) -> bool:
+        """Whether its length or chunks show where it ends."""
+        return not FRAMING_HEADERS.isdisjoint(self._response.headers)
+
     async def read(self) -> bytes | None | BackendError:
         """Read the next chunk of the body; None at its end."""
         try:
--- a/src/bronzerudder/execution/relay.py
+++ b/src/bronzerudder/execution/relay.py
@@ -15,7 +15,7 @@
 from bronzerudder.frames import exchange_pb2 as pb
 from bronzerudder.observability import Tracing
 from bronzerudder.observability.traces import TRACEPARENT
-from bronzerudder.web.event_stream import LAST_EVENT_ID, EventSplitter, is_event_stream
+from bronzerudder.web.event_stream import LAST_EVENT_ID, TERMINATOR, EventSplitter, is_event_stream
 
 MAX_REOPENS = 8
 MAX_PROBES = 5
@@ -79,51 +79,56 @@
             answer = await self._backend_server.open(call)
             if isinstance(answer, BackendError):
                 return answer
-            return await _copy(answer, attempt, splitter)
+            return await self._copy(answer, attempt, splitter)
         finally:
             span.end()
 
-
-async def _copy(
-    answer: BackendAnswer, attempt: Attempt, splitter: EventSplitter
-) -> BackendError | None:
-    try:
-        if attempt.head is None:
-            attempt.emit_head(answer.status, answer.headers)
-        elif not _matches(answer, attempt.head):
-            reason = f"the answer with status {answer.status} is not the rest of the one begun"
+    async def _copy(
+        self, answer: BackendAnswer, attempt: Attempt, splitter: EventSplitter
+    ) -> BackendError | None:
+        try:
+            if attempt.head is None:
+                attempt.emit_head(answer.status, answer.headers)
+            elif not _matches(answer, attempt.head):
+                reason = f"the answer with status {answer.status} is not the rest of the one begun"
+                return BackendError(BackendErrorKind.BROKEN, reason)
+            return await self._copy_body(answer, attempt, splitter)
+        finally:
+            with anyio.CancelScope(shield=True):
+                await answer.close()
+
+    async def _copy_body(
+        self, answer: BackendAnswer, attempt: Attempt, splitter: EventSplitter
+    ) -> BackendError | None:
+        streaming = is_event_stream(answer.headers)
+        terminated = False
+        plain_bytes = 0
+        while True:
+            await attempt.wait_for_space()
+            chunk = await answer.read()
+            if isinstance(chunk, BackendError):
+                return chunk
+            if chunk is None:
+                break
+            plain_bytes += 0 if streaming else len(chunk)
+            complete = splitter.split(chunk) if streaming else chunk
+            if complete:
+                terminated = complete.endswith(TERMINATOR)
+                attempt.emit_chunk(complete)
+            excess = _find_excess(plain_bytes, len(splitter.partial_event))
+            if excess is not None:
+                return excess
+        tail = splitter.partial_event
+        if _is_inside_event(tail):
+            return BackendError(BackendErrorKind.BROKEN, "the stream ended inside an event")
+        if tail:
+            terminated = tail.replace(b"\r\n", b"\n").endswith(TERMINATOR)
+            attempt.emit_chunk(tail)
+        if streaming and self._resumable and not (answer.framed or terminated):
+            # The connection of an engine that dies ends in the same way.
+            reason = "the connection ended without the end of the stream"
             return BackendError(BackendErrorKind.BROKEN, reason)
-        return await _copy_body(answer, attempt, splitter)
-    finally:
-        with anyio.CancelScope(shield=True):
-            await answer.close()
-
-
-async def _copy_body(
-    answer: BackendAnswer, attempt: Attempt, splitter: EventSplitter
-) -> BackendError | None:
-    streaming = is_event_stream(answer.headers)
-    plain_bytes = 0
-    while True:
-        await attempt.wait_for_space()
-        chunk = await answer.read()
-        if isinstance(chunk, BackendError):
-            return chunk
-        if chunk is None:
-            break
-        plain_bytes += 0 if streaming else len(chunk)
-        complete = splitter.split(chunk) if streaming else chunk
-        if complete:
-            attempt.emit_chunk(complete)
-        excess = _find_excess(plain_bytes, len(splitter.partial_event))
-        if excess is not None:
-            return excess
-    tail = splitter.partial_event
-    if _is_inside_event(tail):
-        return BackendError(BackendErrorKind.BROKEN, "the stream ended inside an event")
-    if tail:
-        attempt.emit_chunk(tail)
-    return None
+        return None
 
 
 def _can_continue(attempt: Attempt, splitter: EventSplitter) -> bool:
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -26,6 +26,10 @@
     def headers(self):
         return self._headers
 
+    @property
+    def framed(self):
+        return True
+
     async def read(self):
         if not self._chunks:
             return None
