Drop what follows the end of a stream without length or chunks

Callers got pieces that weren't of their stream, behind its end: where nothing frames an answer, a second answer on the connection is a part of the first, head and all, and its events were relayed up to the end of the connection.

test_an_extra_answer_behind_an_unframed_stream_is_not_delivered failed: behind `data: [DONE]` came b'HTTP/1.1 200 OK\r\nContent-Type: text/eve...'. The agent now stops at the terminator of such a stream and closes the connection. Streams and plain answers are copied by functions of their own now, as their ends have little in common.

--- a/src/bronzerudder/execution/relay.py
+++ b/src/bronzerudder/execution/relay.py
@@ -25,6 +25,7 @@
 """Length of an incomplete event, which must fit a message to the entry once it is complete."""
 # `EventSplitter` doesn't split here, so such a stream is all tail.
 CRLF_EVENT_END = b"\r\n\r\n"
+CRLF_TERMINATOR = TERMINATOR.replace(b"\n", b"\r\n")
 
 
 class Relay:
@@ -90,45 +91,64 @@
             if attempt.head is None:
                 attempt.emit_head(answer.status, answer.headers)
             elif not _matches(answer, attempt.head):
-                reason = f"the answer with status {answer.status} is not the rest of the one begun"
-                return BackendError(BackendErrorKind.BROKEN, reason)
-            return await self._copy_body(answer, attempt, splitter)
+                status = answer.status
+                return _break(f"the answer with status {status} is not the rest of the one begun")
+            if is_event_stream(answer.headers):
+                return await self._copy_stream(answer, attempt, splitter)
+            return await _copy_plain(answer, attempt)
         finally:
             with anyio.CancelScope(shield=True):
                 await answer.close()
 
-    async def _copy_body(
+    async def _copy_stream(
         self, answer: BackendAnswer, attempt: Attempt, splitter: EventSplitter
     ) -> BackendError | None:
-        streaming = is_event_stream(answer.headers)
-        terminated = False
-        plain_bytes = 0
         while True:
             await attempt.wait_for_space()
             chunk = await answer.read()
             if isinstance(chunk, BackendError):
                 return chunk
             if chunk is None:
-                break
-            plain_bytes += 0 if streaming else len(chunk)
-            complete = splitter.split(chunk) if streaming else chunk
-            if complete:
-                terminated = complete.endswith(TERMINATOR)
-                attempt.emit_chunk(complete)
-            excess = _find_excess(plain_bytes, len(splitter.partial_event))
-            if excess is not None:
-                return excess
-        tail = splitter.partial_event
+                return self._finish_stream(answer, attempt, splitter.partial_event)
+            events, ended = splitter.split(chunk), False
+            if not answer.framed:
+                events, ended = _cut_after_terminator(events)
+            if events:
+                attempt.emit_chunk(events)
+            if ended:
+                return None
+            if len(splitter.partial_event) > MAX_EVENT_BYTES:
+                return _break(f"event longer than {MAX_EVENT_BYTES} bytes")
+
+    def _finish_stream(
+        self, answer: BackendAnswer, attempt: Attempt, tail: bytes
+    ) -> BackendError | None:
         if _is_inside_event(tail):
-            return BackendError(BackendErrorKind.BROKEN, "the stream ended inside an event")
+            return _break("the stream ended inside an event")
         if tail:
-            terminated = tail.replace(b"\r\n", b"\n").endswith(TERMINATOR)
             attempt.emit_chunk(tail)
-        if streaming and self._resumable and not (answer.framed or terminated):
-            # The connection of an engine that dies ends in the same way.
-            reason = "the connection ended without the end of the stream"
-            return BackendError(BackendErrorKind.BROKEN, reason)
-        return None
+        if answer.framed or tail.endswith(CRLF_TERMINATOR) or not self._resumable:
+            return None
+        # The connection of an engine that dies ends in the same way.
+        return _break("the connection ended without the end of the stream")
+
+
+async def _copy_plain(answer: BackendAnswer, attempt: Attempt) -> BackendError | None:
+    size = 0
+    while True:
+        await attempt.wait_for_space()
+        chunk = await answer.read()
+        if not isinstance(chunk, bytes):
+            return chunk
+        size += len(chunk)
+        if size > MAX_PLAIN_ANSWER_BYTES:
+            return _break(f"plain answer longer than {MAX_PLAIN_ANSWER_BYTES} bytes")
+        if chunk:
+            attempt.emit_chunk(chunk)
+
+
+def _break(reason: str) -> BackendError:
+    return BackendError(BackendErrorKind.BROKEN, reason)
 
 
 def _can_continue(attempt: Attempt, splitter: EventSplitter) -> bool:
@@ -145,14 +165,15 @@
     return answer.headers == head.headers
 
 
-def _find_excess(plain_bytes: int, event_bytes: int) -> BackendError | None:
-    """Return an error if an answer has become too long to hold in memory."""
-    if plain_bytes > MAX_PLAIN_ANSWER_BYTES:
-        reason = f"plain answer longer than {MAX_PLAIN_ANSWER_BYTES} bytes"
-        return BackendError(BackendErrorKind.BROKEN, reason)
-    if event_bytes > MAX_EVENT_BYTES:
-        return BackendError(BackendErrorKind.BROKEN, f"event longer than {MAX_EVENT_BYTES} bytes")
-    return None
+def _cut_after_terminator(events: bytes) -> tuple[bytes, bool]:
+    """Return the events up to the end of the stream, and whether it is among them.
+
+    Without length or chunks, nothing else tells a stream from another answer behind it.
+    """
+    start = 0 if events.startswith(TERMINATOR) else events.find(b"\n" + TERMINATOR) + 1
+    if not events.startswith(TERMINATOR, start):
+        return events, False
+    return events[: start + len(TERMINATOR)], True
 
 
 def _is_inside_event(tail: bytes) -> bool:
--- a/tests/execution/test_bounds.py
+++ b/tests/execution/test_bounds.py
@@ -10,6 +10,7 @@
 from tests.backend_server.raw_server import CLOSE, ENDLESS, RawServer
 from tests.execution.test_executor import Recorder, build_submit, run_executor
 
+COMPLETE = pb.FINISH_STATE_COMPLETE
 SILENCE_TIMEOUT_S = 1.0
 MAX_BUFFERED_FRAMES = 10_000
 STREAM_HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
@@ -77,7 +78,7 @@
             entry = AcknowledgingRecorder(executor)
             executor.submit(build_submit(method="POST", path="/x"), entry)
             finished = await entry.wait_for("finished")
-        self.assertEqual((entry.body(), finished.state), (EVENT + DONE, pb.FINISH_STATE_COMPLETE))
+        self.assertEqual((entry.body(), finished.state), (EVENT + DONE, COMPLETE))
 
     async def test_an_answer_in_tiny_chunks_is_not_buffered_by_the_million(self):
         # The second request is the cancellation at the deadline.
@@ -105,11 +106,21 @@
 
     async def test_an_unframed_stream_with_its_terminator_is_complete(self):
         state = await self.run_stream(STREAM_HEAD, EVENT + DONE)
-        self.assertEqual(state, pb.FINISH_STATE_COMPLETE)
+        self.assertEqual(state, COMPLETE)
+
+    async def test_an_extra_answer_behind_an_unframed_stream_is_not_delivered(self):
+        extra = STREAM_HEAD + b"id: 9\ndata: extra\n\n" + DONE
+        for script in ([STREAM_HEAD + EVENT + DONE + extra], [STREAM_HEAD + EVENT + DONE, extra]):
+            server = RawServer([*script, CLOSE], [EMPTY_ANSWER])
+            async with run_against(server) as executor:
+                entry = AcknowledgingRecorder(executor)
+                executor.submit(build_submit(method="POST", path="/x"), entry)
+                finished = await entry.wait_for("finished")
+            self.assertEqual((entry.body(), finished.state), (EVENT + DONE, COMPLETE))
 
     async def test_a_framed_stream_without_a_terminator_is_complete(self):
         head = STREAM_HEAD.replace(b"\r\n\r\n", b"\r\nContent-Length: %d\r\n\r\n" % len(EVENT))
-        self.assertEqual(await self.run_stream(head, EVENT), pb.FINISH_STATE_COMPLETE)
+        self.assertEqual(await self.run_stream(head, EVENT), COMPLETE)
 
 
 if __name__ == "__main__":
