Reject a request body that no message to an agent can carry

With `max_body_bytes` above 16 MB, one caller's request ended the connection between its entry and an agent, and with it interrupted every stream there: the agent receives messages of 16 MB. The request was refused as withdrawn, sent to the next agent, and interrupted that connection too, up to eight times.

test_a_body_that_fits_no_message_to_an_agent_is_rejected failed: a request of 16 MB was accepted. The entry now answers 413 beyond 15 MB, which leaves a megabyte of the message to headers, of which hypercorn takes 64 KiB at most. The setting keeps its name and its meaning below that size.

--- a/src/bronzerudder/caller/reader.py
+++ b/src/bronzerudder/caller/reader.py
@@ -13,6 +13,7 @@
 from bronzerudder.caller.errors import BadRequest
 from bronzerudder.caller.headers import IDEMPOTENCY_KEY, CallerHeaders
 from bronzerudder.dispatch import CallerRequest
+from bronzerudder.frames.batches import MAX_PAYLOAD_BYTES
 from bronzerudder.observability.traces import TRACEPARENT
 from bronzerudder.web import BodyTooLarge, CallerGone, read_body, read_headers
 
@@ -47,12 +48,12 @@
     headers : CallerHeaders
         Names of the headers exchanged with callers.
     max_body_bytes : int
-        Maximum length of a request body; longer ones are rejected.
+        Maximum length of a request body, at most `MAX_PAYLOAD_BYTES`; longer ones are rejected.
     """
 
     def __init__(self, headers: CallerHeaders, max_body_bytes: int) -> None:
         self._headers = headers
-        self._max_body_bytes = max_body_bytes
+        self._max_body_bytes = min(max_body_bytes, MAX_PAYLOAD_BYTES)
         self._decoder = msgspec.json.Decoder(_Completion)
 
     async def read(
--- a/src/bronzerudder/frames/batches.py
+++ b/src/bronzerudder/frames/batches.py
@@ -9,6 +9,9 @@
 MAX_MESSAGE_BYTES = 16_000_000
 """Largest message that either side receives; a larger one ends the connection."""
 
+MAX_PAYLOAD_BYTES = 15_000_000
+"""Largest request body in a frame; the rest of a message is for its headers and other fields."""
+
 MAX_BATCH_BYTES = 1_000_000
 """Size at which a batch is sent; one frame may be larger, up to `MAX_MESSAGE_BYTES`."""
 
--- a/tests/caller/test_reader.py
+++ b/tests/caller/test_reader.py
@@ -10,6 +10,7 @@
 from bronzerudder.caller.errors import BadRequest
 from bronzerudder.caller.headers import CallerHeaders
 from bronzerudder.caller.reader import RequestReader
+from bronzerudder.frames.batches import MAX_MESSAGE_BYTES
 
 TIMEOUT_S = 5.0
 SCOPE = {"method": "POST", "path": "/x", "headers": []}
@@ -31,6 +32,14 @@
         self.assertIsInstance(result, BadRequest)
         self.assertEqual(result.status, 408)
 
+    async def test_a_body_that_fits_no_message_to_an_agent_is_rejected(self):
+        async def receive():
+            return {"type": "http.request", "body": bytes(MAX_MESSAGE_BYTES), "more_body": False}
+
+        result = await self.read(receive, max_body_bytes=2 * MAX_MESSAGE_BYTES)
+        self.assertIsInstance(result, BadRequest)
+        self.assertEqual(result.status, 413)
+
 
 if __name__ == "__main__":
     unittest.main()
