Bound the time for the last part of an answer to a caller

A caller that doesn't read, but stays connected, kept its request in flight at the entry for ever: the deadline bounds what is sent before the outcome, and the last part, for a plain answer all of it, waited for the connection to drain.

test_a_request_ends_although_its_caller_does_not_read timed out after 5 s, for a plain answer and a stream. The last part now has 60 s beyond the deadline, and the connection is then closed.

--- a/src/bronzerudder/caller/app.py
+++ b/src/bronzerudder/caller/app.py
@@ -18,6 +18,8 @@
 from bronzerudder.web import CallerGone, read_headers
 
 STATUS_INTERNAL_ERROR = 500
+SEND_TIMEOUT_S = 60.0
+"""Time for the last part of an answer; a caller that doesn't read is disconnected after it."""
 DURATION_BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60)
 
 
@@ -91,13 +93,13 @@
         sink = CallerSink(send, self._headers)
         if isinstance(request, BadRequest):
             outcome = Outcome(OutcomeKind.NOT_RUN, request.status, request.reason)
-            await sink.conclude(outcome)
+            await _conclude(sink, outcome)
             return outcome
         outcome = None
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(_cancel_on_disconnect, receive, tasks.cancel_scope)
             outcome = await self._dispatch(request, sink)
-            await sink.conclude(outcome)
+            await _conclude(sink, outcome)
             tasks.cancel_scope.cancel()
         return outcome
 
@@ -109,6 +111,11 @@
             return Outcome(OutcomeKind.UNKNOWN, STATUS_INTERNAL_ERROR, "internal error")
 
 
+async def _conclude(sink: CallerSink, outcome: Outcome) -> None:
+    with anyio.move_on_after(SEND_TIMEOUT_S):
+        await sink.conclude(outcome)
+
+
 async def _cancel_on_disconnect(receive: Any, scope: anyio.CancelScope) -> None:
     while (await receive())["type"] != "http.disconnect":
         continue
