Don't store the rest of a stream as the answer of its key

A caller with an idempotency key that resumed a stream with `last-event-id` left the rest of it on record as the answer of the key. A repeat of the request without that header then got this part, replayed as `done`, for the whole.

test_the_rest_of_a_stream_is_not_stored_as_the_whole failed: the repeat got b'id: 2\ndata: b\n\n', complete. Such an answer isn't stored now: the key is on record as run without an answer, and a repeat is told `unknown`.

--- a/src/bronzerudder/execution/keyed.py
+++ b/src/bronzerudder/execution/keyed.py
@@ -87,7 +87,9 @@
         _emit_recorded_result(attempt, outcome)
 
     async def _run_granted(self, attempt: Attempt, key: ClaimKey) -> None:
-        attempt.keep_answer()
+        # The rest of a stream must not be replayed as the whole.
+        if not _find_last_event_id(attempt.submit):
+            attempt.keep_answer()
         try:
             await self._run_in_slot(attempt)
         finally:
--- a/tests/execution/test_keyed.py
+++ b/tests/execution/test_keyed.py
@@ -90,6 +90,17 @@
         body, finished = await self.replay_stream("9")
         self.assertEqual((body, finished.state), (b"", pb.FINISH_STATE_UNKNOWN))
 
+    async def test_the_rest_of_a_stream_is_not_stored_as_the_whole(self):
+        backend_server = ScriptedBackendServer([b"id: 2\ndata: b\n\n"])
+        header = pb.Header(name="last-event-id", value="1")
+        async with keyed_executor(backend_server) as executor:
+            first, repeat = Recorder(), Recorder()
+            executor.submit(keyed("r", headers=[header]), first)
+            await first.wait_for("finished")
+            executor.submit(keyed("s"), repeat)
+            finished = await repeat.wait_for("finished")
+        self.assertEqual((repeat.body(), finished.state), (b"", pb.FINISH_STATE_UNKNOWN))
+
     async def test_a_repeat_of_a_running_key_attaches_to_it(self):
         hold = anyio.Event()
         backend_server = build_service([hold, b"booked"])
