--- a/src/bronzerudder/caller/reader.py
+++ b/src/bronzerudder/caller/reader.py
@@ -6,12 +6,14 @@
 import uuid
 from typing import Any
 
+import anyio
 import msgspec
 import xxhash
 
 from bronzerudder.caller.errors import BadRequest
 from bronzerudder.caller.headers import IDEMPOTENCY_KEY, CallerHeaders
 from bronzerudder.dispatch import CallerRequest
+from bronzerudder.frames.batches import MAX_PAYLOAD_BYTES
 from bronzerudder.observability.traces import TRACEPARENT
 from bronzerudder.web import BodyTooLarge, CallerGone, read_body, read_headers
 
@@ -19,6 +21,8 @@
 DEFAULT_GENERATED_TOKENS = 256
 PREFIX_CHARACTERS = 256
 MAX_KEY_LENGTH = 255
+BODY_TIMEOUT_S = 60.0
+"""Time for a whole request body: 4 MB take half of it at 1 Mbit/s."""
 COMPLETIONS_SUFFIX = "/completions"
 NOT_FORWARDED = frozenset(
     ("connection", "content-length", "host", "keep-alive", "te", "transfer-encoding", "upgrade")
@@ -44,12 +48,12 @@
     headers : CallerHeaders
         Names of the headers exchanged with callers.
     max_body_bytes : int
-        Maximum length of a request body; longer ones are rejected.
+        Maximum length of a request body, at most `MAX_PAYLOAD_BYTES`; longer ones are rejected.
     """
 
     def __init__(self, headers: CallerHeaders, max_body_bytes: int) -> None:
         self._headers = headers
-        self._max_body_bytes = max_body_bytes
+        self._max_body_bytes = min(max_body_bytes, MAX_PAYLOAD_BYTES)
         self._decoder = msgspec.json.Decoder(_Completion)
 
     async def read(
@@ -63,7 +67,11 @@
         key = fields.get(IDEMPOTENCY_KEY, "")
         if len(key) > MAX_KEY_LENGTH:
             return BadRequest(400, f"idempotency key longer than {MAX_KEY_LENGTH} characters")
-        body = await read_body(receive, self._max_body_bytes)
+        body: bytes | BodyTooLarge | CallerGone | None = None
+        with anyio.move_on_after(BODY_TIMEOUT_S):
+            body = await read_body(receive, self._max_body_bytes)
+        if body is None:
+            return BadRequest(408, f"body not complete within {BODY_TIMEOUT_S:.0f} s")
         if isinstance(body, CallerGone):
             return body
         if isinstance(body, BodyTooLarge):
--- a/tests/execution/test_relay.py
+++ b/tests/execution/test_relay.py
@@ -5,7 +5,8 @@
 import unittest
 
 from bronzerudder.backend_server import BackendError
-from bronzerudder.execution.relay import _copy_body
+from bronzerudder.execution.relay import Relay
+from bronzerudder.observability import Tracing
 from bronzerudder.web.event_stream import EventSplitter
 
 PIECE = b"x" * 1_400
@@ -15,7 +16,9 @@
 class EndlessEvent:
     """An answer whose second event never ends."""
 
+    status = 200
     headers = (("content-type", "text/event-stream"),)
+    framed = True
 
     def __init__(self):
         self.reads = 0
@@ -26,13 +29,21 @@
             return BackendError(None, "read to the end")
         return b"id: 1\ndata: a\n\nid: 2\n" if self.reads == 1 else PIECE
 
+    async def close(self):
+        return
+
 
 class RecordingAttempt:
     """Records the chunks that are emitted."""
 
+    head = None
+
     def __init__(self):
         self.chunks = []
 
+    def emit_head(self, status, headers):
+        return
+
     async def wait_for_space(self):
         return
 
@@ -53,17 +64,23 @@
         return super().partial_event
 
 
+async def copy(attempt, splitter):
+    """Relay an endless event; return the error."""
+    relay = Relay(None, False, Tracing("agent", "a", 0.0))
+    return await relay._copy(EndlessEvent(), attempt, splitter)
+
+
 class RelayTest(unittest.IsolatedAsyncioTestCase):
     async def test_an_event_without_end_fails_the_answer(self):
-        answer, attempt = EndlessEvent(), RecordingAttempt()
-        error = await _copy_body(answer, attempt, EventSplitter())
+        attempt = RecordingAttempt()
+        error = await copy(attempt, EventSplitter())
         self.assertIsInstance(error, BackendError)
         self.assertIn("event exceeds", error.reason)
         self.assertEqual(attempt.chunks, [b"id: 1\ndata: a\n\n"])
 
     async def test_an_event_is_not_copied_for_each_chunk(self):
         splitter = CountingSplitter()
-        await _copy_body(EndlessEvent(), RecordingAttempt(), splitter)
+        await copy(RecordingAttempt(), splitter)
         self.assertLessEqual(splitter.copies, 1)
 
 
