Test what callers get when backend servers write faulty answers

Each behaviour of the stand-in FaultyAnswerServer is played against a gateway in one process, on a repeatable and a non-repeatable route for plain answers and for streams, with one and with two faulty answers before sound ones.

--- a/src/bronzerudder/standin/fleet/answer_script.py
+++ b/src/bronzerudder/standin/fleet/answer_script.py
@@ -18,7 +18,8 @@
 """Event at which a stream breaks off later than its first event."""
 LONG_BODY_BYTES = 1 << 40
 """Length that an answer with too long a body states."""
-TEXTS_PER_CHUNK = 32
+TEXTS_PER_CHUNK = 1000
+"""Repetitions of a text in each chunk of an endless answer."""
 INFORMATIONAL_HEAD = b"HTTP/1.1 102 Processing\r\n\r\n"
 FOREIGN_ID = b"another-request"
 GARBAGE = b"\x16\x03\x01 these bytes are no answer\r\n\r\n"
@@ -78,6 +79,7 @@
     time: ExtraTime
     request_id: ExtraId = ExtraId.SAME
     framing: Framing | None = None
+    status: int = 200
 
 
 class Endless(enum.Enum):
@@ -188,7 +190,8 @@
         request_id = by_id[extra.request_id]
         framing = extra.framing or self._framing
         contents = self._contents(FOREIGN_ID if extra.request_id is ExtraId.OTHER else self._id)
-        head = self._head(request_id, framing, sum(len(item) for item in contents))
+        length = sum(len(item) for item in contents)
+        head = self._head(request_id, framing, length, extra.status)
         end = b"0\r\n\r\n" if framing is Framing.CHUNKS else b""
         return head + b"".join(_frame(contents, framing)) + end
 
@@ -244,9 +247,9 @@
             return [*contents[:complete], event[: len(b"id: 1")]]
         return [*contents[:complete], event[: event.index(b"event")]]
 
-    def _head(self, request_id: bytes, framing: Framing, length: int) -> bytes:
+    def _head(self, request_id: bytes, framing: Framing, length: int, status: int = 200) -> bytes:
         content_type = b"text/event-stream" if self._is_stream else b"text/plain"
-        lines = [b"HTTP/1.1 200 OK", wire.SIGNATURE + b": signed", wire.LOAD + b": 1,0,6"]
+        lines = [b"HTTP/1.1 %d OK" % status, wire.SIGNATURE + b": signed", wire.LOAD + b": 1,0,6"]
         lines.append(b"content-type: " + content_type)
         if request_id:
             lines.append(wire.REQUEST_ID + b": " + request_id)
--- a/src/bronzerudder/standin/fleet/faulty_answers.py
+++ b/src/bronzerudder/standin/fleet/faulty_answers.py
@@ -22,7 +22,7 @@
     ExtraTime,
 )
 
-EVENT_GAP_S = 0.002
+EVENT_GAP_S = 0.001
 EXTRA_DELAY_S = 0.02
 """Time after an answer at which an extra answer arrives while the connection is idle."""
 EARLY_READ_DELAY_S = 0.3
@@ -32,6 +32,8 @@
 MAX_ENDLESS_BYTES = 64 * 1024 * 1024
 """After so many bytes an endless answer pauses until the peer closes the connection."""
 MAX_REQUEST_HEAD_BYTES = 65_536
+RECEIVE_BUFFER_BYTES = 16_384
+"""Small, so that the kernel does not take a long body before it is read."""
 
 
 class FaultyAnswerServer:
@@ -74,6 +76,7 @@
 
     async def serve(self, listener: socket.socket) -> None:
         """Accept and serve connections until cancelled."""
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
         async with anyio.create_task_group() as tasks:
             while True:
                 tasks.start_soon(self._serve_connection, await accept(listener))
