Play faulty answers and crashing prompt parts in the soak

With SoakShape.answers (`make soak ANSWERS=1`) a run has two more services: one whose backend servers write one kind of faulty answers in each drawn window (two of three servers), and one whose backend servers crash on a part of a prompt, sent by callers that share keys and other prompt parts with sound ones. Checks: bodies and streams are the request's own, byte for byte, and complete ones whole; a part reaches backend servers at most three times after five crashes and the stable window, from gateways in touch as the platform defines it; sound requests are then served at least half as often as at other times. Half of these runs have faults of all kinds too.

--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,8 @@
 	$(BIN)/python -m bench
 
 soak: $(STAMP)
-	$(BIN)/python -W ignore -m bench.soak $(if $(SEED),--seed=$(SEED),--seeds=$(or $(SEEDS),10))
+	$(BIN)/python -W ignore -m bench.soak $(if $(SEED),--seed=$(SEED),--seeds=$(or $(SEEDS),10)) \
+		$(if $(ANSWERS),--answers=True)
 
 binary: dist/bronzerudder
 
--- a/bench/harness/fleet.py
+++ b/bench/harness/fleet.py
@@ -14,6 +14,7 @@
 from bronzerudder.http1 import ClientPool, HttpError, HttpServer, listen
 from bronzerudder.platform import wire
 from bronzerudder.standin.fleet import (
+    FaultyAnswerServer,
     LockstepGroup,
     StandinBackendServer,
     StandinRank,
@@ -62,9 +63,12 @@
 
 
 def make_configuration(
-    version: int, routes: list[dict[str, Any]] | None = None, keys: dict[str, str] | None = None
+    version: int,
+    routes: list[dict[str, Any]] | None = None,
+    keys: dict[str, str] | None = None,
+    services: tuple[str, ...] = (),
 ) -> dict[str, Any]:
-    """Make a configuration with a route of each kind, and any further routes given."""
+    """Make a configuration with a route of each kind, and any further routes and services given."""
     engine = {"step_ms": 5.0, "sets": SETS, "experts": EXPERTS, "placements": 8, "spare": 2}
     return {
         "version": version,
@@ -75,7 +79,11 @@
             make_route("once", "streaming", MODEL_SERVICE, max_attempts=1),
             *(routes or []),
         ],
-        "services": [{"name": PLAIN_SERVICE}, {"name": MODEL_SERVICE, "engine": engine}],
+        "services": [
+            {"name": PLAIN_SERVICE},
+            {"name": MODEL_SERVICE, "engine": engine},
+            *({"name": name} for name in services),
+        ],
         "tenants": [
             {"name": name, "api_keys": [key]} for name, key in (keys or KEYS).items() if key
         ],
@@ -114,6 +122,8 @@
     ----------
     store, model_servers, plain_servers, group, ranks
         The stand-ins; `model_servers` run the model's requests, one for each rank.
+    further_servers : list
+        Backend servers that the owner of the fleet serves and registers.
     """
 
     def __init__(
@@ -129,6 +139,7 @@
         self.plain_servers = [
             StandinBackendServer(f"p-{number}") for number in range(shape.plain_servers)
         ]
+        self.further_servers: list[StandinBackendServer | FaultyAnswerServer] = []
         self._peer_port = free_port("127.0.0.1")
         hosts = [f"127.0.1.{number + 1}" for number in range(shape.ranks)]
         rank_port = free_port(hosts[0]) if hosts else 0
@@ -147,6 +158,11 @@
         """All processes that were started."""
         return self._processes
 
+    @property
+    def backend_servers(self) -> list[StandinBackendServer | FaultyAnswerServer]:
+        """All backend servers."""
+        return [*self.plain_servers, *self.model_servers, *self.further_servers]
+
     def serve_stand_ins(self) -> None:
         """Serve the store, backend servers and ranks, and register the backend servers."""
         self.store_address = self.serve(self.store.server)
@@ -161,7 +177,11 @@
             self._tasks.append(asyncio.create_task(self._run_steps()))
 
     def register_backend_server(
-        self, backend: StandinBackendServer, service: str, address: str, leaving: bool = False
+        self,
+        backend: StandinBackendServer | FaultyAnswerServer,
+        service: str,
+        address: str,
+        leaving: bool = False,
     ) -> None:
         """Write a backend server's record to the store."""
         record = {
@@ -172,7 +192,7 @@
         }
         self.store.put(wire.BACKEND_SERVER_KIND, backend.instance_id, record)
 
-    def serve(self, server: HttpServer, address: str = "127.0.0.1:0") -> str:
+    def serve(self, server: HttpServer | FaultyAnswerServer, address: str = "127.0.0.1:0") -> str:
         """Serve in this process; return the address."""
         listener = listen(address)
         self._tasks.append(asyncio.create_task(server.serve(listener)))
--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -22,9 +22,15 @@
 MAX_LINES = 10
 
 
-def run_seed(seed: int, gateways: int = 2, ranks: int = 4, seconds: float = 12.0) -> int:
+def run_seed(
+    seed: int,
+    gateways: int = 2,
+    ranks: int = 4,
+    seconds: float = 12.0,
+    answers: bool = False,
+) -> int:
     """Run one seed and print a report; return the number of violations."""
-    shape = SoakShape(gateways, ranks, seconds=seconds)
+    shape = SoakShape(gateways, ranks, seconds=seconds, answers=answers)
     with tempfile.TemporaryDirectory(prefix=f"soak-{seed}-") as directory:
         started_s = time.monotonic()
         run = SoakRun(seed, shape, pathlib.Path(directory))
@@ -57,6 +63,7 @@
     gateways: int = 2,
     ranks: int = 4,
     seconds: float = 12.0,
+    answers: bool = False,
 ) -> None:
     """Run seeds, several at once; exit with code 1 if any run violates a guarantee.
 
@@ -72,13 +79,20 @@
         Numbers of processes in a run.
     seconds : float
         Duration of the fault injection; start and recovery come in addition.
+    answers : bool
+        Whether backend servers also write faulty answers and crash on parts of prompts.
     """
-    sizes = (f"--gateways={gateways}", f"--ranks={ranks}", f"--seconds={seconds}")
+    options = (
+        f"--gateways={gateways}",
+        f"--ranks={ranks}",
+        f"--seconds={seconds}",
+        f"--answers={answers}",
+    )
     if seed is not None:
-        sys.exit(1 if run_seed(seed, gateways, ranks, seconds) else 0)
+        sys.exit(1 if run_seed(seed, gateways, ranks, seconds, answers) else 0)
 
     def run_subprocess(number: int) -> bool:
-        command = [sys.executable, "-m", "bench.soak", f"--seed={number}", *sizes]
+        command = [sys.executable, "-m", "bench.soak", f"--seed={number}", *options]
         done = subprocess.run(
             command, capture_output=True, check=False, text=True, timeout=SEED_TIMEOUT_S
         )
--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -2,25 +2,59 @@
 
 from __future__ import annotations
 
+import os.path
 import random
 import time
 from collections.abc import Callable
 from typing import NamedTuple
 
 import anyio
+import xxhash
 
 from bench.harness.fleet import HOST, KEYS
-from bronzerudder.http1 import ClientPool, HttpError
+from bronzerudder.http1 import ClientPool, Exchange, HttpError
 from bronzerudder.platform import wire
+from bronzerudder.standin.fleet.answer_script import EVENTS, event_of, plain_body
 
 KINDS = ("read", "book", "stream", "once")
 DEADLINE_S = 3.0
 PAUSE_S = (0.01, 0.12)
+PART_TOKENS = 200
+ANSWER_TOKENS = 40
 INCOMPLETE = 0
 """Status of a result without a complete answer."""
 EVENT_PREFIX = b"id: "
 
 
+class Workload(NamedTuple):
+    """What a caller requests.
+
+    Parameters
+    ----------
+    service : str
+        Service that serves it; empty for those of the fleet.
+    host : str
+        Host of its routes.
+    kinds : tuple of str
+        Kinds of its requests; also the paths of its routes.
+    parts : tuple of str
+        Ids of the parts of its prompts, without the last part, which differs for each request.
+    crashes : bool
+        Whether its requests crash backend servers.
+    """
+
+    service: str = ""
+    host: str = HOST
+    kinds: tuple[str, ...] = KINDS
+    parts: tuple[str, ...] = ()
+    crashes: bool = False
+
+
+GENERAL = Workload()
+ANSWERS = Workload("answers", "answers.example")
+PROMPTS = Workload("prompts", "prompts.example", ("stream",), ("5c1e07a2", "91bd3f06"))
+
+
 class Result(NamedTuple):
     """Result of one request.
 
@@ -38,6 +72,8 @@
         Request id in the answer.
     fault : str
         Defect of the answer itself; empty if there is none.
+    workload : Workload
+        What the caller requests.
     """
 
     request_id: str
@@ -50,6 +86,7 @@
     status: int
     answers_to: str
     fault: str
+    workload: Workload = GENERAL
 
 
 class GatewayEndpoint(NamedTuple):
@@ -72,6 +109,8 @@
         Draws requests.
     results : list of Result
         List that results are appended to.
+    workload : Workload
+        What it requests.
     """
 
     def __init__(
@@ -80,7 +119,9 @@
         gateways: Callable[[], dict[str, GatewayEndpoint]],
         generator: random.Random,
         results: list[Result],
+        workload: Workload = GENERAL,
     ) -> None:
+        self._workload = workload
         self._name = name
         self._gateways = gateways
         self._generator = generator
@@ -107,7 +148,7 @@
     async def _call(self, gateway: str, endpoint: GatewayEndpoint) -> None:
         self._number += 1
         request_id = f"{self._name}-{self._number}"
-        kind = self._generator.choice(KINDS)
+        kind = self._generator.choice(self._workload.kinds)
         workspace = self._generator.choice(sorted(KEYS))
         sent_at_s = time.monotonic()
         sent, status, answers_to, fault = False, INCOMPLETE, "", ""
@@ -121,17 +162,17 @@
                 self._current_gateway = ""
                 return
             try:
-                headers = _headers(request_id, KEYS[workspace])
+                headers = _headers(request_id, KEYS[workspace], self._workload)
                 path = f"/{kind}/{request_id}".encode()
                 send_error = await exchange.send(b"POST", path, headers, request_id.encode())
                 sent = send_error is None
                 head = await exchange.read_head()
                 if not isinstance(head, HttpError):
                     answers_to = (head.header(wire.REQUEST_ID) or b"").decode()
-                    body = await exchange.read_rest()
-                    if isinstance(body, bytes):
+                    body, whole = await _read_body(exchange)
+                    fault = find_fault(request_id, kind, head.status, body, whole, self._workload)
+                    if whole:
                         status = head.status
-                        fault = _find_fault(kind, status, body)
                         exchange.release()
             finally:
                 exchange.discard()
@@ -149,23 +190,46 @@
                 status,
                 answers_to,
                 fault,
+                self._workload,
             )
         )
 
 
-def _headers(request_id: str, key: str) -> list[tuple[bytes, bytes]]:
-    return [
-        (b"host", HOST.encode()),
+def _headers(request_id: str, key: str, workload: Workload) -> list[tuple[bytes, bytes]]:
+    headers = [
+        (b"host", workload.host.encode()),
         (wire.API_KEY, key.encode()),
         (wire.REQUEST_ID, request_id.encode()),
         (wire.DEADLINE_MS, str(int(DEADLINE_S * 1000)).encode()),
     ]
-
-
-def _find_fault(kind: str, status: int, body: bytes) -> str:
+    if workload.parts:
+        parts = [*workload.parts, f"{xxhash.xxh32_intdigest(request_id.encode()):08x}"]
+        prompt = ",".join(f"{part}:{PART_TOKENS}" for part in parts)
+        headers.append((wire.PROMPT_PARTS, prompt.encode()))
+        headers.append((wire.TOKENS, f"{PART_TOKENS * len(parts)},{ANSWER_TOKENS}".encode()))
+    return headers
+
+
+async def _read_body(exchange: Exchange) -> tuple[bytes, bool]:
+    """Read a body; return it as far as it came, and whether it is complete."""
+    chunks = []
+    while True:
+        chunk = await exchange.read_body()
+        if not isinstance(chunk, bytes):
+            return b"".join(chunks), chunk is None
+        chunks.append(chunk)
+
+
+def find_fault(
+    request_id: str, kind: str, status: int, body: bytes, whole: bool, workload: Workload
+) -> str:
     """Return the defect of a successful answer that is truncated or out of order, or ''."""
     if status != 200:
         return ""
+    if workload.service == ANSWERS.service:
+        return _find_foreign_bytes(request_id.encode(), kind, body, whole)
+    if not whole:
+        return ""
     if kind in ("read", "book"):
         return "" if body.startswith(b"from ") else f"unexpected body {body[:40]!r}"
     ids = [
@@ -176,3 +240,15 @@
     if not ids or ids != list(range(1, ids[-1] + 1)):
         return f"event ids {ids} are not consecutive from 1"
     return "" if body.endswith(b"\n\n") else "the stream ends inside an event"
+
+
+def _find_foreign_bytes(request_id: bytes, kind: str, body: bytes, whole: bool) -> str:
+    """Return how a body differs from the start, or the whole, of the answer to its request."""
+    expected = plain_body(request_id)
+    if kind in ("stream", "once"):
+        expected = b"".join(event_of(request_id, number) for number in range(1, EVENTS + 1))
+    if body == expected or (not whole and expected.startswith(body)):
+        return ""
+    matching = len(os.path.commonprefix([body, expected]))
+    end = "complete" if whole else "cut"
+    return f"after {matching} bytes of its own answer, {end}, came {body[matching:][:80]!r}"
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -6,13 +6,22 @@
 from typing import NamedTuple
 
 from bench.harness.fleet import Fleet
-from bench.soak.callers import DEADLINE_S, INCOMPLETE, Result
+from bench.soak.callers import DEADLINE_S, INCOMPLETE, PROMPTS, Result
 from bronzerudder.platform import wire
+from bronzerudder.standin.fleet import StandinBackendServer
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 AT_MOST_ONCE_KINDS = ("book", "once")
 DENIED_STATUSES = (401, 403, 404)
 DEADLINE_SLACK_S = 0.1
+STABLE_WINDOW_S = 3.0
+"""The platform's ``stable_window_ms``, in seconds."""
+CRASHES_BEFORE_BOUND = 5
+MAX_LATE_ARRIVALS = 3
+"""Requests with a crashing part that may reach backend servers after `CRASHES_BEFORE_BOUND`
+crashes and the stable window."""
+MIN_SOUND_REQUESTS = 20
+MIN_SOUND_RATIO = 0.5
 RESTORED_KEY_DENIAL_S = 10.0
 """Time for which a caller may still be denied after its revoked key was restored, in seconds."""
 
@@ -33,6 +42,14 @@
     end_s: float
 
 
+class CrashWindow(NamedTuple):
+    """Interval of monotonic times in which requests with a crashing part were sent."""
+
+    part: str
+    begin_s: float
+    end_s: float
+
+
 class History(NamedTuple):
     """Record of one run.
 
@@ -47,24 +64,38 @@
     left_at_s : dict
         Monotonic time at which a drained backend server was removed, by instance id; not recorded
         if anything was disturbed during the drain.
+    restarts : list of Disturbance
+        From the signal that stopped a gateway until it was ready again.
+    crash_windows : list of CrashWindow
+        When requests with a crashing part were sent.
     """
 
     results: list[Result]
     disturbances: list[Disturbance]
     revoked_until_s: dict[str, float]
     left_at_s: dict[str, float]
+    restarts: list[Disturbance]
+    crash_windows: list[CrashWindow]
 
     def was_disturbed_since(self, started_s: float) -> bool:
         """Return whether anything was disturbed at or after a monotonic time."""
         return any(item.end_s >= started_s for item in self.disturbances)
 
+    def was_in_touch(self, gateway: str, at_s: float) -> bool:
+        """Return whether a gateway and its store were undisturbed for the stable window before."""
+        return not any(
+            item.scope in (gateway, "store")
+            and item.begin_s <= at_s
+            and item.end_s >= at_s - STABLE_WINDOW_S
+            for item in [*self.disturbances, *self.restarts]
+        )
+
 
 def find_violations(fleet: Fleet, history: History) -> list[str]:
     """Return a line for each violation of a guarantee."""
-    backends = [*fleet.plain_servers, *fleet.model_servers]
     runs = Counter(
         (request.header(wire.REQUEST_ID) or b"").decode()
-        for backend in backends
+        for backend in fleet.backend_servers
         for request in backend.runs
     )
     found = []
@@ -73,6 +104,8 @@
         if fault:
             found.append(f"{fault}: {result}")
     found.extend(_check_runs(fleet, history))
+    for window in history.crash_windows:
+        found.extend(_check_crashes(fleet, history, window))
     found.extend(f"step {step} ran on {len(maps)} maps" for step, maps in fleet.group.mixed_steps)
     return found
 
@@ -106,7 +139,7 @@
     if result.ended_at_s - result.sent_at_s > DEADLINE_S - DEADLINE_SLACK_S:
         return True
     return any(
-        disturbance.scope in (result.gateway, "backend")
+        disturbance.scope in (result.gateway, result.workload.service or "backend")
         and disturbance.begin_s <= result.ended_at_s
         and disturbance.end_s >= result.sent_at_s
         for disturbance in history.disturbances
@@ -116,7 +149,7 @@
 def _check_runs(fleet: Fleet, history: History) -> list[str]:
     found = []
     workspaces = {result.request_id: result.workspace for result in history.results}
-    for backend in [*fleet.plain_servers, *fleet.model_servers]:
+    for backend in fleet.backend_servers:
         left_at_s = history.left_at_s.get(backend.instance_id)
         for request, at_s in zip(backend.runs, backend.run_at_s, strict=True):
             request_id = (request.header(wire.REQUEST_ID) or b"").decode()
@@ -129,3 +162,58 @@
             if left_at_s is not None and at_s > left_at_s:
                 found.append(f"{request_id} ran at {backend.instance_id}, which had left")
     return found
+
+
+def _check_crashes(fleet: Fleet, history: History, window: CrashWindow) -> list[str]:
+    """Check how often a crashing part reached backend servers, and what sound requests got."""
+    servers = [item for item in fleet.further_servers if isinstance(item, StandinBackendServer)]
+    crashes = sorted(
+        at_s
+        for server in servers
+        for at_s in server.crash_at_s
+        if window.begin_s <= at_s <= window.end_s
+    )
+    if len(crashes) < CRASHES_BEFORE_BOUND:
+        return []
+    bound_from_s = crashes[CRASHES_BEFORE_BOUND - 1] + STABLE_WINDOW_S
+    gateways = {result.request_id: result.gateway for result in history.results}
+    late = []
+    for server in servers:
+        for arrival in server.crashing_arrivals:
+            request_id = (arrival.request.header(wire.REQUEST_ID) or b"").decode()
+            gateway = gateways.get(request_id)
+            if gateway is None or arrival.at_s <= bound_from_s:
+                # Without a result, as it was in flight at the end, or before the bound holds.
+                continue
+            if history.was_in_touch(gateway, arrival.at_s):
+                late.append(request_id)
+    found = []
+    if len(late) > MAX_LATE_ARRIVALS:
+        found.append(
+            f"part {window.part} reached backend servers {len(late)} times after five crashes and"
+            f" the stable window, {len(crashes)} crashes in all: {late[:10]}"
+        )
+    found.extend(_check_sound_prompts(history, window, bound_from_s + STABLE_WINDOW_S))
+    return found
+
+
+def _check_sound_prompts(history: History, window: CrashWindow, from_s: float) -> list[str]:
+    """Check that sound requests are served beside crashing ones, half as often as without."""
+    during, outside = [], []
+    for result in history.results:
+        if result.workload.service != PROMPTS.service or result.workload.crashes:
+            continue
+        if not history.was_in_touch(result.gateway, result.sent_at_s):
+            continue
+        if from_s <= result.sent_at_s <= window.end_s:
+            during.append(result.status == 200)
+        elif not window.begin_s <= result.sent_at_s <= window.end_s + STABLE_WINDOW_S:
+            outside.append(result.status == 200)
+    if min(len(during), len(outside)) < MIN_SOUND_REQUESTS:
+        return []
+    if sum(during) / len(during) >= MIN_SOUND_RATIO * sum(outside) / len(outside):
+        return []
+    return [
+        f"sound requests beside part {window.part}: {sum(during)} of {len(during)} served,"
+        f" {sum(outside)} of {len(outside)} at other times"
+    ]
--- a/bench/soak/configuration.py
+++ b/bench/soak/configuration.py
@@ -98,7 +98,9 @@
         self._version += 1
         marker = make_route(f"v{self._version}", "idempotent", PLAIN_SERVICE, public=True)
         keys = {name: key for name, key in KEYS.items() if name not in self._revoked}
-        document = make_configuration(self._version, [marker], keys)
+        deployment = self._deployment
+        routes = [marker, *deployment.further_routes]
+        document = make_configuration(self._version, routes, keys, deployment.further_services)
         store = self._deployment.fleet.store
         store.put(wire.CONFIGURATION_KIND, wire.CONFIGURATION_NAME, document)
 
--- a/bench/soak/deployment.py
+++ b/bench/soak/deployment.py
@@ -8,23 +8,33 @@
 
 import anyio
 
-from bench.harness.fleet import PLAIN_SERVICE, Fleet, FleetShape, wait_ready
+from bench.harness.fleet import (
+    PLAIN_SERVICE,
+    Fleet,
+    FleetShape,
+    make_configuration,
+    wait_ready,
+)
 from bench.harness.link import FaultyLink
 from bench.harness.process import ManagedProcess
-from bench.soak.callers import GatewayEndpoint
-from bronzerudder.standin.fleet import StandinBackendServer
+from bench.soak.callers import ANSWERS, PROMPTS, GatewayEndpoint, Workload
+from bronzerudder.platform import wire
+from bronzerudder.standin.fleet import FaultyAnswerServer, StandinBackendServer
 
 PLAIN_SERVERS = 3
+ANSWER_SERVERS = 3
+PROMPT_SERVERS = 6
 READY_TIMEOUT_S = 5.0
 
 
 class SoakShape(NamedTuple):
-    """Size of a run, and the duration of its fault injection."""
+    """Size of a run, duration of its fault injection, and whether it plays faulty answers."""
 
     gateways: int = 2
     ranks: int = 4
     callers: int = 8
     seconds: float = 12.0
+    answers: bool = False
 
 
 class SoakGateway:
@@ -69,6 +79,11 @@
         The running processes and stand-ins, and the settings of the rank agents.
     plain_links : dict
         Links to the registered plain backend servers, by instance id.
+    answer_servers, prompt_servers : list
+        Backend servers that write faulty answers, and that crash on parts of prompts; empty unless
+        the shape asks for them.
+    further_routes, further_services
+        Routes and services of these backend servers.
     """
 
     def __init__(self, directory: pathlib.Path, shape: SoakShape, generator: random.Random) -> None:
@@ -81,12 +96,18 @@
         self.agents: list[ManagedProcess] = []
         self.agent_settings: list[dict[str, Any]] = []
         self.plain_links: dict[str, FaultyLink] = {}
+        self.answer_servers: list[FaultyAnswerServer] = []
+        self.prompt_servers: list[StandinBackendServer] = []
+        self.further_routes: list[dict[str, Any]] = []
+        self.further_services: tuple[str, ...] = ()
 
     async def start(self) -> None:
         """Start everything, and wait until the gateways are ready."""
         self.fleet.serve_stand_ins()
         for backend in self.fleet.plain_servers:
             self.register_through_link(backend)
+        if self._shape.answers:
+            self._serve_answers()
         for number in range(self._shape.gateways):
             gateway = SoakGateway(self.fleet, f"gateway-{number}")
             self._links.extend((gateway.store_link, gateway.caller_link))
@@ -134,6 +155,31 @@
             if gateway.process is not None and gateway.process.running
         }
 
+    def _serve_answers(self) -> None:
+        """Serve the backend servers of `ANSWERS` and `PROMPTS`, and configure their routes."""
+        self.answer_servers = [FaultyAnswerServer(f"a-{n}") for n in range(ANSWER_SERVERS)]
+        self.prompt_servers = [StandinBackendServer(f"c-{n}") for n in range(PROMPT_SERVERS)]
+        for workload, backends in ((ANSWERS, self.answer_servers), (PROMPTS, self.prompt_servers)):
+            self.further_services += (workload.service,)
+            self.further_routes.extend(_make_routes(workload))
+            for backend in backends:
+                self.fleet.further_servers.append(backend)
+                address = self.fleet.serve(backend.server)
+                self.fleet.register_backend_server(backend, workload.service, address)
+        document = make_configuration(1, self.further_routes, services=self.further_services)
+        self.fleet.store.put(wire.CONFIGURATION_KIND, wire.CONFIGURATION_NAME, document)
+
     def _start_gateway(self, gateway: SoakGateway) -> None:
         gateway.highest_version = 0
         gateway.process = self.fleet.start_process("gateway", gateway.name, gateway.settings)
+
+
+def _make_routes(workload: Workload) -> list[dict[str, Any]]:
+    """Make routes on the host of a workload that are like those of the other services."""
+    routes = []
+    for route in make_configuration(1)["routes"]:
+        if route["name"] in workload.kinds:
+            fields = {**route, "host": workload.host, "name": f"{workload.service}-{route['name']}"}
+            fields["service"] = workload.service
+            routes.append(fields)
+    return routes
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -15,7 +15,9 @@
 
     ``..._CUT`` resets open connections; ``..._SILENT`` keeps them open and drops their data.
     ``STORE_LOSES`` executes writes without an answer, ``STORE_FORGETS`` discards the history of
-    changes, and ``ORDERS_LATE`` delays the execution of orders at the ranks.
+    changes, and ``ORDERS_LATE`` delays the execution of orders at the ranks. ``ANSWERS_FAULTY``
+    lets backend servers write one kind of faulty answers, and ``PROMPTS_CRASH`` sends requests with
+    a prompt part that crashes backend servers.
     """
 
     GATEWAY_TERM = "gateway-term"
@@ -43,6 +45,17 @@
     DRAIN = "drain"
     CONFIGURE = "configure"
     REVOKE = "revoke"
+    ANSWERS_FAULTY = "answers-faulty"
+    PROMPTS_CRASH = "prompts-crash"
+
+
+ANSWER_KINDS = (FaultKind.ANSWERS_FAULTY, FaultKind.PROMPTS_CRASH)
+"""Kinds that only runs with `SoakShape.answers` draw, by a generator of their own."""
+_GENERAL_KINDS = tuple(kind for kind in FaultKind if kind not in ANSWER_KINDS)
+PROMPTS_CRASH_AT_S = (1.0, 2.0)
+FAULTY_ANSWERS_S = (0.5, 2.0)
+GENERAL_FAULTS_SHARE = 0.5
+"""Fraction of the runs with faulty answers in which faults of all kinds come too."""
 
 
 class Fault(NamedTuple):
@@ -69,10 +82,36 @@
     faults = []
     at_s = generator.uniform(*FAULT_GAP_S)
     while at_s < until_s:
-        kind = generator.choice(list(FaultKind))
+        kind = generator.choice(_GENERAL_KINDS)
         for _ in range(generator.choice((1, 1, 1, 2, 3))):
             duration_s = min(generator.uniform(*FAULT_DURATION_S), until_s - at_s)
             faults.append(Fault(kind, at_s, duration_s, generator.random()))
             at_s += generator.uniform(0.0, 0.3)
         at_s += generator.uniform(*FAULT_GAP_S)
     return [fault for fault in faults if fault.at_s < until_s]
+
+
+def draw_answer_faults(
+    generator: random.Random, until_s: float, general: list[Fault]
+) -> list[Fault]:
+    """Draw windows of faulty answers and one of crashing prompts.
+
+    Parameters
+    ----------
+    generator : random.Random
+        A generator of its own, so that the general faults of a seed stay what they were.
+    until_s : float
+        End of the injection.
+    general : list of Fault
+        Faults of the other kinds; half of the runs have none of them.
+    """
+    faults = list(general) if generator.random() < GENERAL_FAULTS_SHARE else []
+    crash_at_s = generator.uniform(*PROMPTS_CRASH_AT_S)
+    crash_s = until_s - crash_at_s
+    faults.append(Fault(FaultKind.PROMPTS_CRASH, crash_at_s, crash_s, generator.random()))
+    at_s = generator.uniform(*FAULT_GAP_S)
+    while at_s < until_s:
+        duration_s = min(generator.uniform(*FAULTY_ANSWERS_S), until_s - at_s)
+        faults.append(Fault(FaultKind.ANSWERS_FAULTY, at_s, duration_s, generator.random()))
+        at_s += duration_s + generator.uniform(*FAULT_GAP_S)
+    return sorted(faults, key=lambda fault: fault.at_s)
--- a/bench/soak/injector.py
+++ b/bench/soak/injector.py
@@ -11,12 +11,28 @@
 from bench.harness.fleet import PLAIN_SERVICE, read_text
 from bench.harness.link import FaultyLink
 from bench.harness.process import ManagedProcess
-from bench.soak.checks import Disturbance, History
+from bench.soak.callers import ANSWERS, PROMPTS, Caller
+from bench.soak.checks import CrashWindow, Disturbance, History
 from bench.soak.configuration import ConfigurationEditor
 from bench.soak.deployment import SoakDeployment, SoakGateway
 from bench.soak.faults import Fault, FaultKind
 from bronzerudder.platform import wire
-from bronzerudder.standin.fleet import Behaviour, StandinBackendServer
+from bronzerudder.standin.fleet import (
+    AnswerScript,
+    Behaviour,
+    CrashPlan,
+    StandinBackendServer,
+)
+from bronzerudder.standin.fleet.answer_script import (
+    SOUND,
+    BreakPoint,
+    Ending,
+    Endless,
+    Extra,
+    ExtraId,
+    ExtraTime,
+    Framing,
+)
 
 DRAIN_S = 3.0
 STOP_SLACK_S = 1.0
@@ -41,6 +57,34 @@
     Behaviour.WRONG_REQUEST_ID,
     Behaviour.BARE_503,
 )
+CRASHING_CALLERS = 3
+CRASHED_S = 1.5
+"""Time for which a backend server is away after a crash, in seconds."""
+CRASH_AFTER_EVENT_BELOW = 0.5
+"""Bound on a fault's target below which a stream's first event is sent before the crash."""
+FAULTY_SCRIPTS = (
+    *(
+        AnswerScript(framing, extra=Extra(extra_time, extra_id))
+        for framing in Framing
+        for extra_time in ExtraTime
+        for extra_id in ExtraId
+    ),
+    *(
+        AnswerScript(framing, ending, point)
+        for framing in Framing
+        for ending in (Ending.CLOSED, Ending.RESET)
+        for point in BreakPoint
+        # An unframed stream that ends normally between events is complete.
+        if (framing, ending, point)
+        != (Framing.CONNECTION_END, Ending.CLOSED, BreakPoint.BETWEEN_EVENTS)
+    ),
+    *(AnswerScript(framing, ending) for framing in Framing for ending in Ending),
+    *(AnswerScript(endless=endless) for endless in Endless),
+    *(AnswerScript(garbage=True, ending=ending) for ending in Ending),
+    AnswerScript(informational_heads=20),
+    AnswerScript(early=True),
+)
+"""What the answers of a window may look like."""
 
 
 class FaultInjector:
@@ -93,6 +137,8 @@
             FaultKind.REVOKE: editor.revoke,
             FaultKind.ORDERS_LATE: self._delay_orders,
             FaultKind.DEMAND_SHIFT: self._shift_demand,
+            FaultKind.ANSWERS_FAULTY: self._write_faulty_answers,
+            FaultKind.PROMPTS_CRASH: self._send_crashing_prompts,
         }
 
     async def inject(self, faults: list[Fault]) -> None:
@@ -128,6 +174,7 @@
         process = gateway.process
         process.terminate()
         started_s = time.monotonic()
+        restart = self._begin_restart(gateway)
         grace_s = gateway.settings["grace_s"]
         while process.running and time.monotonic() - started_s < grace_s + STOP_SLACK_S:
             await anyio.sleep(0.05)
@@ -138,6 +185,7 @@
         elif process.wait() != 0:
             self._violations.append(f"{gateway.name} exited with code {process.wait()}")
         await self._deployment.restart(gateway)
+        self._end_restart(restart)
 
     async def _kill_gateway(self, fault: Fault) -> None:
         gateway = self._pick_gateway(fault)
@@ -145,8 +193,19 @@
             return
         gateway.busy = True
         gateway.process.kill()
+        restart = self._begin_restart(gateway)
         await self._disturb(gateway.name, fault.duration_s)
         await self._deployment.restart(gateway)
+        self._end_restart(restart)
+
+    def _begin_restart(self, gateway: SoakGateway) -> int:
+        restart = Disturbance(gateway.name, time.monotonic(), float("inf"))
+        self._history.restarts.append(restart)
+        return len(self._history.restarts) - 1
+
+    def _end_restart(self, index: int) -> None:
+        restart = self._history.restarts[index]
+        self._history.restarts[index] = restart._replace(end_s=time.monotonic())
 
     async def _kill_all(self, fault: Fault) -> None:
         async with anyio.create_task_group() as tasks:
@@ -233,6 +292,40 @@
         await self._disturb("backend", fault.duration_s)
         backend.script.clear()
 
+    async def _write_faulty_answers(self, fault: Fault) -> None:
+        script = FAULTY_SCRIPTS[int(fault.target * len(FAULTY_SCRIPTS))]
+        faulty = self._deployment.answer_servers[:-1]
+        for server in faulty:
+            server.usual = script
+        await self._disturb(ANSWERS.service, fault.duration_s)
+        for server in faulty:
+            server.usual = SOUND
+
+    async def _send_crashing_prompts(self, fault: Fault) -> None:
+        """Send requests with a crashing part; sound ones share their keys and other parts."""
+        part = f"{int(fault.target * 2**32):08x}"
+        after_first_event = fault.target < CRASH_AFTER_EVENT_BELOW
+        plan = CrashPlan(frozenset({part}), down_s=CRASHED_S, after_first_event=after_first_event)
+        for server in self._deployment.prompt_servers:
+            server.crash_plan = plan
+        shared, other = PROMPTS.parts
+        workload = PROMPTS._replace(parts=(shared, part, other), crashes=True)
+        begin_s = time.monotonic()
+        async with anyio.create_task_group() as callers:
+            for number in range(CRASHING_CALLERS):
+                generator = random.Random(f"{part} {number}")
+                caller = Caller(
+                    f"x{number}",
+                    self._deployment.endpoints,
+                    generator,
+                    self._history.results,
+                    workload,
+                )
+                callers.start_soon(caller.run)
+            await self._disturb(PROMPTS.service, fault.duration_s)
+            callers.cancel_scope.cancel()
+        self._history.crash_windows.append(CrashWindow(part, begin_s, time.monotonic()))
+
     async def _disturb_callers(self, fault: Fault) -> None:
         gateways = self._deployment.gateways
         gateway = gateways[int(fault.target * len(gateways))]
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -7,13 +7,14 @@
 import time
 
 import anyio
+from anyio.abc import TaskGroup
 
 from bench.harness.fleet import read_text
-from bench.soak.callers import Caller, Result
+from bench.soak.callers import ANSWERS, PROMPTS, Caller, Result
 from bench.soak.checks import History, find_violations
 from bench.soak.configuration import ConfigurationEditor
 from bench.soak.deployment import SoakDeployment, SoakShape
-from bench.soak.faults import Fault, draw_faults
+from bench.soak.faults import Fault, draw_answer_faults, draw_faults
 from bench.soak.injector import FaultInjector
 from bronzerudder.platform import wire
 
@@ -25,6 +26,7 @@
 """
 MEASURED_S = 2.5
 MIN_SERVED_RATIO = 0.9
+ANSWER_CALLERS = 4
 
 
 class SoakRun:
@@ -44,9 +46,12 @@
         self._shape = shape
         self._generator = random.Random(seed)
         self._faults = draw_faults(self._generator, shape.seconds)
+        self._answer_generator = random.Random(f"answers {seed}")
+        if shape.answers:
+            self._faults = draw_answer_faults(self._answer_generator, shape.seconds, self._faults)
         self._deployment = SoakDeployment(directory, shape, self._generator)
         self._results: list[Result] = []
-        self._history = History(self._results, [], {}, {})
+        self._history = History(self._results, [], {}, {}, [], [])
         self._violations: list[str] = []
         self._editor = ConfigurationEditor(
             self._deployment, self._history, self._generator, self._violations
@@ -75,6 +80,8 @@
                     endpoints = self._deployment.endpoints
                     caller = Caller(f"c{number}", endpoints, generator, self._results)
                     callers.start_soon(caller.run)
+                if self._shape.answers:
+                    self._start_answer_callers(callers)
                 callers.start_soon(self._editor.probe)
                 await self._injector.inject(self._faults)
                 await self._check_recovery()
@@ -84,6 +91,15 @@
         finally:
             await self._deployment.close()
 
+    def _start_answer_callers(self, callers: TaskGroup) -> None:
+        """Start the callers of the backend servers with faulty answers and crashing prompts."""
+        for number in range(ANSWER_CALLERS):
+            for name, workload in (("a", ANSWERS), ("s", PROMPTS)):
+                generator = random.Random(self._answer_generator.random())
+                endpoints = self._deployment.endpoints
+                caller = Caller(f"{name}{number}", endpoints, generator, self._results, workload)
+                callers.start_soon(caller.run)
+
     async def _check_recovery(self) -> None:
         """Check that the deployment has recovered from the faults."""
         for gateway in self._deployment.gateways:
--- a/src/bronzerudder/standin/fleet/answer_script.py
+++ b/src/bronzerudder/standin/fleet/answer_script.py
@@ -165,8 +165,12 @@
     @property
     def ending(self) -> Ending:
         """Fate of the connection after the answer."""
-        ends_it = self._framing is Framing.CONNECTION_END or self._script.broken_at is not None
-        if ends_it and self._script.ending is Ending.KEPT:
+        broken_at = self._script.broken_at
+        is_unframed = self._framing is Framing.CONNECTION_END
+        if is_unframed and not self._is_stream and broken_at not in (None, BreakPoint.HEAD):
+            # With a normal end, the broken body would be a complete one.
+            return Ending.RESET
+        if (is_unframed or broken_at is not None) and self._script.ending is Ending.KEPT:
             return Ending.CLOSED
         return self._script.ending
 
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -8,10 +8,12 @@
 import unittest
 
 from bench.harness.fleet import Fleet, FleetShape
-from bench.soak.callers import INCOMPLETE, Result
-from bench.soak.checks import Disturbance, History, find_violations
+from bench.soak.callers import ANSWERS, INCOMPLETE, PROMPTS, Result, find_fault
+from bench.soak.checks import STABLE_WINDOW_S, CrashWindow, Disturbance, History, find_violations
 from bronzerudder.http1 import Request
 from bronzerudder.platform import wire
+from bronzerudder.standin.fleet import CrashingArrival, StandinBackendServer
+from bronzerudder.standin.fleet.answer_script import EVENTS, event_of, plain_body
 from bronzerudder.standin.fleet.group import LoadedMap
 
 
@@ -35,7 +37,7 @@
     def setUp(self):
         directory = pathlib.Path(self.enterContext(tempfile.TemporaryDirectory()))
         self.fleet = Fleet(directory, FleetShape(ranks=2), random.Random(1))
-        self.history = History([], [], {}, {})
+        self.history = History([], [], {}, {}, [], [])
 
     def record_runs(self, times=1, workspace=b"school-a", backend=0):
         headers = [(wire.REQUEST_ID, b"r1"), (wire.WORKSPACE, workspace)]
@@ -89,5 +91,82 @@
         self.assertEqual(self.find(), ["step 4 ran on 2 maps"])
 
 
+class ForeignBytesTest(unittest.TestCase):
+    def find(self, kind, body, whole=True):
+        return find_fault("r1", kind, 200, body, whole, ANSWERS)
+
+    def test_a_whole_answer_is_the_requests_own(self):
+        body = plain_body(b"r1")
+        self.assertEqual(self.find("read", body), "")
+        for wrong in (body + body, body[:-1], plain_body(b"r2"), b""):
+            self.assertNotEqual(self.find("read", wrong), "", wrong)
+
+    def test_a_cut_stream_is_the_start_of_the_requests_own(self):
+        events = b"".join(event_of(b"r1", number) for number in range(1, EVENTS + 1))
+        self.assertEqual(self.find("stream", events), "")
+        self.assertEqual(self.find("stream", events[:50], whole=False), "")
+        self.assertNotEqual(self.find("stream", events[:50]), "")
+        self.assertNotEqual(self.find("stream", b"id: 1" + events, whole=False), "")
+
+
+class CrashChecksTest(unittest.TestCase):
+    """The fifth crash is at 2 s, so the bound holds from 2 s and the stable window on."""
+
+    BOUND_FROM_S = 2.0 + STABLE_WINDOW_S
+
+    def setUp(self):
+        directory = pathlib.Path(self.enterContext(tempfile.TemporaryDirectory()))
+        self.fleet = Fleet(directory, FleetShape(ranks=2), random.Random(1))
+        self.server = StandinBackendServer("c-0")
+        self.fleet.further_servers.append(self.server)
+        self.server.crash_at_s = [1.0, 1.2, 1.4, 1.6, 2.0]
+        self.history = History([], [], {}, {}, [], [CrashWindow("bad", 0.5, 30.0)])
+
+    def add_prompts(self, count, sent_at_s, status=200, crashes=False):
+        for _ in range(count):
+            request_id = f"r{len(self.history.results)}"
+            request = Request(b"POST", b"/stream/", ((wire.REQUEST_ID, request_id.encode()),), b"")
+            if status == 200:
+                self.server.runs.append(request)
+                self.server.run_at_s.append(sent_at_s)
+            if crashes:
+                self.server.crashing_arrivals.append(CrashingArrival(request, sent_at_s))
+            result = make_result(
+                status,
+                "stream",
+                request_id=request_id,
+                answers_to=request_id,
+                sent_at_s=sent_at_s,
+                workload=PROMPTS._replace(crashes=crashes),
+            )
+            self.history.results.append(result)
+
+    def find(self):
+        found = find_violations(self.fleet, self.history)
+        return [line for line in found if "part bad" in line]
+
+    def test_three_arrivals_after_the_bound_are_allowed(self):
+        self.add_prompts(10, self.BOUND_FROM_S - 0.1, 502, crashes=True)
+        self.add_prompts(3, self.BOUND_FROM_S + 0.1, 502, crashes=True)
+        self.assertEqual(self.find(), [])
+        self.add_prompts(1, self.BOUND_FROM_S + 5.0, 502, crashes=True)
+        self.assertEqual(len(self.find()), 1)
+
+    def test_arrivals_from_a_gateway_out_of_touch_do_not_count(self):
+        self.add_prompts(9, self.BOUND_FROM_S + 2.0, 502, crashes=True)
+        self.history.restarts.append(Disturbance("g", 4.0, 5.0))
+        self.assertEqual(self.find(), [])
+        self.history.restarts[0] = Disturbance("another", 4.0, 5.0)
+        self.assertEqual(len(self.find()), 1)
+
+    def test_sound_requests_that_are_refused_beside_the_part_are_found(self):
+        self.add_prompts(30, 0.1)
+        self.add_prompts(15, self.BOUND_FROM_S + STABLE_WINDOW_S + 1.0)
+        self.add_prompts(15, self.BOUND_FROM_S + STABLE_WINDOW_S + 1.0, 503)
+        self.assertEqual(self.find(), [])
+        self.add_prompts(5, self.BOUND_FROM_S + STABLE_WINDOW_S + 1.0, 503)
+        self.assertEqual(len(self.find()), 1)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -10,7 +10,7 @@
 from typing import NamedTuple
 
 from bench.soak.deployment import SoakShape
-from bench.soak.faults import draw_faults
+from bench.soak.faults import ANSWER_KINDS, FaultKind, draw_answer_faults, draw_faults
 from bench.soak.run import SoakRun
 
 SHORT_SEED = 6
@@ -54,6 +54,15 @@
         self.assertEqual(first, draw_faults(random.Random(5), 10.0))
         self.assertTrue(all(fault.at_s < 10.0 for fault in first))
 
+    def test_faulty_answers_are_drawn_for_runs_with_them_only(self):
+        for seed in range(20):
+            general = draw_faults(random.Random(seed), 20.0)
+            self.assertFalse([fault for fault in general if fault.kind in ANSWER_KINDS])
+            drawn = draw_answer_faults(random.Random(seed), 20.0, general)
+            self.assertEqual(sum(fault.kind is FaultKind.PROMPTS_CRASH for fault in drawn), 1)
+            self.assertIn(FaultKind.ANSWERS_FAULTY, {fault.kind for fault in drawn})
+            self.assertEqual(drawn, sorted(drawn, key=lambda fault: fault.at_s))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/standin/fleet/test_faulty_answers.py
+++ b/tests/standin/fleet/test_faulty_answers.py
@@ -146,6 +146,10 @@
         with self.assertRaises(ConnectionResetError):
             await self.read_all(AnswerScript(Framing.CONNECTION_END, Ending.RESET))
 
+    async def test_an_unframed_plain_answer_breaks_off_with_a_reset(self):
+        with self.assertRaises(ConnectionResetError):
+            await self.read_all(AnswerScript(Framing.CONNECTION_END, broken_at=BreakPoint.BODY))
+
     async def test_bytes_that_are_no_answer(self):
         received = await self.read_all(AnswerScript(garbage=True, ending=Ending.CLOSED))
         self.assertEqual(received, GARBAGE)
