Restart a gateway in soak runs with crashing prompts

A gateway that starts has seen none of the crashes, but the platform holds it to the bound once it has been in touch for the stable window. In runs with faults of all kinds hardly any moment counts as in touch (the store is disturbed in most), and the other runs restarted nothing. These get one kill or SIGTERM of a gateway 2 to 3 s after the crashing prompts begin.

--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -54,6 +54,9 @@
 _GENERAL_KINDS = tuple(kind for kind in FaultKind if kind not in ANSWER_KINDS)
 PROMPTS_CRASH_AT_S = (1.0, 2.0)
 FAULTY_ANSWERS_S = (0.5, 2.0)
+RESTART_AFTER_S = (2.0, 3.0)
+"""Time from the start of the crashing prompts to the restart of a gateway, in seconds."""
+RESTART_S = 0.2
 GENERAL_FAULTS_SHARE = 0.5
 """Fraction of the runs with faulty answers in which faults of all kinds come too."""
 
@@ -103,9 +106,10 @@
     until_s : float
         End of the injection.
     general : list of Fault
-        Faults of the other kinds; half of the runs have none of them.
+        Faults of the other kinds. Half of the runs have none of them but the restart of a gateway.
     """
-    faults = list(general) if generator.random() < GENERAL_FAULTS_SHARE else []
+    has_general = generator.random() < GENERAL_FAULTS_SHARE
+    faults = list(general) if has_general else []
     crash_at_s = generator.uniform(*PROMPTS_CRASH_AT_S)
     crash_s = until_s - crash_at_s
     faults.append(Fault(FaultKind.PROMPTS_CRASH, crash_at_s, crash_s, generator.random()))
@@ -114,4 +118,9 @@
         duration_s = min(generator.uniform(*FAULTY_ANSWERS_S), until_s - at_s)
         faults.append(Fault(FaultKind.ANSWERS_FAULTY, at_s, duration_s, generator.random()))
         at_s += duration_s + generator.uniform(*FAULT_GAP_S)
+    if not has_general:
+        # The restarted gateway has seen no crash, and is in touch again before the end.
+        restart_at_s = crash_at_s + generator.uniform(*RESTART_AFTER_S)
+        kind = generator.choice((FaultKind.GATEWAY_KILL, FaultKind.GATEWAY_TERM))
+        faults.append(Fault(kind, restart_at_s, RESTART_S, generator.random()))
     return sorted(faults, key=lambda fault: fault.at_s)
