--- a/src/bronzerudder/gateway/attempt.py
+++ b/src/bronzerudder/gateway/attempt.py
@@ -10,11 +10,24 @@
 
 from bronzerudder.gateway.errors import AttemptFailure, FailureKind
 from bronzerudder.gateway.relay import StreamRelay
-from bronzerudder.http1 import ClientPool, Exchange, HttpError, HttpErrorKind
+from bronzerudder.http1 import (
+    ClientPool,
+    Exchange,
+    HttpError,
+    HttpErrorKind,
+    contains_response_head,
+)
 from bronzerudder.platform.requests import AnswerHead, decode_answer
+from bronzerudder.web.event_stream import MAX_EVENT_BYTES, EventSplitter
 
 MAX_BUFFERED_BYTES = 1_048_576
 """Limit of a plain answer, which is buffered in full before the caller is answered."""
+MAX_TOTAL_BUFFERED_BYTES = 64 * 1_048_576
+"""Limit of all plain answers that a gateway reads at the same time; it may use 200 MB in all."""
+UNCOUNTED_BYTES = 65_536
+"""Start of a plain answer that does not count, so that long answers don't fail short ones."""
+MAX_BUFFERED_CHUNKS = 8_192
+"""Limit of the chunks of a plain answer; each takes time to parse, however small it is."""
 MAX_LATE_ANSWERS = 2
 """Late answers to earlier requests that are skipped on one connection."""
 PROGRESS_WINDOW_S = 0.3
@@ -146,6 +159,8 @@
         self._sent_at_s = 0.0
         self._has_event = False
         self._answer: AnswerHead | None = None
+        self._reused = False
+        self._skipped_ids: list[str] = []
 
     @property
     def sent(self) -> bool:
@@ -157,11 +172,22 @@
         """Head of the answer; None before it was received."""
         return self._answer
 
+    @property
+    def reused(self) -> bool:
+        """Whether the connection had served an earlier request."""
+        return self._reused
+
+    @property
+    def skipped_ids(self) -> list[str]:
+        """Ids of the requests whose late answers were skipped on the connection."""
+        return self._skipped_ids
+
     async def run(self) -> CompleteAnswer | StreamDelivered | AttemptFailure:
         """Make the attempt; on cancellation the connection is closed."""
         exchange = await self._connections.open(self._outgoing.address)
         if isinstance(exchange, HttpError):
             return _attempt_failure(exchange)
+        self._reused = exchange.reused
         try:
             return await self._send_and_read(exchange)
         finally:
@@ -201,13 +227,23 @@
             answer = decode_answer(head)
             if not answer.request_id or answer.request_id == self._outgoing.request_id:
                 return answer
-            skipped = await exchange.skip_stale_answer()
-            if skipped is not None:
+            self._skipped_ids.append(answer.request_id)
+            if not answer.delimited:
+                reason = "an answer to another request takes the rest of the connection"
+                return AttemptFailure(FailureKind.MALFORMED, reason)
+            skipped = await self._read_with_timeout(exchange.skip_stale_answer)
+            if isinstance(skipped, AttemptFailure):
+                return skipped
+            if isinstance(skipped, HttpError):
                 return _attempt_failure(skipped)
         return AttemptFailure(FailureKind.MALFORMED, "received only answers to other requests")
 
     def _find_fault(self, answer: AnswerHead) -> AttemptFailure | None:
         """Return why the head is not an acceptable answer to this request, or None."""
+        if not answer.request_id and self._reused:
+            # It may answer an earlier request, and then proves nothing about this one.
+            reason = f"status {answer.status} without an id on a reused connection"
+            return AttemptFailure(FailureKind.MALFORMED, reason)
         if answer.not_executed:
             reason = f"status {answer.status}, not executed"
             return AttemptFailure(FailureKind.NOT_EXECUTED, reason, answer.faulty_address)
@@ -228,26 +264,55 @@
     async def _read_complete(
         self, exchange: Exchange, answer: AnswerHead
     ) -> CompleteAnswer | AttemptFailure:
+        counted_bytes = 0
         chunks: list[bytes] = []
         size = 0
-        while True:
-            chunk = await self._read_with_timeout(exchange.read_body)
-            if isinstance(chunk, AttemptFailure):
-                return chunk
-            if isinstance(chunk, HttpError):
-                return _attempt_failure(chunk)
-            if chunk is None:
-                exchange.release()
-                return CompleteAnswer(answer, b"".join(chunks))
-            size += len(chunk)
-            if size > MAX_BUFFERED_BYTES:
-                reason = f"answer exceeds {MAX_BUFFERED_BYTES} bytes"
-                return AttemptFailure(FailureKind.MALFORMED, reason)
-            chunks.append(chunk)
+        try:
+            while True:
+                chunk = await self._read_with_timeout(exchange.read_body)
+                if isinstance(chunk, AttemptFailure):
+                    return chunk
+                if isinstance(chunk, HttpError):
+                    return _attempt_failure(chunk)
+                if chunk is None:
+                    return self._complete(exchange, answer, b"".join(chunks))
+                chunks.append(chunk)
+                size += len(chunk)
+                if size > UNCOUNTED_BYTES:
+                    added_bytes = size - UNCOUNTED_BYTES - counted_bytes
+                    counted_bytes += added_bytes
+                    self._connections.add_buffered(added_bytes)
+                reason = self._find_exceeded_limit(size, len(chunks))
+                if reason:
+                    return AttemptFailure(FailureKind.MALFORMED, reason)
+        finally:
+            self._connections.add_buffered(-counted_bytes)
+
+    def _complete(
+        self, exchange: Exchange, answer: AnswerHead, body: bytes
+    ) -> CompleteAnswer | AttemptFailure:
+        if not answer.delimited and contains_response_head(body):
+            reason = "a further response in a body without length"
+            return AttemptFailure(FailureKind.MALFORMED, reason)
+        if answer.request_id:
+            # A duplicate of an answer without an id could not be told from the next answer.
+            exchange.release()
+        return CompleteAnswer(answer, body)
+
+    def _find_exceeded_limit(self, size: int, chunks: int) -> str:
+        """Return which limit a plain answer exceeds, or an empty string."""
+        if size > MAX_BUFFERED_BYTES:
+            return f"answer exceeds {MAX_BUFFERED_BYTES} bytes"
+        if chunks > MAX_BUFFERED_CHUNKS:
+            return f"answer exceeds {MAX_BUFFERED_CHUNKS} chunks"
+        if size > UNCOUNTED_BYTES and self._connections.buffered_bytes > MAX_TOTAL_BUFFERED_BYTES:
+            return f"answers being read exceed {MAX_TOTAL_BUFFERED_BYTES} bytes"
+        return ""
 
     async def _relay_stream(
         self, exchange: Exchange, answer: AnswerHead, relay: StreamRelay
     ) -> StreamDelivered | AttemptFailure:
+        splitter = EventSplitter()
         while True:
             chunk = await self._read_with_timeout(exchange.read_body)
             if isinstance(chunk, AttemptFailure):
@@ -255,12 +320,32 @@
             if isinstance(chunk, HttpError):
                 return _attempt_failure(chunk)
             if chunk is None:
-                if not await relay.finish(answer.headers):
-                    return AttemptFailure(FailureKind.BROKEN, "stream ended inside an event")
+                fault = self._find_end_fault(answer, splitter, relay)
+                if fault:
+                    return AttemptFailure(FailureKind.BROKEN, fault)
+                await relay.finish(answer.headers)
                 exchange.release()
                 return StreamDelivered(answer)
-            if await relay.forward(answer.headers, chunk):
+            events = splitter.split(chunk)
+            if events:
+                fault = await relay.forward(answer.headers, events)
+                if fault:
+                    return AttemptFailure(FailureKind.MALFORMED, fault)
                 self._record_event(time.monotonic())
+            if splitter.exceeds_limit:
+                reason = f"event exceeds {MAX_EVENT_BYTES} bytes"
+                return AttemptFailure(FailureKind.MALFORMED, reason)
+
+    def _find_end_fault(
+        self, answer: AnswerHead, splitter: EventSplitter, relay: StreamRelay
+    ) -> str:
+        """Return why the stream is not complete at its end, or an empty string."""
+        if splitter.partial_event:
+            return "stream ended inside an event"
+        if not answer.delimited and not self._has_event and not relay.last_event_id:
+            # Only a stream that is resumed after its last event has none.
+            return "connection closed before the first event"
+        return ""
 
     def _record_event(self, now_s: float) -> None:
         self._progress.record(now_s)
--- a/tests/http1/test_client.py
+++ b/tests/http1/test_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import tracemalloc
 import unittest
 
 import anyio
@@ -11,9 +12,15 @@
 
 TIMEOUT_S = 5.0
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nKeep-Alive: timeout=5\r\n\r\nok"
+CHUNKS_AT_MOST = 2_000
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 HOST = [(b"host", b"h")]
 
 
+def make_answer(body: bytes) -> bytes:
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+
+
 class Peer:
     """A server that answers each read with the next scripted bytes; an async context manager."""
 
@@ -53,6 +60,25 @@
                 return
 
 
+class EndlessPeer(Peer):
+    """A server that answers each read with a prefix and then the same bytes until it is cut off."""
+
+    def __init__(self, prefix: bytes, repeated: bytes, pause_s: float = 0.0):
+        super().__init__()
+        self._prefix = prefix
+        self._repeated = repeated
+        self._pause_s = pause_s
+        self.cut_off = anyio.Event()
+
+    async def _answer(self, connection: Connection):
+        await connection.receive()
+        failed = await connection.send(self._prefix)
+        while failed is None:
+            await anyio.sleep(self._pause_s)
+            failed = await connection.send(self._repeated)
+        self.cut_off.set()
+
+
 class ClientPoolTest(unittest.IsolatedAsyncioTestCase):
     async def call(self, pool, address):
         with anyio.fail_after(TIMEOUT_S):
@@ -126,6 +152,139 @@
                 self.assertEqual(await exchange.read_rest(), b"ok")
             exchange.release()
 
+    async def test_informational_heads_without_end_are_malformed(self):
+        async with EndlessPeer(b"", b"HTTP/1.1 103 Early Hints\r\n\r\n") as peer:
+            answer = await self.call(ClientPool(), peer.address)
+            self.assertIs(answer.kind, HttpErrorKind.MALFORMED)
+            with anyio.fail_after(TIMEOUT_S):
+                await peer.cut_off.wait()
+
+    async def test_some_informational_heads_come_before_an_answer(self):
+        async with Peer(b"HTTP/1.1 100 Continue\r\n\r\n" * 3 + OK) as peer:
+            self.assertEqual(await self.call(ClientPool(), peer.address), (200, b"ok"))
+
+    async def test_an_answer_without_end_is_malformed(self):
+        endless = (
+            (b"HTTP/1.1 200 OK\r\n\r\n", b"x" * 65_536),
+            (b"HTTP/1.1 200 OK\r\nContent-Length: 999999999999\r\n\r\n", b"x" * 65_536),
+            (CHUNKED, b"5\r\nhello\r\n" * 5_000),
+            (CHUNKED, b"1;" + b"e" * 60_000 + b"\r\nx\r\n"),
+            (CHUNKED + b"0\r\n", b"trailer: x\r\n" * 5_000),
+            (b"HTTP/1.1 200 OK\r\n", b"header: x\r\n" * 5_000),
+            (b"", b"x" * 65_536),
+        )
+        for prefix, repeated in endless:
+            with self.subTest(prefix=prefix, repeated=repeated[:10]):
+                async with EndlessPeer(prefix, repeated) as peer:
+                    answer = await self.call(ClientPool(), peer.address)
+                    self.assertIs(answer.kind, HttpErrorKind.MALFORMED)
+                    with anyio.fail_after(TIMEOUT_S):
+                        await peer.cut_off.wait()
+
+    async def test_small_chunks_do_not_hold_the_event_loop(self):
+        async with EndlessPeer(CHUNKED, b"1\r\nx\r\n" * 10_000) as peer:
+            exchange = await ClientPool().open(peer.address)
+            await exchange.send(b"GET", b"/", HOST, b"")
+            await exchange.read_head()
+            with anyio.move_on_after(0.0) as scope:
+                for _ in range(CHUNKS_AT_MOST):
+                    await exchange.read_body()
+            self.assertTrue(scope.cancelled_caught, f"{CHUNKS_AT_MOST} chunks without giving way")
+            exchange.discard()
+
+    async def test_an_answer_of_very_many_chunks_is_malformed(self):
+        async with EndlessPeer(CHUNKED, b"1\r\nx\r\n" * 10_000) as peer:
+            answer = await self.call(ClientPool(), peer.address)
+            self.assertIs(answer.kind, HttpErrorKind.MALFORMED)
+            self.assertIn("chunks", answer.reason)
+
+    async def test_a_stale_answer_without_end_is_malformed(self):
+        async with EndlessPeer(CHUNKED, b"5\r\nhello\r\n" * 5_000) as peer:
+            exchange = await ClientPool().open(peer.address)
+            await exchange.send(b"GET", b"/", HOST, b"")
+            with anyio.fail_after(TIMEOUT_S):
+                await exchange.read_head()
+                skipped = await exchange.skip_stale_answer()
+                self.assertIs(skipped.kind, HttpErrorKind.MALFORMED)
+                await peer.cut_off.wait()
+
+    async def test_a_stale_answer_is_not_kept_in_memory(self):
+        late = make_answer(b"x" * 1_000_000)
+        async with Peer(late + OK) as peer:
+            exchange = await ClientPool().open(peer.address)
+            with anyio.fail_after(TIMEOUT_S):
+                await exchange.send(b"GET", b"/", HOST, b"")
+                await exchange.read_head()
+                tracemalloc.start()
+                self.addCleanup(tracemalloc.stop)
+                before, _ = tracemalloc.get_traced_memory()
+                self.assertIsNone(await exchange.skip_stale_answer())
+                _, peak = tracemalloc.get_traced_memory()
+            exchange.discard()
+        self.assertLess(peak - before, 500_000)
+
+    async def test_a_cancelled_call_leaves_no_connection_for_its_late_answer(self):
+        async with Peer(OK[:-1], OK) as peer:
+            pool = ClientPool()
+            with anyio.move_on_after(0.1):
+                await pool.call(peer.address, b"GET", b"/", HOST)
+            self.assertEqual(await self.call(pool, peer.address), (200, b"ok"))
+            self.assertEqual(peer.accepted, 2)
+
+    async def test_a_connection_is_not_kept_after_a_head_request(self):
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: 38\r\n\r\n"
+        async with Peer(head, OK) as peer:
+            pool = ClientPool()
+            with anyio.fail_after(TIMEOUT_S):
+                self.assertEqual(await pool.call(peer.address, b"HEAD", b"/", HOST), (200, b""))
+            self.assertEqual(await self.call(pool, peer.address), (200, b"ok"))
+            self.assertEqual(peer.accepted, 2)
+
+    async def test_a_late_answer_is_not_skipped_for_a_head_request(self):
+        async with Peer(OK + OK[:-2]) as peer:
+            exchange = await ClientPool().open(peer.address)
+            with anyio.fail_after(TIMEOUT_S):
+                await exchange.send(b"HEAD", b"/", HOST, b"")
+                await exchange.read_head()
+                skipped = await exchange.skip_stale_answer()
+            self.assertIs(skipped.kind, HttpErrorKind.BROKEN)
+
+    async def test_a_connection_is_not_kept_after_answers_that_end_it(self):
+        ends = (
+            b"HTTP/1.0 200 OK\r\nContent-Length: 2\r\n\r\nok",
+            OK.replace(b"Keep-Alive: timeout=5", b"Connection: close"),
+            OK + b"\r\n",
+            OK + b"HTTP/1.1 100 Continue\r\n\r\n",
+            OK + b"x",
+            OK.replace(b"timeout=5", b"timeout=0"),
+        )
+        for end in ends:
+            with self.subTest(end=end):
+                async with Peer(end, OK) as peer:
+                    pool = ClientPool()
+                    for _ in range(2):
+                        self.assertEqual(await self.call(pool, peer.address), (200, b"ok"))
+                    self.assertEqual(peer.accepted, 2)
+
+    async def test_an_upgrade_that_was_not_requested_is_malformed(self):
+        async with Peer(b"HTTP/1.1 101 Switching Protocols\r\n\r\n" + OK) as peer:
+            answer = await self.call(ClientPool(), peer.address)
+        self.assertIs(answer.kind, HttpErrorKind.MALFORMED)
+
+    async def test_a_late_answer_without_a_body_is_skipped(self):
+        for status in (b"204 No Content", b"304 Not Modified"):
+            late = b"HTTP/1.1 " + status + b"\r\nContent-Length: 5\r\n\r\n"
+            with self.subTest(status=status):
+                async with Peer(late + OK) as peer:
+                    exchange = await ClientPool().open(peer.address)
+                    with anyio.fail_after(TIMEOUT_S):
+                        await exchange.send(b"POST", b"/", HOST, b"body")
+                        await exchange.read_head()
+                        self.assertIsNone(await exchange.skip_stale_answer())
+                        await exchange.read_head()
+                        self.assertEqual(await exchange.read_rest(), b"ok")
+                    exchange.discard()
+
     async def test_idle_connections_that_the_peer_closed_are_swept(self):
         async with Peer(OK, close=True) as peer:
             pool = ClientPool()
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -5,8 +5,18 @@
 import unittest
 
 import anyio
-
-from bronzerudder.http1 import Connection, HttpServer, ServerLimits, connect, listen
+import h11
+
+from bronzerudder.http1 import (
+    Connection,
+    HttpServer,
+    ResponseWriter,
+    ServerLimits,
+    TransportError,
+    connect,
+    listen,
+)
+from bronzerudder.http1.server import MAX_READ_AHEAD_BYTES
 
 TIMEOUT_S = 5.0
 LIMITS = ServerLimits(
@@ -75,6 +85,37 @@
             answer = await read_until_closed(connection)
             return answer, served.rejected
 
+    async def test_a_disconnect_after_many_pipelined_bytes_cancels_the_request(self):
+        async def wait(request, writer):
+            started.set()
+            try:
+                await anyio.sleep_forever()
+            finally:
+                cancelled.set()
+
+        for size in (0, MAX_READ_AHEAD_BYTES, 3 * MAX_READ_AHEAD_BYTES):
+            for disconnect in (Connection.close, Connection.reset):
+                started, cancelled = anyio.Event(), anyio.Event()
+                with self.subTest(size=size, disconnect=disconnect):
+                    async with Served(wait) as served:
+                        connection = await served.open()
+                        await connection.send(GET)
+                        with anyio.fail_after(TIMEOUT_S):
+                            await started.wait()
+                            await connection.send(b"x" * size)
+                            disconnect(connection)
+                            await cancelled.wait()
+
+    async def test_a_body_of_small_chunks_does_not_suspend_time_limits(self):
+        limits = ServerLimits(header_timeout_s=0.0)
+        head = b"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+        async with Served(limits=limits) as served:
+            connection = await served.open()
+            await connection.send(head + b"1\r\nx\r\n" * 2_000 + b"0\r\n\r\n")
+            answer = await read_answer(connection, b"time\n")
+            self.assertTrue(answer.startswith(b"HTTP/1.1 408"), answer[:40])
+            connection.close()
+
     async def test_requests_follow_each_other_on_a_connection(self):
         async with Served() as served:
             connection = await served.open()
@@ -219,5 +260,48 @@
             self.assertTrue((await read_until_closed(busy)).endswith(b"done"))
 
 
+class IncompleteAnswerTest(unittest.IsolatedAsyncioTestCase):
+    async def test_an_incomplete_answer_to_http_1_0_does_not_look_complete(self):
+        async def begin(request, writer):
+            await writer.start(200, [])
+            await writer.write(b"event")
+
+        async with Served(begin) as served:
+            connection = await served.open()
+            await connection.send(b"GET /a HTTP/1.0\r\nHost: h\r\n\r\n")
+            with anyio.fail_after(TIMEOUT_S):
+                data = await connection.receive()
+                while isinstance(data, bytes) and data:
+                    data = await connection.receive()
+            self.assertIsInstance(data, TransportError)
+
+
+class StuckConnection:
+    """A connection whose peer has stopped reading."""
+
+    def __init__(self):
+        self.stuck = False
+
+    async def send(self, data: bytes) -> None:
+        if self.stuck:
+            await anyio.sleep_forever()
+
+
+class ResponseWriterTest(unittest.IsolatedAsyncioTestCase):
+    async def test_an_answer_whose_last_bytes_were_not_sent_is_not_finished(self):
+        http = h11.Connection(h11.SERVER)
+        http.receive_data(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+        self.assertIsInstance(http.next_event(), h11.Request)
+        self.assertIsInstance(http.next_event(), h11.EndOfMessage)
+        connection = StuckConnection()
+        writer = ResponseWriter(http, connection, closing=False)
+        await writer.start(200, [])
+        await writer.write(b"event")
+        connection.stuck = True
+        with anyio.move_on_after(0.01):
+            await writer.finish()
+        self.assertFalse(writer.finished)
+
+
 if __name__ == "__main__":
     unittest.main()
