Log the prompt parts and the progress of failed attempts

The ids of the parts are decoded in platform/, without the last one, which belongs to the request itself, and bounded in number and length. No decision depends on them yet.

--- a/src/bronzerudder/gateway/attempt.py
+++ b/src/bronzerudder/gateway/attempt.py
@@ -152,6 +152,11 @@
         """Whether any byte of the request may have left."""
         return self._sent
 
+    @property
+    def has_event(self) -> bool:
+        """Whether an event of a stream was received."""
+        return self._has_event
+
     @property
     def answer(self) -> AnswerHead | None:
         """Head of the answer; None before it was received."""
--- a/src/bronzerudder/gateway/forwarding.py
+++ b/src/bronzerudder/gateway/forwarding.py
@@ -249,7 +249,7 @@
         if isinstance(result, AttemptFailure) and result.has_not_run:
             self._possible_runs -= 1
             self._rejections += 1
-        self._log_attempt(candidate, result, time.monotonic() - sent_at_s)
+        self._log_attempt(candidate, attempt, result, time.monotonic() - sent_at_s)
         return result
 
     def _build_outgoing(self, candidate: Candidate, traceparent: str) -> OutgoingRequest:
@@ -384,6 +384,7 @@
     def _log_attempt(
         self,
         candidate: Candidate,
+        attempt: BackendAttempt,
         result: CompleteAnswer | StreamDelivered | AttemptFailure,
         took_s: float,
     ) -> None:
@@ -403,6 +404,8 @@
             kind=result.kind.value,
             reason=result.reason,
             blamed=result.faulty_address,
+            has_event=attempt.has_event,
+            shared_parts=self._admitted.caller.shared_parts,
             took_s=round(took_s, 4),
             own_requests=candidate.own_requests,
             others_requests=candidate.others_requests,
--- a/src/bronzerudder/platform/requests.py
+++ b/src/bronzerudder/platform/requests.py
@@ -11,6 +11,10 @@
 from bronzerudder.platform import wire
 
 MS_PER_S = 1000.0
+MAX_SHARED_PARTS = 16
+"""Prompt parts of a request that are read; prompts of the platform have fewer."""
+MAX_PART_ID_LENGTH = 64
+"""The platform's ids are 64-bit numbers in hexadecimal; longer ones count as malformed."""
 
 
 class RequestHead(NamedTuple):
@@ -32,6 +36,11 @@
         Event after which a stream is to be resumed; empty for a complete one.
     prompt_tokens, answer_tokens : int
         Size of the prompt, and the expected or maximum size of the answer; 0 if unknown.
+    model : str
+        Model that is to answer; empty if none is named.
+    shared_parts : tuple of str
+        Ids of the parts of the prompt that other requests may have too: all but the last, at most
+        `MAX_SHARED_PARTS`.
     """
 
     request_id: str
@@ -42,6 +51,8 @@
     last_event_id: str
     prompt_tokens: int
     answer_tokens: int
+    model: str = ""
+    shared_parts: tuple[str, ...] = ()
 
 
 class ServerLoad(NamedTuple):
@@ -101,6 +112,8 @@
         _text(headers.get(wire.LAST_EVENT_ID)),
         _count(prompt),
         hint or _count(answer),
+        _text(headers.get(wire.MODEL)),
+        _decode_shared_parts(_text(headers.get(wire.PROMPT_PARTS))),
     )
 
 
@@ -186,6 +199,12 @@
     return ServerLoad(running, waiting, slots)
 
 
+def _decode_shared_parts(value: str) -> tuple[str, ...]:
+    entries = value.split(",", MAX_SHARED_PARTS + 1)[:-1]
+    ids = (entry.partition(":")[0].strip().lower() for entry in entries[:MAX_SHARED_PARTS])
+    return tuple(part_id for part_id in ids if 0 < len(part_id) <= MAX_PART_ID_LENGTH)
+
+
 def _text(value: bytes | None) -> str:
     return "" if value is None else value.decode("latin-1").strip()
 
--- a/src/bronzerudder/platform/wire.py
+++ b/src/bronzerudder/platform/wire.py
@@ -26,7 +26,11 @@
 TOKENS = b"token-usage"
 # Expected answer tokens; preferred to the maximum above.
 LENGTH_HINT = b"length-hint"
+# Parts of the prompt in order, as "id:tokens" entries separated by commas; the last part is the
+# request's or session's own.
+PROMPT_PARTS = b"prompt-prefix"
 PRIORITY = b"request-priority"
+MODEL = b"model"
 # Address, not id, of the backend server at fault.
 FAULTY_ADDRESS = b"at-server"
 API_KEY = b"x-api-key"
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -36,6 +36,25 @@
             (caller.deadline_s, caller.prompt_tokens, caller.answer_tokens), (None, 0, 0)
         )
 
+    def test_shared_parts_are_all_but_the_last(self):
+        for value, expected in (
+            (b"5c1e:800,91BD:410, e440:250", ("5c1e", "91bd")),
+            (b"5c1e:800", ()),
+            (b"", ()),
+            (b",:,5c:1,,last:2", ("5c",)),
+            (b"x" * 65 + b":1,last:2", ()),
+        ):
+            with self.subTest(value=value):
+                caller = decode_request(Request(b"GET", b"/", ((b"prompt-prefix", value),), b""))
+                self.assertEqual(caller.shared_parts, expected)
+
+    def test_shared_parts_are_bounded(self):
+        for parts in (16, 17, 18, 500):
+            value = b",".join(b"%x:1" % number for number in range(parts))
+            caller = decode_request(Request(b"GET", b"/", ((b"prompt-prefix", value),), b""))
+            expected = tuple(f"{number:x}" for number in range(min(16, parts - 1)))
+            self.assertEqual(caller.shared_parts, expected)
+
     def test_the_key_and_what_concerns_one_connection_stay_behind(self):
         sent = encode_request(REQUEST, "i-1", 1.5, "w", 2, "")
         names = [name for name, _ in sent]
