--- /dev/null
+++ b/tests/gateway/gateway_fleet.py
@@ -0,0 +1,110 @@
+"""Runs several gateways in one process, before the same stand-ins of backend servers."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+
+from bronzerudder.gateway.services import RetryBudgetLimits
+from bronzerudder.http1 import listen
+from bronzerudder.standin.fleet import CrashPlan, StandinBackendServer
+from tests.gateway.harness import GatewayHarness
+
+BAD_PART = "bad0"
+CRASH_PLAN = CrashPlan(frozenset({BAD_PART}), down_s=0.3, new_instance=True)
+RETRY = RetryBudgetLimits(0.2, 1000.0, 10.0)
+
+
+class GatewayFleet:
+    """Gateways that exchange messages; call `start` in asyncSetUp and `stop` as a cleanup.
+
+    Attributes
+    ----------
+    gateways : list of GatewayHarness
+        In the order of their start.
+    cut_off : set of str
+        Names of the gateways that neither send nor receive messages.
+    """
+
+    def __init__(self, gateways: int = 3, servers: int = 6) -> None:
+        self._gateway_count = gateways
+        self.gateways: list[GatewayHarness] = []
+        self.backend_servers = [StandinBackendServer(f"i-{number}") for number in range(servers)]
+        self.cut_off: set[str] = set()
+        self._addresses: dict[str, str] = {}
+        self._serving: list[asyncio.Task] = []
+        self._listeners = []
+        self._numbers = itertools.count()
+
+    @property
+    def crashes(self) -> list[float]:
+        """Monotonic times of all crashes."""
+        return sorted(at_s for server in self.backend_servers for at_s in server.crash_at_s)
+
+    @property
+    def bad_arrivals(self) -> list[float]:
+        """Monotonic times at which requests with the bad part reached backend servers."""
+        return sorted(
+            arrival.at_s for server in self.backend_servers for arrival in server.crashing_arrivals
+        )
+
+    async def start(self) -> None:
+        """Start all backend servers and gateways."""
+        for server in self.backend_servers:
+            listener = listen("127.0.0.1:0")
+            self._listeners.append(listener)
+            self._serving.append(asyncio.create_task(server.server.serve(listener)))
+            self._addresses[server.instance_id] = f"127.0.0.1:{listener.getsockname()[1]}"
+            server.crash_plan = CRASH_PLAN
+            server.on_new_instance = self._make_relisting(server)
+        for _ in range(self._gateway_count):
+            await self.add_gateway()
+
+    async def add_gateway(self) -> GatewayHarness:
+        """Start another gateway, which knows nothing yet."""
+        gateway = GatewayHarness(0, RETRY, f"g-{len(self.gateways)}")
+        gateway.announce = self._make_announcement(gateway)
+        await gateway.start()
+        for instance_id, address in self._addresses.items():
+            gateway.list_server(instance_id, address)
+        self.gateways.append(gateway)
+        return gateway
+
+    async def stop(self) -> None:
+        """Stop all gateways and backend servers."""
+        for gateway in self.gateways:
+            await gateway.stop()
+        for task in self._serving:
+            task.cancel()
+        await asyncio.gather(*self._serving, return_exceptions=True)
+        for listener in self._listeners:
+            listener.close()
+
+    async def send(self, gateway: GatewayHarness, *shared_parts: str, path: str = "/stream/"):
+        """Send a request that no other is equal to; return its status and body."""
+        number = next(self._numbers)
+        parts = ",".join(f"{part}:40" for part in (*shared_parts, f"own{number}"))
+        status, _, body = await gateway.send_request(
+            path, f"r{number}", method=b"POST", body=b"%d" % number, prompt_prefix=parts
+        )
+        return status, body
+
+    def _make_relisting(self, server: StandinBackendServer):
+        def relist(old_id: str) -> None:
+            address = self._addresses.pop(old_id)
+            self._addresses[server.instance_id] = address
+            for gateway in self.gateways:
+                gateway.services.drop(old_id)
+                gateway.list_server(server.instance_id, address)
+
+        return relist
+
+    def _make_announcement(self, sender: GatewayHarness):
+        def announce(message) -> None:
+            if sender.name in self.cut_off:
+                return
+            for gateway in self.gateways:
+                if gateway is not sender and gateway.name not in self.cut_off:
+                    gateway.crashes.add_report(message)
+
+        return announce
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -69,7 +69,10 @@
 class GatewayHarness:
     """One handler and its stand-ins; call `start` in asyncSetUp and `stop` as a cleanup."""
 
-    def __init__(self, server_count: int = 2, retry: RetryBudgetLimits | None = None) -> None:
+    def __init__(
+        self, server_count: int = 2, retry: RetryBudgetLimits | None = None, name: str = "g"
+    ) -> None:
+        self.name = name
         self.backend_servers = [
             StandinBackendServer(f"i-{number}") for number in range(server_count)
         ]
@@ -79,6 +82,7 @@
         )
         self.is_current = True
         self.crash_reports: list = []
+        self.announce = self.crash_reports.append
         self._retry = retry or RetryBudgetLimits(0.2, 100.0, 10.0)
         self._running: list[asyncio.Task] = []
         self._listeners = []
@@ -97,7 +101,7 @@
         for server in self.backend_servers:
             self.add(server)
         self.metrics = GatewayMetrics(CollectorRegistry())
-        self.crashes = CrashWatch("g", self.crash_reports.append, self.log)
+        self.crashes = CrashWatch(self.name, self.announce, self.log)
         shared = GatewayContext(
             self.services, self.connections, {}, self.crashes, self.metrics, self.log, NoSpans()
         )
@@ -123,7 +127,11 @@
         """List a stand-in as a backend server."""
         address = self._serve(server.server)
         self.addresses[server.instance_id] = address
-        self.services.put(BackendServer(server.instance_id, service, address, "z", 6, False))
+        self.list_server(server.instance_id, address, service)
+
+    def list_server(self, instance_id: str, address: str, service: str = "s") -> None:
+        """List a backend server that is served elsewhere."""
+        self.services.put(BackendServer(instance_id, service, address, "z", 6, False))
 
     async def send_request(self, path: str, request_id: str = "r1", **headers):
         """Send a request; return status, headers and body, or None for a body that was cut off."""
