--- a/tests/policy/quarantine/test_ledger.py
+++ b/tests/policy/quarantine/test_ledger.py
@@ -129,6 +129,32 @@
         evidence = {f"f-{number}": frozenset("ab") for number in range(40)}
         self.assertEqual(len(find_offenders(evidence)), 40)
 
+    def test_bystanders_of_one_killer_are_not_condemned_however_many_they_are(self):
+        evidence = {"killer": frozenset(str(number) for number in range(10))}
+        for number in range(40):
+            evidence[f"bystander-{number}"] = frozenset({str(number % 9), str(number % 9 + 1)})
+        self.assertEqual(find_offenders(evidence), {"killer"})
+
+    def test_killers_among_many_bystanders_are_found(self):
+        generator = random.Random(1)
+        for killers in (3, 20):
+            evidence = {}
+            for killer in range(killers):
+                evidence[f"killer-{killer}"] = frozenset(f"{killer}/{n}" for n in range(4))
+            crashes = sorted(frozenset().union(*evidence.values()))
+            for number in range(60):
+                evidence[f"bystander-{number}"] = frozenset(generator.sample(crashes, 2))
+            offenders = find_offenders(evidence)
+            self.assertEqual(offenders, {name for name in evidence if name.startswith("killer")})
+
+    @given(st.dictionaries(names, st.frozensets(crash_ids, max_size=4)), st.integers(0, 4))
+    def test_a_cover_of_many_candidates_explains_all_repeated_crashes(self, some, copies):
+        evidence = {f"{name}-{copy}": some[name] for name in some for copy in range(copies * 4)}
+        repeated = [crashes for crashes in evidence.values() if len(crashes) > 1]
+        offenders = find_offenders(evidence)
+        explained = frozenset().union(*(evidence[name] for name in offenders))
+        self.assertEqual(explained, frozenset().union(*repeated))
+
 
 class ResentKillerTest(unittest.TestCase):
     """Callers keep retrying a crashing request and harmless ones through entries of one pool."""
