Count a rank as crashed only if it refuses connections

When a rank of a lock-step group ends, the others stall and reset their streams 1.5 s later.

The evidence tells the two apart: after a crash, new connections to the address were refused until the rank was back; the ranks that had reset their streams still accepted. At-Server is of no use here, as a stalled rank names itself. So a gateway now connects to the address before it reports a crash, as agents do on the other path, and the request waits for that before it is sent again. The check runs on if its caller leaves, and is shared by all requests whose connections to the server break within a second. A silent server that refuses connections is reported too. Backend servers outside of groups, which do not fail together, are treated as before.

--- a/src/bronzerudder/gateway/attempt.py
+++ b/src/bronzerudder/gateway/attempt.py
@@ -152,6 +152,11 @@
         """Whether any byte of the request may have left."""
         return self._sent
 
+    @property
+    def address(self) -> str:
+        """Address of the backend server."""
+        return self._outgoing.address
+
     @property
     def has_event(self) -> bool:
         """Whether an event of a stream was received."""
--- a/src/bronzerudder/gateway/crash_watch.py
+++ b/src/bronzerudder/gateway/crash_watch.py
@@ -8,11 +8,13 @@
 
 import contextlib
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Awaitable, Callable, Iterator
 
+import anyio
 import xxhash
+from anyio.abc import TaskGroup
 
-from bronzerudder.http1 import Request
+from bronzerudder.http1 import Request, TransportError, connect
 from bronzerudder.observability.event_log import EventLog
 from bronzerudder.peers.messages import CrashSeen
 from bronzerudder.policy.quarantine import CrashReport, QuarantineLedger, QuarantineState, Verdict
@@ -20,6 +22,11 @@
 
 SAME_CRASH_S = 1.0
 """Broken connections to a backend server within this time count as one crash."""
+PROBE_TIMEOUT_S = 0.2
+"""A server on another site of the same region accepts or refuses within 10 ms."""
+PROBES = 2
+"""A lost packet must not hide a crash."""
+REFUSED = "ECONNREFUSED"
 MAX_FINGERPRINTS = 64
 """Bounds the size of a message; a backend server runs fewer requests than this."""
 
@@ -33,6 +40,27 @@
     return digest.hexdigest()
 
 
+async def refuses_connections(address: str) -> bool:
+    """Whether the host at an address is up but no process listens there."""
+    for _ in range(PROBES):
+        connection = await connect(address, PROBE_TIMEOUT_S)
+        if not isinstance(connection, TransportError):
+            connection.close()
+            return False
+        if connection.reason == REFUSED:
+            return True
+    return False
+
+
+class _CrashCheck:
+    """Decides whether connections to a backend server broke because it crashed."""
+
+    def __init__(self, fingerprints: list[str], started_at_s: float) -> None:
+        self.fingerprints = fingerprints
+        self.started_at_s = started_at_s
+        self.done = anyio.Event()
+
+
 class CrashWatch:
     """Tracks which requests run where, and quarantines those in flight at repeated crashes.
 
@@ -44,15 +72,28 @@
         Sends a crash report to the other gateways; the message may be lost.
     log : EventLog
         Takes a line for each crash and each quarantine.
+    tasks : TaskGroup
+        Runs the checks for a crash, which outlast the requests that cause them.
+    probe : callable
+        Returns whether an address refuses connections.
     """
 
-    def __init__(self, name: str, announce: Callable[[CrashSeen], None], log: EventLog) -> None:
+    def __init__(
+        self,
+        name: str,
+        announce: Callable[[CrashSeen], None],
+        log: EventLog,
+        tasks: TaskGroup,
+        probe: Callable[[str], Awaitable[bool]] = refuses_connections,
+    ) -> None:
         self._name = name
         self._announce = announce
         self._log = log
+        self._tasks = tasks
+        self._probe = probe
         self._ledger = QuarantineLedger()
         self._running: dict[str, list[str]] = {}
-        self._crash_at_s: dict[str, float] = {}
+        self._checks: dict[str, _CrashCheck] = {}
         self._crashes = 0
         self._reports_to_repeat: list[CrashSeen] = []
 
@@ -72,27 +113,57 @@
             if not in_flight:
                 self._running.pop(instance_id, None)
 
-    def on_connection_broken(self, instance_id: str) -> None:
-        """Report a crash; the request whose connection broke must still count as running there."""
+    async def on_connection_broken(self, instance_id: str, address: str, must_refuse: bool) -> None:
+        """Report a crash, if it is one, before the request is sent elsewhere.
+
+        The request whose connection broke must still count as running there.
+
+        Parameters
+        ----------
+        must_refuse : bool
+            Whether only a server that refuses new connections counts as crashed. Ranks of a group
+            close their connections whenever another rank has crashed.
+        """
         now_s = time.monotonic()
-        if now_s - self._crash_at_s.get(instance_id, -SAME_CRASH_S) < SAME_CRASH_S:
-            return
-        self._crash_at_s[instance_id] = now_s
+        check = self._checks.get(instance_id)
+        if check is None or now_s - check.started_at_s >= SAME_CRASH_S:
+            in_flight = self._running.get(instance_id, [])
+            check = _CrashCheck(in_flight[:MAX_FINGERPRINTS], now_s)
+            self._checks[instance_id] = check
+            self._tasks.start_soon(self._check, instance_id, address, check, must_refuse)
+        await check.done.wait()
+
+    async def _check(
+        self, instance_id: str, address: str, check: _CrashCheck, must_refuse: bool
+    ) -> None:
+        try:
+            refused = await self._probe(address)
+            self._log.state(
+                "backend server crashed" if refused else "backend server connection broken",
+                instance=instance_id,
+                requests=len(check.fingerprints),
+            )
+            if refused or not must_refuse:
+                self._report(instance_id, check.fingerprints)
+        finally:
+            check.done.set()
+
+    def _report(self, instance_id: str, fingerprints: list[str]) -> None:
         self._crashes += 1
-        fingerprints = self._running.get(instance_id, [])[:MAX_FINGERPRINTS]
         crash = CrashSeen(f"{self._name}/{instance_id}/{self._crashes}", fingerprints)
-        self._log.state(
-            "backend server connection broken", instance=instance_id, requests=len(fingerprints)
-        )
         self.add_report(crash)
         self._announce(crash)
         self._reports_to_repeat.append(crash)
 
-    def repeat_reports(self) -> None:
+    def maintain(self) -> None:
         """Send the reports since the last call once more, as messages may be lost."""
         for crash in self._reports_to_repeat:
             self._announce(crash)
         self._reports_to_repeat.clear()
+        oldest_s = time.monotonic() - SAME_CRASH_S
+        for instance_id, check in list(self._checks.items()):
+            if check.started_at_s < oldest_s and check.done.is_set():
+                del self._checks[instance_id]
 
     def add_report(self, crash: CrashSeen) -> None:
         """Record a crash that this gateway or another one has reported."""
--- a/src/bronzerudder/gateway/forwarding.py
+++ b/src/bronzerudder/gateway/forwarding.py
@@ -243,7 +243,7 @@
         try:
             with self._context.crashes.running(candidate.name, self._admitted.fingerprint):
                 result = await attempt.run()
-                self._record_result(candidate, attempt, result)
+                await self._record_result(candidate, attempt, result)
         finally:
             span.end(status=0 if attempt.answer is None else attempt.answer.status)
         if isinstance(result, AttemptFailure) and result.has_not_run:
@@ -287,7 +287,7 @@
             return STREAM_IDLE_TIMEOUT_S
         return PLAIN_TIMEOUT_FACTOR * route.objective_s
 
-    def _record_result(
+    async def _record_result(
         self,
         candidate: Candidate,
         attempt: BackendAttempt,
@@ -317,10 +317,13 @@
         if blamed != candidate.name:
             services.report_failure(blamed, result.reason, certain=True)
             return
-        if result.kind is FailureKind.BROKEN:
-            self._context.crashes.on_connection_broken(candidate.name)
         certain = result.has_not_run
         services.report_failure(candidate.name, result.reason, certain)
+        if result.kind in (FailureKind.BROKEN, FailureKind.UNRESPONSIVE):
+            silent = result.kind is FailureKind.UNRESPONSIVE
+            await self._context.crashes.on_connection_broken(
+                candidate.name, attempt.address, must_refuse=silent or self._pool.in_lockstep
+            )
 
     def _record_group_progress(self) -> None:
         if self._pool.record_progress():
--- a/src/bronzerudder/processes/gateway.py
+++ b/src/bronzerudder/processes/gateway.py
@@ -132,7 +132,7 @@
             self._set_started_if_ready,
         )
         self._started = anyio.Event()
-        self._crashes = CrashWatch(settings["gateway_id"], self._report_crash, self._log)
+        self._crashes = CrashWatch(settings["gateway_id"], self._report_crash, self._log, tasks)
         context = GatewayContext(
             self._services,
             self._connections,
@@ -286,7 +286,7 @@
             self._directory.drop_missing()
             self._services.set_gateways(len(self._gateways.addresses))
             self._connections.sweep()
-            self._crashes.repeat_reports()
+            self._crashes.maintain()
             self._log.flush()
 
     def _refresh_metrics(self) -> None:
--- a/tests/gateway/gateway_fleet.py
+++ b/tests/gateway/gateway_fleet.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+import time
 
 from bronzerudder.gateway.services import RetryBudgetLimits
 from bronzerudder.http1 import listen
@@ -101,6 +102,8 @@
 
     def _make_announcement(self, sender: GatewayHarness):
         def announce(message) -> None:
+            sender.crash_reports.append(message)
+            sender.report_at_s.append(time.monotonic())
             if sender.name in self.cut_off:
                 return
             for gateway in self.gateways:
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -82,6 +82,7 @@
         )
         self.is_current = True
         self.crash_reports: list = []
+        self.report_at_s: list[float] = []
         self.announce = self.crash_reports.append
         self._retry = retry or RetryBudgetLimits(0.2, 100.0, 10.0)
         self._running: list[asyncio.Task] = []
@@ -101,7 +102,7 @@
         for server in self.backend_servers:
             self.add(server)
         self.metrics = GatewayMetrics(CollectorRegistry())
-        self.crashes = CrashWatch(self.name, self.announce, self.log)
+        self.crashes = CrashWatch(self.name, self.announce, self.log, self._queue_tasks)
         shared = GatewayContext(
             self.services, self.connections, {}, self.crashes, self.metrics, self.log, NoSpans()
         )
