Count the reports of several gateways of one crash as one crash

A crash that a refused connection has proved is now named by the start of the backend server that it ended: its instance id, and the time of its start where the platform lists one, since an instance may start again under its id. The ledger unites the reports with one id. Breaks that are not proved to be crashes keep their ids.

The test with two gateways fails if the gateway's name is put before the id.

--- a/src/bronzerudder/gateway/crash_watch.py
+++ b/src/bronzerudder/gateway/crash_watch.py
@@ -67,7 +67,7 @@
     Parameters
     ----------
     name : str
-        Name of this gateway, used in crash ids.
+        Name of this gateway, used in the ids of crashes that are not certain.
     announce : callable
         Sends a crash report to the other gateways; the message may be lost.
     log : EventLog
@@ -94,7 +94,7 @@
         self._ledger = QuarantineLedger()
         self._running: dict[str, list[str]] = {}
         self._checks: dict[str, _CrashCheck] = {}
-        self._crashes = 0
+        self._breaks = 0
         self._reports_to_repeat: list[CrashSeen] = []
 
     def judge(self, fingerprint: str) -> Verdict:
@@ -102,55 +102,60 @@
         return self._ledger.judge(fingerprint, time.monotonic())
 
     @contextlib.contextmanager
-    def running(self, instance_id: str, fingerprint: str) -> Iterator[None]:
+    def running(self, incarnation: str, fingerprint: str) -> Iterator[None]:
         """Count a request as running on a backend server."""
-        in_flight = self._running.setdefault(instance_id, [])
+        in_flight = self._running.setdefault(incarnation, [])
         in_flight.append(fingerprint)
         try:
             yield
         finally:
             in_flight.remove(fingerprint)
             if not in_flight:
-                self._running.pop(instance_id, None)
+                self._running.pop(incarnation, None)
 
-    async def on_connection_broken(self, instance_id: str, address: str, must_refuse: bool) -> None:
+    async def on_connection_broken(self, incarnation: str, address: str, must_refuse: bool) -> None:
         """Report a crash, if it is one, before the request is sent elsewhere.
 
         The request whose connection broke must still count as running there.
 
         Parameters
         ----------
+        incarnation : str
+            The start of the backend server, which ends with a crash.
         must_refuse : bool
             Whether only a server that refuses new connections counts as crashed. Ranks of a group
             close their connections whenever another rank has crashed.
         """
         now_s = time.monotonic()
-        check = self._checks.get(instance_id)
+        check = self._checks.get(incarnation)
         if check is None or now_s - check.started_at_s >= SAME_CRASH_S:
-            in_flight = self._running.get(instance_id, [])
+            in_flight = self._running.get(incarnation, [])
             check = _CrashCheck(in_flight[:MAX_FINGERPRINTS], now_s)
-            self._checks[instance_id] = check
-            self._tasks.start_soon(self._check, instance_id, address, check, must_refuse)
+            self._checks[incarnation] = check
+            self._tasks.start_soon(self._check, incarnation, address, check, must_refuse)
         await check.done.wait()
 
     async def _check(
-        self, instance_id: str, address: str, check: _CrashCheck, must_refuse: bool
+        self, incarnation: str, address: str, check: _CrashCheck, must_refuse: bool
     ) -> None:
         try:
             refused = await self._probe(address)
             self._log.state(
                 "backend server crashed" if refused else "backend server connection broken",
-                instance=instance_id,
+                instance=incarnation,
                 requests=len(check.fingerprints),
             )
-            if refused or not must_refuse:
-                self._report(instance_id, check.fingerprints)
+            if refused:
+                # All gateways that had requests there report the crash under this id.
+                self._report(incarnation, check.fingerprints)
+            elif not must_refuse:
+                self._breaks += 1
+                self._report(f"{self._name}/{incarnation}/{self._breaks}", check.fingerprints)
         finally:
             check.done.set()
 
-    def _report(self, instance_id: str, fingerprints: list[str]) -> None:
-        self._crashes += 1
-        crash = CrashSeen(f"{self._name}/{instance_id}/{self._crashes}", fingerprints)
+    def _report(self, crash_id: str, fingerprints: list[str]) -> None:
+        crash = CrashSeen(crash_id, fingerprints)
         self.add_report(crash)
         self._announce(crash)
         self._reports_to_repeat.append(crash)
@@ -161,9 +166,9 @@
             self._announce(crash)
         self._reports_to_repeat.clear()
         oldest_s = time.monotonic() - SAME_CRASH_S
-        for instance_id, check in list(self._checks.items()):
+        for incarnation, check in list(self._checks.items()):
             if check.started_at_s < oldest_s and check.done.is_set():
-                del self._checks[instance_id]
+                del self._checks[incarnation]
 
     def add_report(self, crash: CrashSeen) -> None:
         """Record a crash that this gateway or another one has reported."""
--- a/src/bronzerudder/gateway/forwarding.py
+++ b/src/bronzerudder/gateway/forwarding.py
@@ -228,6 +228,7 @@
             "attempt", self._admitted.traceparent, instance=candidate.name, service=service
         )
         outgoing = self._build_outgoing(candidate, span.traceparent)
+        incarnation = self._pool.incarnation_of(candidate.name)
 
         def on_event(is_first: bool) -> None:
             assignment.count_answer_token()
@@ -241,9 +242,10 @@
         # Counted before the send, so that a cancelled attempt counts as possibly run.
         self._possible_runs += 1
         try:
-            with self._context.crashes.running(candidate.name, self._admitted.fingerprint):
+            with self._context.crashes.running(incarnation, self._admitted.fingerprint):
                 result = await attempt.run()
-                await self._record_result(candidate, attempt, result)
+                self._record_result(candidate, attempt, result)
+                await self._check_for_crash(incarnation, attempt, result)
         finally:
             span.end(status=0 if attempt.answer is None else attempt.answer.status)
         if isinstance(result, AttemptFailure) and result.has_not_run:
@@ -287,7 +289,7 @@
             return STREAM_IDLE_TIMEOUT_S
         return PLAIN_TIMEOUT_FACTOR * route.objective_s
 
-    async def _record_result(
+    def _record_result(
         self,
         candidate: Candidate,
         attempt: BackendAttempt,
@@ -319,11 +321,25 @@
             return
         certain = result.has_not_run
         services.report_failure(candidate.name, result.reason, certain)
-        if result.kind in (FailureKind.BROKEN, FailureKind.UNRESPONSIVE):
-            silent = result.kind is FailureKind.UNRESPONSIVE
-            await self._context.crashes.on_connection_broken(
-                candidate.name, attempt.address, must_refuse=silent or self._pool.in_lockstep
-            )
+
+    async def _check_for_crash(
+        self,
+        incarnation: str,
+        attempt: BackendAttempt,
+        result: CompleteAnswer | StreamDelivered | AttemptFailure,
+    ) -> None:
+        """Check whether an attempt failed because the backend server crashed."""
+        if not isinstance(result, AttemptFailure) or result.faulty_address not in (
+            "",
+            attempt.address,
+        ):
+            return
+        if result.kind not in (FailureKind.BROKEN, FailureKind.UNRESPONSIVE):
+            return
+        silent = result.kind is FailureKind.UNRESPONSIVE
+        await self._context.crashes.on_connection_broken(
+            incarnation, attempt.address, must_refuse=silent or self._pool.in_lockstep
+        )
 
     def _record_group_progress(self) -> None:
         if self._pool.record_progress():
--- a/src/bronzerudder/gateway/services.py
+++ b/src/bronzerudder/gateway/services.py
@@ -46,6 +46,7 @@
         self._name = name
         self._candidates: dict[str, Candidate] = {}
         self._addresses: dict[str, str] = {}
+        self._incarnations: dict[str, str] = {}
         self._by_address: dict[str, str] = {}
         self._in_lockstep = False
         self.gate = GroupGate()
@@ -101,6 +102,10 @@
         """Address of a candidate."""
         return self._addresses[instance_id]
 
+    def incarnation_of(self, instance_id: str) -> str:
+        """Start of a candidate, as the platform lists it."""
+        return self._incarnations.get(instance_id, instance_id)
+
     def find_address(self, address: str) -> str | None:
         """Id of the backend server at an address."""
         return self._by_address.get(address)
@@ -116,6 +121,7 @@
         candidate.leaving = server.leaving
         candidate.connected = True
         self._addresses[server.instance_id] = server.address
+        self._incarnations[server.instance_id] = server.incarnation
         self.queue.assign_slots()
 
     def drop(self, instance_id: str) -> None:
@@ -123,6 +129,7 @@
         candidate = self._candidates.pop(instance_id, None)
         if candidate is not None:
             candidate.leaving = True
+        self._incarnations.pop(instance_id, None)
         address = self._addresses.pop(instance_id, None)
         if address is not None and self._by_address.get(address) == instance_id:
             del self._by_address[address]
--- a/src/bronzerudder/gateway/tables.py
+++ b/src/bronzerudder/gateway/tables.py
@@ -170,6 +170,9 @@
         Requests that it runs concurrently.
     leaving : bool
         Whether it accepts no new requests.
+    started_at_ms : int
+        Unix time of its start by its own clock; 0 if unknown. Differs when a backend server starts
+        again under the same id.
     """
 
     instance_id: str
@@ -178,3 +181,11 @@
     failure_domain: str
     slots: int
     leaving: bool
+    started_at_ms: int = 0
+
+    @property
+    def incarnation(self) -> str:
+        """Identifies one start even if the instance id is used again."""
+        if not self.started_at_ms:
+            return self.instance_id
+        return f"{self.instance_id}@{self.started_at_ms}"
--- a/src/bronzerudder/peers/messages.py
+++ b/src/bronzerudder/peers/messages.py
@@ -32,7 +32,8 @@
     Parameters
     ----------
     crash_id : str
-        Identifies the crash as observed by this gateway.
+        Identifies the crash. Gateways that are certain of it use the same id, so that their reports
+        count as one crash.
     fingerprints : list of str
         Requests of the gateway that were running there.
     """
--- a/src/bronzerudder/platform/configuration.py
+++ b/src/bronzerudder/platform/configuration.py
@@ -121,6 +121,8 @@
     zone: str = ""
     # Requests that it runs concurrently, not slots of experts.
     slots: int = 1
+    # Unix time of its start, in milliseconds.
+    born: int = 0
 
 
 def decode_configuration(value: bytes) -> Configuration | StoreError:
@@ -163,6 +165,7 @@
         document.zone,
         max(1, document.slots),
         leaving,
+        document.born,
     )
 
 
--- a/src/bronzerudder/policy/quarantine/api.py
+++ b/src/bronzerudder/policy/quarantine/api.py
@@ -12,7 +12,7 @@
     Parameters
     ----------
     crash_id : str
-        Unique across all agents.
+        Identifies the crash among all processes.
     fingerprints : frozenset of str
         Requests that were running on the backend server.
     expires_at : float
--- a/src/bronzerudder/policy/quarantine/ledger.py
+++ b/src/bronzerudder/policy/quarantine/ledger.py
@@ -54,9 +54,17 @@
         return self._offenders
 
     def record_crash(self, report: CrashReport) -> bool:
-        """Record a report; return whether it is new."""
-        if report.crash_id in self._reports or not report.fingerprints:
+        """Record a report; return whether it is new or names requests that are.
+
+        Reports of several observers with the same id are one crash.
+        """
+        if not report.fingerprints:
             return False
+        known = self._reports.get(report.crash_id)
+        if known is not None:
+            if report.fingerprints <= known.fingerprints:
+                return False
+            report = known._replace(fingerprints=known.fingerprints | report.fingerprints)
         self._reports[report.crash_id] = report
         if len(self._reports) > MAX_REPORTS:
             self._forget(min(self._reports, key=lambda name: self._reports[name].expires_at))
--- a/tests/gateway/test_crash_watch.py
+++ b/tests/gateway/test_crash_watch.py
@@ -9,6 +9,29 @@
 from tests.gateway.gateway_fleet import BAD_PART, GatewayFleet
 
 
+class SharedCrashTest(unittest.IsolatedAsyncioTestCase):
+    async def test_reports_of_two_gateways_of_one_crash_do_not_quarantine_a_sound_request(self):
+        fleet = GatewayFleet(gateways=2, servers=1)
+        await fleet.start()
+        self.addAsyncCleanup(fleet.stop)
+        fleet.backend_servers[0].event_gap_s = 0.2
+        first, second = fleet.gateways
+        waiting = [
+            asyncio.create_task(gateway.send_request("/stream/", gateway.name))
+            for gateway in fleet.gateways
+        ]
+        while fleet.backend_servers[0].running < 2:
+            await asyncio.sleep(0.005)
+        await fleet.send(first, "first", BAD_PART)
+        await asyncio.gather(*waiting)
+        self.assertEqual(len(first.crash_reports), 1)
+        self.assertEqual(len(second.crash_reports), 1)
+        fleet.backend_servers[0].event_gap_s = 0.01
+        await asyncio.sleep(0.4)
+        status, _, body = await first.send_request("/stream/", "again")
+        self.assertEqual((status, b"id: 6" in body), (200, True), body)
+
+
 class LockstepCrashTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.fleet = GatewayFleet(gateways=1, servers=4)
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -87,6 +87,9 @@
 class BackendServerTest(unittest.TestCase):
     def test_an_entry_is_decoded(self):
         server = decode_backend_server("i-1", encode(ENTRY))
+        self.assertEqual(server.incarnation, "i-1")
+        started_again = decode_backend_server("i-1", encode({**ENTRY, "born": 1700000000123}))
+        self.assertEqual(started_again.incarnation, "i-1@1700000000123")
         self.assertEqual((server.instance_id, server.slots, server.leaving), ("i-1", 6, False))
 
     def test_a_draining_one_is_leaving(self):
--- a/tests/policy/quarantine/test_ledger.py
+++ b/tests/policy/quarantine/test_ledger.py
@@ -83,6 +83,16 @@
         self.assert_quarantine_state("killer", QuarantineState.QUARANTINED)
         self.assert_quarantine_state("bystander", QuarantineState.SUSPECT)
 
+    def test_reports_of_one_crash_by_several_observers_are_one_crash(self):
+        report_crash(self.ledger, "a", "killer", "bystander")
+        self.assertTrue(report_crash(self.ledger, "a", "bystander", "elsewhere", now=50.0))
+        self.assertFalse(report_crash(self.ledger, "a", "elsewhere", now=60.0))
+        for name in ("killer", "bystander", "elsewhere"):
+            self.assert_quarantine_state(name, QuarantineState.SUSPECT)
+        report_crash(self.ledger, "b", "elsewhere")
+        self.assertEqual(self.ledger.offenders, {"elsewhere"})
+        self.assert_quarantine_state("killer", QuarantineState.CLEAR, QUARANTINE_S + 1)
+
     def test_quarantine_and_suspicion_end(self):
         report_crash(self.ledger, "a", "killer", now=0.0)
         report_crash(self.ledger, "b", "killer", now=10.0)
