Quarantine prompt parts that crash backend servers

No two of these requests were alike, and a request was known by a hash of the whole of it, so none was ever seen at two crashes.

A request is now judged by its fingerprint and by each part of its prompt but the last. A crash report names the fingerprints of all that ran on the server, and the parts of what had not yet written for half a second: in the logs, every rank that ended had a request of the same route and workspace without an event. Only a crash that a refused connection has proved counts against parts.

Sound requests share their first part and others with those that crash a server, so a common part would explain every crash.

Of what is left, the best explanation is quarantined. If several parts explain the same crashes, only a request with all of them is certain to crash a server; one with some of them may run, and shows which it is. Crashes at the same moment, as after a loss of power, count as one against a part, and a part is not blamed for what a request that was sent again explains.

--- a/src/bronzerudder/gateway/crash_watch.py
+++ b/src/bronzerudder/gateway/crash_watch.py
@@ -1,24 +1,32 @@
 """Quarantines requests that crash the backend servers that run them.
 
-Callers retry such a request at any gateway. So gateways notify each other which of their requests
-were running on a backend server when it crashed, and the ledger judges by the reports of all.
+Callers send such requests to any gateway: the same request again, or different ones that share a
+part of their prompts. So gateways notify each other what was running on a backend server when it
+crashed and which of it has run elsewhere without a crash, and judge by the reports of all.
 """
 
 from __future__ import annotations
 
 import contextlib
 import time
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Awaitable, Callable, Iterable, Iterator
 
 import anyio
+import msgspec
 import xxhash
 from anyio.abc import TaskGroup
 
 from bronzerudder.http1 import Request, TransportError, connect
 from bronzerudder.observability.event_log import EventLog
-from bronzerudder.peers.messages import CrashSeen
-from bronzerudder.policy.quarantine import CrashReport, QuarantineLedger, QuarantineState, Verdict
-from bronzerudder.policy.quarantine.ledger import QUARANTINE_S
+from bronzerudder.peers.messages import Cleared, CrashMessage, CrashSeen
+from bronzerudder.platform.requests import RequestHead
+from bronzerudder.policy.quarantine import (
+    QuarantineState,
+    RequestSubjects,
+    SubjectLedger,
+    Verdict,
+)
+from bronzerudder.policy.quarantine.subjects import PART_PREFIX
 
 SAME_CRASH_S = 1.0
 """Broken connections to a backend server within this time count as one crash."""
@@ -27,8 +35,16 @@
 PROBES = 2
 """A lost packet must not hide a crash."""
 REFUSED = "ECONNREFUSED"
-MAX_FINGERPRINTS = 64
-"""Bounds the size of a message; a backend server runs fewer requests than this."""
+MAX_SUBJECTS = 64
+"""Bounds a message to 1,200 bytes, which fit in one packet; a backend server runs fewer requests
+at once than this."""
+SETTLED_S = 0.5
+"""A stream whose first event is this old did not crash its backend server, and will not. A crash
+comes about 0.1 s after the answer begins, before the first event."""
+CLEARANCES = 2
+"""Times that a clearance is sent, as messages may be lost."""
+SUSPECT_RETRY_S = 1.0
+"""Time after which it is known whether the suspect that is running is sound."""
 
 
 def fingerprint_of(request: Request, key: str) -> str:
@@ -40,6 +56,17 @@
     return digest.hexdigest()
 
 
+def subjects_of(request: Request, caller: RequestHead) -> RequestSubjects:
+    """Return what a request is judged by."""
+    model = caller.model.encode("latin-1", "replace")
+    parts = []
+    for part_id in caller.shared_parts:
+        # A part is a different input to each model.
+        digest = xxhash.xxh3_64(model + b"\0" + part_id.encode("latin-1", "replace"))
+        parts.append(PART_PREFIX + digest.hexdigest())
+    return RequestSubjects(fingerprint_of(request, caller.key), tuple(dict.fromkeys(parts)))
+
+
 async def refuses_connections(address: str) -> bool:
     """Whether the host at an address is up but no process listens there."""
     for _ in range(PROBES):
@@ -52,26 +79,54 @@
     return False
 
 
+class RunningRequest:
+    """A request that runs on a backend server.
+
+    Parameters
+    ----------
+    subjects : RequestSubjects
+        What it is judged by.
+    is_suspect : bool
+        Whether it runs to find out if its subjects are sound.
+    """
+
+    def __init__(self, subjects: RequestSubjects, is_suspect: bool) -> None:
+        self.subjects = subjects
+        self.is_suspect = is_suspect
+        self.first_event_at_s: float | None = None
+        self.proven = False
+
+    def is_settled(self, now_s: float) -> bool:
+        """Whether it has written for so long that it cannot be the cause of a crash."""
+        return self.first_event_at_s is not None and now_s - self.first_event_at_s >= SETTLED_S
+
+
 class _CrashCheck:
     """Decides whether connections to a backend server broke because it crashed."""
 
-    def __init__(self, fingerprints: list[str], started_at_s: float) -> None:
-        self.fingerprints = fingerprints
+    def __init__(self, running: Iterable[RunningRequest], started_at_s: float) -> None:
+        # Those without an event first, as they are the likeliest cause.
+        requests = sorted(running, key=lambda request: request.first_event_at_s or 0.0)
+        self.fingerprints = [request.subjects.fingerprint for request in requests]
+        self.parts: list[str] = []
+        for request in requests:
+            if not request.is_settled(started_at_s):
+                self.parts.extend(request.subjects.parts)
         self.started_at_s = started_at_s
         self.done = anyio.Event()
 
 
 class CrashWatch:
-    """Tracks which requests run where, and quarantines those in flight at repeated crashes.
+    """Tracks which requests run where, and quarantines the cause of repeated crashes.
 
     Parameters
     ----------
     name : str
         Name of this gateway, used in the ids of crashes that are not certain.
     announce : callable
-        Sends a crash report to the other gateways; the message may be lost.
+        Sends a message to the other gateways; it may be lost.
     log : EventLog
-        Takes a line for each crash and each quarantine.
+        Takes a line for each crash, quarantine and clearance.
     tasks : TaskGroup
         Runs the checks for a crash, which outlast the requests that cause them.
     probe : callable
@@ -81,7 +136,7 @@
     def __init__(
         self,
         name: str,
-        announce: Callable[[CrashSeen], None],
+        announce: Callable[[CrashMessage], None],
         log: EventLog,
         tasks: TaskGroup,
         probe: Callable[[str], Awaitable[bool]] = refuses_connections,
@@ -91,28 +146,63 @@
         self._log = log
         self._tasks = tasks
         self._probe = probe
-        self._ledger = QuarantineLedger()
-        self._running: dict[str, list[str]] = {}
+        self._ledger = SubjectLedger()
+        self._running: dict[str, list[RunningRequest]] = {}
+        self._suspects_running = 0
         self._checks: dict[str, _CrashCheck] = {}
         self._breaks = 0
-        self._reports_to_repeat: list[CrashSeen] = []
+        self._reports_to_repeat: list[tuple[CrashSeen, float]] = []
+        self._to_clear: dict[str, int] = {}
+
+    def find_quarantine(self, subjects: RequestSubjects) -> Verdict | None:
+        """Return the verdict if the request must not run; None if it may."""
+        verdict = self._ledger.judge(subjects, time.monotonic())
+        return verdict if verdict.quarantine_state is QuarantineState.QUARANTINED else None
+
+    def find_refusal(self, subjects: RequestSubjects) -> Verdict | None:
+        """Return the verdict if the request must not be sent now; None if it may.
 
-    def judge(self, fingerprint: str) -> Verdict:
-        """Return the quarantine verdict on a request."""
-        return self._ledger.judge(fingerprint, time.monotonic())
+        Suspects run one at a time.
+        """
+        verdict = self._ledger.judge(subjects, time.monotonic())
+        if verdict.quarantine_state is QuarantineState.QUARANTINED:
+            return verdict
+        if verdict.quarantine_state is QuarantineState.SUSPECT and self._suspects_running:
+            return verdict._replace(retry_after_s=SUSPECT_RETRY_S)
+        return None
 
     @contextlib.contextmanager
-    def running(self, incarnation: str, fingerprint: str) -> Iterator[None]:
+    def running(self, incarnation: str, subjects: RequestSubjects) -> Iterator[RunningRequest]:
         """Count a request as running on a backend server."""
+        verdict = self._ledger.judge(subjects, time.monotonic())
+        request = RunningRequest(subjects, verdict.quarantine_state is QuarantineState.SUSPECT)
+        self._suspects_running += request.is_suspect
         in_flight = self._running.setdefault(incarnation, [])
-        in_flight.append(fingerprint)
+        in_flight.append(request)
         try:
-            yield
+            yield request
         finally:
-            in_flight.remove(fingerprint)
+            self._suspects_running -= request.is_suspect
+            in_flight.remove(request)
             if not in_flight:
                 self._running.pop(incarnation, None)
 
+    def record_event(self, request: RunningRequest) -> None:
+        """Record an event of a stream; an answer that goes on for long enough proves its parts."""
+        now_s = time.monotonic()
+        if request.first_event_at_s is None:
+            request.first_event_at_s = now_s
+        if not request.proven and request.is_settled(now_s):
+            self.record_success(request)
+
+    def record_success(self, request: RunningRequest) -> None:
+        """Record that a request has run without a crash."""
+        if request.proven:
+            return
+        request.proven = True
+        subjects = (request.subjects.fingerprint, *request.subjects.parts)
+        self._record_proof(subjects, is_own=True)
+
     async def on_connection_broken(self, incarnation: str, address: str, must_refuse: bool) -> None:
         """Report a crash, if it is one, before the request is sent elsewhere.
 
@@ -129,12 +219,43 @@
         now_s = time.monotonic()
         check = self._checks.get(incarnation)
         if check is None or now_s - check.started_at_s >= SAME_CRASH_S:
-            in_flight = self._running.get(incarnation, [])
-            check = _CrashCheck(in_flight[:MAX_FINGERPRINTS], now_s)
+            check = _CrashCheck(self._running.get(incarnation, []), now_s)
             self._checks[incarnation] = check
             self._tasks.start_soon(self._check, incarnation, address, check, must_refuse)
         await check.done.wait()
 
+    def on_message(self, message: CrashMessage) -> None:
+        """Handle a message of another gateway."""
+        if isinstance(message, Cleared):
+            for subject in message.subjects:
+                self._to_clear.pop(subject, None)
+            self._record_proof(message.subjects, is_own=False)
+            return
+        self.add_report(message)
+
+    def add_report(self, crash: CrashSeen) -> None:
+        """Record a crash that this gateway or another one has reported."""
+        now_s = time.monotonic()
+        for subject in crash.fingerprints:
+            if self._ledger.is_proven(subject, now_s):
+                self._to_clear.setdefault(subject, CLEARANCES)
+        before = self._ledger.offenders
+        happened_at_s = now_s - max(0.0, crash.age_s)
+        if self._ledger.record_crash(crash.crash_id, crash.fingerprints, happened_at_s, now_s):
+            self._log_verdicts(before)
+
+    def maintain(self) -> None:
+        """Repeat the reports and clearances since the last call, as messages may be lost."""
+        now_s = time.monotonic()
+        self._ledger.expire(now_s)
+        for crash, happened_at_s in self._reports_to_repeat:
+            self._announce(msgspec.structs.replace(crash, age_s=now_s - happened_at_s))
+        self._reports_to_repeat.clear()
+        self._send_clearances()
+        for incarnation, check in list(self._checks.items()):
+            if check.started_at_s < now_s - SAME_CRASH_S and check.done.is_set():
+                del self._checks[incarnation]
+
     async def _check(
         self, incarnation: str, address: str, check: _CrashCheck, must_refuse: bool
     ) -> None:
@@ -144,47 +265,63 @@
                 "backend server crashed" if refused else "backend server connection broken",
                 instance=incarnation,
                 requests=len(check.fingerprints),
+                parts=sorted(set(check.parts))[:MAX_SUBJECTS],
             )
             if refused:
                 # All gateways that had requests there report the crash under this id.
-                self._report(incarnation, check.fingerprints)
+                self._report(incarnation, [*check.parts, *check.fingerprints], check.started_at_s)
             elif not must_refuse:
                 self._breaks += 1
-                self._report(f"{self._name}/{incarnation}/{self._breaks}", check.fingerprints)
+                # A reset may have other causes, so it does not count against parts.
+                crash_id = f"{self._name}/{incarnation}/{self._breaks}"
+                self._report(crash_id, check.fingerprints, check.started_at_s)
         finally:
             check.done.set()
 
-    def _report(self, crash_id: str, fingerprints: list[str]) -> None:
-        crash = CrashSeen(crash_id, fingerprints)
+    def _report(self, crash_id: str, subjects: Iterable[str], happened_at_s: float) -> None:
+        now_s = time.monotonic()
+        suspects = []
+        for subject in dict.fromkeys(subjects):
+            if not self._ledger.is_proven(subject, now_s):
+                suspects.append(subject)
+        crash = CrashSeen(crash_id, suspects[:MAX_SUBJECTS], now_s - happened_at_s)
+        if not crash.fingerprints:
+            return
         self.add_report(crash)
         self._announce(crash)
-        self._reports_to_repeat.append(crash)
-
-    def maintain(self) -> None:
-        """Send the reports since the last call once more, as messages may be lost."""
-        for crash in self._reports_to_repeat:
-            self._announce(crash)
-        self._reports_to_repeat.clear()
-        oldest_s = time.monotonic() - SAME_CRASH_S
-        for incarnation, check in list(self._checks.items()):
-            if check.started_at_s < oldest_s and check.done.is_set():
-                del self._checks[incarnation]
+        self._reports_to_repeat.append((crash, happened_at_s))
 
-    def add_report(self, crash: CrashSeen) -> None:
-        """Record a crash that this gateway or another one has reported."""
+    def _record_proof(self, subjects: Iterable[str], is_own: bool) -> None:
         before = self._ledger.offenders
-        expires_at = time.monotonic() + QUARANTINE_S
-        report = CrashReport(crash.crash_id, frozenset(crash.fingerprints), expires_at)
-        if not self._ledger.record_crash(report):
+        cleared = self._ledger.record_proof(subjects, time.monotonic())
+        if not cleared:
             return
-        for fingerprint in self._ledger.offenders - before:
+        if is_own:
+            self._to_clear.update(dict.fromkeys(cleared, CLEARANCES))
+        self._log.state("suspects cleared", fingerprints=sorted(cleared), by_peer=not is_own)
+        self._log_verdicts(before)
+
+    def _send_clearances(self) -> None:
+        """Announce what has run without a crash.
+
+        Every gateway that knows a suspect to be sound would answer the report. The first ones to
+        come to their maintenance do, and the others drop the clearance that they hear.
+        """
+        subjects = list(self._to_clear)
+        for begin in range(0, len(subjects), MAX_SUBJECTS):
+            self._announce(Cleared(subjects[begin : begin + MAX_SUBJECTS]))
+        for subject in subjects:
+            self._to_clear[subject] -= 1
+            if not self._to_clear[subject]:
+                del self._to_clear[subject]
+
+    def _log_verdicts(self, before: frozenset[str]) -> None:
+        after = self._ledger.offenders
+        for subject in sorted(after - before):
             self._log.state(
                 "request quarantined",
-                fingerprint=fingerprint,
-                crashes=sorted(self.judge(fingerprint).crash_ids),
+                fingerprint=subject,
+                crashes=sorted(self._ledger.crashes_of(subject)),
             )
-
-    def find_quarantine(self, fingerprint: str) -> Verdict | None:
-        """Return the verdict if the request must not run; None if it may."""
-        verdict = self.judge(fingerprint)
-        return verdict if verdict.quarantine_state is QuarantineState.QUARANTINED else None
+        for subject in sorted(before - after):
+            self._log.state("released from quarantine", fingerprint=subject)
--- a/src/bronzerudder/gateway/forwarding.py
+++ b/src/bronzerudder/gateway/forwarding.py
@@ -24,6 +24,7 @@
 from bronzerudder.http1 import ClientPool, Request, ResponseWriter
 from bronzerudder.observability.event_log import EventLog
 from bronzerudder.platform.requests import AnswerHead, RequestHead, encode_request
+from bronzerudder.policy.quarantine import RequestSubjects
 from bronzerudder.policy.retry import RetryDenial
 from bronzerudder.policy.routing import Assignment, Candidate, RoutedRequest
 
@@ -34,6 +35,7 @@
 STREAM_IDLE_TIMEOUT_S = 0.8
 """Idle timeout of a repeatable stream: longer than a prompt is held up by the tokens of other
 requests, shorter than callers' timeouts."""
+STATUS_NOT_SUCCESS = 300
 ERROR_STATUS = 500
 STATUS_MISDIRECTED = 421
 
@@ -56,8 +58,8 @@
         Version of the configuration that applies to it.
     arrived_at_s, deadline_at_s : float
         Monotonic times of its arrival and of its deadline.
-    fingerprint : str
-        Identifies the request when a caller sends it again.
+    subjects : RequestSubjects
+        What the request is judged by when backend servers crash.
     traceparent : str
         Parent of the spans of its attempts; empty if the request is not traced.
     """
@@ -70,7 +72,7 @@
     version: int
     arrived_at_s: float
     deadline_at_s: float
-    fingerprint: str
+    subjects: RequestSubjects
     traceparent: str = ""
 
 
@@ -229,9 +231,11 @@
         )
         outgoing = self._build_outgoing(candidate, span.traceparent)
         incarnation = self._pool.incarnation_of(candidate.name)
+        crashes = self._context.crashes
 
         def on_event(is_first: bool) -> None:
             assignment.count_answer_token()
+            crashes.record_event(running)
             if is_first:
                 self._record_group_progress()
 
@@ -242,9 +246,11 @@
         # Counted before the send, so that a cancelled attempt counts as possibly run.
         self._possible_runs += 1
         try:
-            with self._context.crashes.running(incarnation, self._admitted.fingerprint):
+            with crashes.running(incarnation, self._admitted.subjects) as running:
                 result = await attempt.run()
                 self._record_result(candidate, attempt, result)
+                if _has_run(attempt, result):
+                    crashes.record_success(running)
                 await self._check_for_crash(incarnation, attempt, result)
         finally:
             span.end(status=0 if attempt.answer is None else attempt.answer.status)
@@ -328,18 +334,18 @@
         attempt: BackendAttempt,
         result: CompleteAnswer | StreamDelivered | AttemptFailure,
     ) -> None:
-        """Check whether an attempt failed because the backend server crashed."""
-        if not isinstance(result, AttemptFailure) or result.faulty_address not in (
-            "",
-            attempt.address,
-        ):
-            return
-        if result.kind not in (FailureKind.BROKEN, FailureKind.UNRESPONSIVE):
+        """Check whether an attempt ended because the backend server crashed."""
+        must_refuse = True
+        if isinstance(result, AttemptFailure):
+            if result.faulty_address not in ("", attempt.address):
+                return
+            if result.kind not in (FailureKind.BROKEN, FailureKind.UNRESPONSIVE):
+                return
+            must_refuse = self._pool.in_lockstep or result.kind is FailureKind.UNRESPONSIVE
+        elif not isinstance(result, StreamDelivered) or attempt.has_event:
             return
-        silent = result.kind is FailureKind.UNRESPONSIVE
-        await self._context.crashes.on_connection_broken(
-            incarnation, attempt.address, must_refuse=silent or self._pool.in_lockstep
-        )
+        # A stream without an event may end with its connection, and so look complete.
+        await self._context.crashes.on_connection_broken(incarnation, attempt.address, must_refuse)
 
     def _record_group_progress(self) -> None:
         if self._pool.record_progress():
@@ -365,7 +371,7 @@
     def _find_retry_denial(self, failure: AttemptFailure) -> str:
         """Return why the request is not sent again, or an empty string."""
         self._last_failure = failure
-        if self._context.crashes.find_quarantine(self._admitted.fingerprint) is not None:
+        if self._context.crashes.find_quarantine(self._admitted.subjects) is not None:
             return "it crashes backend servers"
         route = self._admitted.route
         now_s = time.monotonic()
@@ -430,3 +436,12 @@
             others_requests=candidate.others_requests,
             load_age_s=round(time.monotonic() - candidate.reported_at_s, 2),
         )
+
+
+def _has_run(
+    attempt: BackendAttempt, result: CompleteAnswer | StreamDelivered | AttemptFailure
+) -> bool:
+    """Whether the backend server has run the request to its end."""
+    if isinstance(result, StreamDelivered):
+        return attempt.has_event
+    return isinstance(result, CompleteAnswer) and result.answer.status < STATUS_NOT_SUCCESS
--- a/src/bronzerudder/gateway/handler.py
+++ b/src/bronzerudder/gateway/handler.py
@@ -10,7 +10,7 @@
 
 from bronzerudder.gateway.attempt import CompleteAnswer, StreamDelivered
 from bronzerudder.gateway.configuration import ConfigurationHolder
-from bronzerudder.gateway.crash_watch import fingerprint_of
+from bronzerudder.gateway.crash_watch import subjects_of
 from bronzerudder.gateway.errors import AttemptFailure, FailureKind, Refusal, RefusalKind
 from bronzerudder.gateway.forwarding import (
     AdmittedRequest,
@@ -99,10 +99,10 @@
         if isinstance(found, Refusal):
             return found
         configuration, route, workspace = found
-        fingerprint = fingerprint_of(request, caller.key)
-        verdict = self._context.crashes.find_quarantine(fingerprint)
+        subjects = subjects_of(request, caller)
+        verdict = self._context.crashes.find_quarantine(subjects)
         if verdict is not None:
-            reason = f"it was running during {len(verdict.crash_ids)} crashes of backend servers"
+            reason = f"it would crash backend servers, as at {len(verdict.crash_ids)} crashes"
             return Refusal(RefusalKind.QUARANTINED, reason, verdict.retry_after_s)
         time_s = route.timeout_s
         if caller.deadline_s is not None:
@@ -119,7 +119,7 @@
             configuration.version,
             arrived_at_s,
             arrived_at_s + time_s,
-            fingerprint,
+            subjects,
         )
 
     def _match(
--- a/src/bronzerudder/peers/messages.py
+++ b/src/bronzerudder/peers/messages.py
@@ -35,14 +35,25 @@
         Identifies the crash. Gateways that are certain of it use the same id, so that their reports
         count as one crash.
     fingerprints : list of str
-        Requests of the gateway that were running there.
+        Subjects of the gateway's requests that were running there: fingerprints of requests, and
+        parts of their prompts.
+    age_s : float
+        Time since the crash.
     """
 
     crash_id: str
     fingerprints: list[str]
+    age_s: float = 0.0
 
 
-Message = RankLoad | CrashSeen
+class Cleared(msgspec.Struct, frozen=True, tag="cleared"):
+    """Requests with these subjects have run without a crash, so they explain none."""
+
+    subjects: list[str]
+
+
+Message = RankLoad | CrashSeen | Cleared
+CrashMessage = CrashSeen | Cleared
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Message)
--- a/src/bronzerudder/policy/quarantine/ledger.py
+++ b/src/bronzerudder/policy/quarantine/ledger.py
@@ -25,9 +25,15 @@
 
     Reports and clearances may arrive in any order and more than once: two ledgers with the same
     ones reach the same verdicts.
+
+    Parameters
+    ----------
+    max_reports : int
+        Reports that are held; those that expire first are dropped.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, max_reports: int = MAX_REPORTS) -> None:
+        self._max_reports = max_reports
         self._reports: dict[str, CrashReport] = {}
         self._cleared: dict[str, set[str]] = {}
         self._evidence: dict[str, frozenset[str]] = {}
@@ -66,7 +72,7 @@
                 return False
             report = known._replace(fingerprints=known.fingerprints | report.fingerprints)
         self._reports[report.crash_id] = report
-        if len(self._reports) > MAX_REPORTS:
+        if len(self._reports) > self._max_reports:
             self._forget(min(self._reports, key=lambda name: self._reports[name].expires_at))
         self._judge_all()
         return True
@@ -89,7 +95,7 @@
         """Return the verdict on a request."""
         if not self._reports or not fingerprint:
             return CLEAR
-        self._expire(now)
+        self.expire(now)
         crash_ids = self._evidence.get(fingerprint, frozenset())
         if fingerprint in self._offenders:
             until = max(self._reports[crash_id].expires_at for crash_id in crash_ids)
@@ -97,6 +103,19 @@
         unexplained = crash_ids - self._explained
         return Verdict(QuarantineState.SUSPECT, unexplained) if unexplained else CLEAR
 
+    def crashes_of(self, fingerprint: str) -> frozenset[str]:
+        """Crashes at which a fingerprint was in flight and of which it is not cleared."""
+        return self._evidence.get(fingerprint, frozenset())
+
+    def expire(self, now: float) -> bool:
+        """Forget reports that have expired; return whether there were any."""
+        expired = [name for name, report in self._reports.items() if report.expires_at <= now]
+        for crash_id in expired:
+            self._forget(crash_id)
+        if expired:
+            self._judge_all()
+        return bool(expired)
+
     def _judge_all(self) -> None:
         evidence: dict[str, set[str]] = {}
         for crash_id, report in self._reports.items():
@@ -106,17 +125,10 @@
         self._offenders = find_offenders(self._evidence)
         self._explained = frozenset().union(*(self._evidence[name] for name in self._offenders))
 
-    def _expire(self, now: float) -> None:
-        expired = [name for name, report in self._reports.items() if report.expires_at <= now]
-        for crash_id in expired:
-            self._forget(crash_id)
-        if expired:
-            self._judge_all()
-
     def _forget(self, crash_id: str) -> None:
         del self._reports[crash_id]
         self._cleared.pop(crash_id, None)
 
     def _bound_clearances(self) -> None:
-        while len(self._cleared) > MAX_REPORTS:
+        while len(self._cleared) > self._max_reports:
             del self._cleared[next(iter(self._cleared))]
--- a/src/bronzerudder/processes/gateway.py
+++ b/src/bronzerudder/processes/gateway.py
@@ -28,7 +28,7 @@
 from bronzerudder.observability.event_log import DEFAULT_LINES_PER_S, EventLog
 from bronzerudder.observability.metrics_page import MetricsHandler
 from bronzerudder.peers.datagrams import DatagramPort
-from bronzerudder.peers.messages import CrashSeen, Message, RankLoad
+from bronzerudder.peers.messages import CrashMessage, Message, RankLoad
 from bronzerudder.peers.registry import GatewayRegistry
 from bronzerudder.platform import wire
 from bronzerudder.platform.configuration import decode_backend_server, decode_configuration
@@ -132,7 +132,7 @@
             self._set_started_if_ready,
         )
         self._started = anyio.Event()
-        self._crashes = CrashWatch(settings["gateway_id"], self._report_crash, self._log, tasks)
+        self._crashes = CrashWatch(settings["gateway_id"], self._send_to_gateways, self._log, tasks)
         context = GatewayContext(
             self._services,
             self._connections,
@@ -218,12 +218,12 @@
         if isinstance(message, RankLoad):
             self._services.on_rank_load(message)
             return
-        self._crashes.add_report(message)
+        self._crashes.on_message(message)
 
-    def _report_crash(self, crash: CrashSeen) -> None:
+    def _send_to_gateways(self, message: CrashMessage) -> None:
         own = self._settings["peer_address"]
         others = [address for address in self._gateways.addresses if address != own]
-        self._peers.send(crash, others)
+        self._peers.send(message, others)
 
     def _limits(self) -> ServerLimits:
         current = self._configuration.current
--- a/tests/gateway/gateway_fleet.py
+++ b/tests/gateway/gateway_fleet.py
@@ -8,6 +8,8 @@
 
 from bronzerudder.gateway.services import RetryBudgetLimits
 from bronzerudder.http1 import listen
+from bronzerudder.peers.messages import CrashSeen
+from bronzerudder.processes.gateway import MAINTENANCE_INTERVAL_S
 from bronzerudder.standin.fleet import CrashPlan, StandinBackendServer
 from tests.gateway.harness import GatewayHarness
 
@@ -35,7 +37,9 @@
         self._addresses: dict[str, str] = {}
         self._serving: list[asyncio.Task] = []
         self._listeners = []
+        self._maintaining: list[asyncio.Task] = []
         self._numbers = itertools.count()
+        self._arrivals_seen = 0
 
     @property
     def crashes(self) -> list[float]:
@@ -56,11 +60,22 @@
             self._listeners.append(listener)
             self._serving.append(asyncio.create_task(server.server.serve(listener)))
             self._addresses[server.instance_id] = f"127.0.0.1:{listener.getsockname()[1]}"
-            server.crash_plan = CRASH_PLAN
             server.on_new_instance = self._make_relisting(server)
+        self.set_crash_plan(CRASH_PLAN)
         for _ in range(self._gateway_count):
             await self.add_gateway()
 
+    def set_crash_plan(self, plan: CrashPlan) -> None:
+        """Set which requests crash the backend servers, and how."""
+        for server in self.backend_servers:
+            server.crash_plan = plan
+
+    def is_quiet(self) -> bool:
+        """Whether the last request with the bad part has not reached a backend server."""
+        quiet = len(self.bad_arrivals) == self._arrivals_seen
+        self._arrivals_seen = len(self.bad_arrivals)
+        return quiet
+
     async def add_gateway(self) -> GatewayHarness:
         """Start another gateway, which knows nothing yet."""
         gateway = GatewayHarness(0, RETRY, f"g-{len(self.gateways)}")
@@ -69,15 +84,16 @@
         for instance_id, address in self._addresses.items():
             gateway.list_server(instance_id, address)
         self.gateways.append(gateway)
+        self._maintaining.append(asyncio.create_task(_maintain(gateway)))
         return gateway
 
     async def stop(self) -> None:
         """Stop all gateways and backend servers."""
         for gateway in self.gateways:
             await gateway.stop()
-        for task in self._serving:
+        for task in (*self._maintaining, *self._serving):
             task.cancel()
-        await asyncio.gather(*self._serving, return_exceptions=True)
+        await asyncio.gather(*self._maintaining, *self._serving, return_exceptions=True)
         for listener in self._listeners:
             listener.close()
 
@@ -102,12 +118,19 @@
 
     def _make_announcement(self, sender: GatewayHarness):
         def announce(message) -> None:
-            sender.crash_reports.append(message)
-            sender.report_at_s.append(time.monotonic())
+            if isinstance(message, CrashSeen):
+                sender.crash_reports.append(message)
+                sender.report_at_s.append(time.monotonic())
             if sender.name in self.cut_off:
                 return
             for gateway in self.gateways:
                 if gateway is not sender and gateway.name not in self.cut_off:
-                    gateway.crashes.add_report(message)
+                    gateway.crashes.on_message(message)
 
         return announce
+
+
+async def _maintain(gateway: GatewayHarness) -> None:
+    while True:
+        await asyncio.sleep(MAINTENANCE_INTERVAL_S)
+        gateway.crashes.maintain()
--- a/tests/gateway/test_crashing_parts.py
+++ b/tests/gateway/test_crashing_parts.py
@@ -9,7 +9,8 @@
 import asyncio
 import unittest
 
-from tests.gateway.gateway_fleet import BAD_PART, GatewayFleet
+from bronzerudder.standin.fleet import Behaviour
+from tests.gateway.gateway_fleet import BAD_PART, CRASH_PLAN, GatewayFleet
 
 CRASHES_BEFORE_BOUND = 5
 MAX_ARRIVALS_AFTER = 3
@@ -47,6 +48,70 @@
             len(self.fleet.bad_arrivals), CRASHES_BEFORE_BOUND + MAX_ARRIVALS_AFTER
         )
 
+    async def test_sound_requests_are_served_while_requests_with_a_crashing_part_still_come(self):
+        for gateway in self.fleet.gateways:
+            self.assertEqual(await self.send_sound(gateway, 6), 6)
+        while len(self.fleet.crashes) < 2 or not self.fleet.is_quiet():
+            for gateway in self.fleet.gateways:
+                await self.send_bad(gateway)
+            await asyncio.sleep(0.3)
+        await asyncio.sleep(0.5)
+        arrived = len(self.fleet.bad_arrivals)
+        served = 0
+        for number in range(100):
+            gateway = self.fleet.gateways[number % 3]
+            refused, _ = await self.send_bad(gateway)
+            self.assertEqual(refused, 503)
+            served += await self.send_sound(gateway, 3)
+        self.assertEqual(served, 300)
+        self.assertEqual(len(self.fleet.bad_arrivals), arrived)
+        self.assertLessEqual(arrived, CRASHES_BEFORE_BOUND + MAX_ARRIVALS_AFTER)
+
+    async def test_sound_parts_that_every_crashing_request_has_are_soon_served_again(self):
+        while len(self.fleet.crashes) < 2 or not self.fleet.is_quiet():
+            await self.send_bad(self.fleet.gateways[0])
+            await asyncio.sleep(0.3)
+        await asyncio.sleep(0.5)
+        arrived = len(self.fleet.bad_arrivals)
+        for gateway in self.fleet.gateways:
+            await self.send_sound(gateway, 6)
+        for gateway in self.fleet.gateways:
+            self.assertEqual(await self.send_sound(gateway, 20), 20)
+            self.assertEqual((await self.send_bad(gateway))[0], 503)
+        self.assertEqual(len(self.fleet.bad_arrivals), arrived)
+
+    async def test_a_part_that_crashes_a_server_after_the_first_event_is_found_too(self):
+        self.fleet.set_crash_plan(CRASH_PLAN._replace(after_first_event=True, delay_s=0.1))
+        for number in range(12):
+            gateway = self.fleet.gateways[number % 3]
+            sound = asyncio.create_task(self.send_sound(gateway, 2))
+            await self.send_bad(gateway)
+            await sound
+            await asyncio.sleep(0.3)
+        self.assertLessEqual(
+            len(self.fleet.bad_arrivals), CRASHES_BEFORE_BOUND + MAX_ARRIVALS_AFTER
+        )
+        self.assertEqual(await self.send_sound(self.fleet.gateways[0], 10), 10)
+
+    async def test_a_part_proven_at_another_gateway_only_is_not_quarantined(self):
+        first, second, _ = self.fleet.gateways
+        self.assertEqual(await self.send_sound(first, 3), 3)
+        for _ in range(3):
+            await self.send_bad(second)
+            await asyncio.sleep(0.4)
+        self.assertEqual(await self.send_sound(second, 20), 20)
+
+    async def test_answers_reset_by_servers_that_still_listen_do_not_quarantine_their_parts(self):
+        for server in self.fleet.backend_servers:
+            server.usual = Behaviour.RESET
+        for gateway in self.fleet.gateways:
+            await self.send_sound(gateway, 3)
+        for server in self.fleet.backend_servers:
+            server.usual = Behaviour.ANSWER
+        await asyncio.sleep(1.5)
+        for gateway in self.fleet.gateways:
+            self.assertEqual(await self.send_sound(gateway, 5), 5)
+
 
 if __name__ == "__main__":
     unittest.main()
