Judge requests again right before each send

A request was judged when it came and when an attempt had failed.

Waiting requests are now judged whenever slots are assigned, and refused at once; a request with a slot is judged right before it is sent, and gives the slot back, so that the probe of a closed group is left to another request. Of requests that show which of several parts is to blame, one runs at a time. The refusal is the same as at admission: 503 with Retry-After.

Also: the fleet of the tests counted the repeated copy of a report as a second report, which failed a test once on a loaded machine after 0.25 s.

--- a/src/bronzerudder/gateway/forwarding.py
+++ b/src/bronzerudder/gateway/forwarding.py
@@ -24,7 +24,7 @@
 from bronzerudder.http1 import ClientPool, Request, ResponseWriter
 from bronzerudder.observability.event_log import EventLog
 from bronzerudder.platform.requests import AnswerHead, RequestHead, encode_request
-from bronzerudder.policy.quarantine import RequestSubjects
+from bronzerudder.policy.quarantine import QuarantineState, RequestSubjects, Verdict
 from bronzerudder.policy.retry import RetryDenial
 from bronzerudder.policy.routing import Assignment, Candidate, RoutedRequest
 
@@ -106,6 +106,15 @@
     spans: SpanSource
 
 
+def quarantine_refusal(verdict: Verdict) -> Refusal:
+    """Return the refusal of a request that must not run, or not now."""
+    if verdict.quarantine_state is QuarantineState.QUARANTINED:
+        reason = f"it would crash backend servers, as at {len(verdict.crash_ids)} crashes"
+    else:
+        reason = "a similar request runs to find out whether it crashes backend servers"
+    return Refusal(RefusalKind.QUARANTINED, reason, verdict.retry_after_s)
+
+
 class RequestForwarder:
     """Forwards one request until it is answered or has failed.
 
@@ -183,6 +192,10 @@
             if isinstance(assignment, Refusal):
                 return self._final_result(assignment)
             try:
+                verdict = self._context.crashes.find_refusal(self._admitted.subjects)
+                if verdict is not None:
+                    self._pool.gate.record_not_sent()
+                    return self._final_result(quarantine_refusal(verdict))
                 result = await self._attempt(assignment)
             finally:
                 self._pool.queue.release(slot_request, assignment)
@@ -217,8 +230,13 @@
             admitted.arrived_at_s + ON_TIME_FRACTION * admitted.route.objective_s,
             latest_start_s(admitted.route, last_received_at_s, admitted.deadline_at_s),
             routed,
+            self._find_quarantine,
         )
 
+    def _find_quarantine(self) -> Refusal | None:
+        verdict = self._context.crashes.find_quarantine(self._admitted.subjects)
+        return None if verdict is None else quarantine_refusal(verdict)
+
     async def _attempt(
         self, assignment: Assignment
     ) -> CompleteAnswer | StreamDelivered | AttemptFailure:
--- a/src/bronzerudder/gateway/group_gate.py
+++ b/src/bronzerudder/gateway/group_gate.py
@@ -45,6 +45,10 @@
         if self._closed:
             self._probe_until_s = now_s + PROBE_TIMEOUT_S
 
+    def record_not_sent(self) -> None:
+        """Record that the request that was given a slot was not sent, so that another may probe."""
+        self._probe_until_s = 0.0
+
     def record_rejection(self, now_s: float) -> bool:
         """Record a rejection by a rank that was not full; return whether this closed the gate."""
         was_closed = self._closed
--- a/src/bronzerudder/gateway/handler.py
+++ b/src/bronzerudder/gateway/handler.py
@@ -17,6 +17,7 @@
     GatewayContext,
     Outcome,
     RequestForwarder,
+    quarantine_refusal,
 )
 from bronzerudder.gateway.spans import TRACEPARENT
 from bronzerudder.gateway.tables import Configuration, Route, Workspace
@@ -102,8 +103,7 @@
         subjects = subjects_of(request, caller)
         verdict = self._context.crashes.find_quarantine(subjects)
         if verdict is not None:
-            reason = f"it would crash backend servers, as at {len(verdict.crash_ids)} crashes"
-            return Refusal(RefusalKind.QUARANTINED, reason, verdict.retry_after_s)
+            return quarantine_refusal(verdict)
         time_s = route.timeout_s
         if caller.deadline_s is not None:
             time_s = min(time_s, caller.deadline_s)
--- a/src/bronzerudder/gateway/slot_queue.py
+++ b/src/bronzerudder/gateway/slot_queue.py
@@ -54,6 +54,8 @@
         request is refused, as its caller would time out.
     routed : RoutedRequest
         Input of the routing policy.
+    find_refusal : callable
+        Returns why the request must not run; called while it waits.
     """
 
     request_id: str
@@ -62,6 +64,7 @@
     latest_on_time_start_s: float
     refuse_at_s: float
     routed: RoutedRequest
+    find_refusal: Callable[[], Refusal | None] = lambda: None
 
 
 class _Waiter:
@@ -174,7 +177,7 @@
         self.assign_slots()
 
     def assign_slots(self) -> None:
-        """Give free slots to waiting requests, and refuse those whose wait has expired."""
+        """Give free slots to waiting requests, and refuse those that need no longer wait."""
         now_s = time.monotonic()
         self._expire(now_s)
         while self._waiters:
@@ -250,6 +253,11 @@
         )
 
     def _expire(self, now_s: float) -> None:
+        for waiter in list(self._waiters):
+            refusal = waiter.request.find_refusal()
+            if refusal is not None:
+                self._waiters.remove(waiter)
+                waiter.resolve(refusal)
         for waiter in [item for item in self._waiters if item.request.refuse_at_s <= now_s]:
             self._waiters.remove(waiter)
             waiter.resolve(
--- a/tests/gateway/gateway_fleet.py
+++ b/tests/gateway/gateway_fleet.py
@@ -118,7 +118,8 @@
 
     def _make_announcement(self, sender: GatewayHarness):
         def announce(message) -> None:
-            if isinstance(message, CrashSeen):
+            reported = {report.crash_id for report in sender.crash_reports}
+            if isinstance(message, CrashSeen) and message.crash_id not in reported:
                 sender.crash_reports.append(message)
                 sender.report_at_s.append(time.monotonic())
             if sender.name in self.cut_off:
--- a/tests/gateway/test_crashing_parts.py
+++ b/tests/gateway/test_crashing_parts.py
@@ -7,8 +7,13 @@
 from __future__ import annotations
 
 import asyncio
+import time
 import unittest
 
+from bronzerudder.gateway.crash_watch import subjects_of
+from bronzerudder.http1 import Request
+from bronzerudder.peers.messages import CrashSeen
+from bronzerudder.platform.requests import decode_request
 from bronzerudder.standin.fleet import Behaviour
 from tests.gateway.gateway_fleet import BAD_PART, CRASH_PLAN, GatewayFleet
 
@@ -113,5 +118,77 @@
             self.assertEqual(await self.send_sound(gateway, 5), 5)
 
 
+class JudgedBeforeSendTest(FleetCase):
+    """Requests that are admitted before the crashes are known."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.gateway = self.fleet.gateways[0]
+
+    def report_crashes(self, *parts):
+        subjects = subjects_of(*make_request(*parts)).parts
+        for number in range(2):
+            self.gateway.crashes.add_report(
+                CrashSeen(f"crash-{number}", [*subjects, f"f{number}"], 4.0 * number)
+            )
+
+    async def test_a_request_that_waits_for_a_slot_is_refused_once_its_part_is_quarantined(self):
+        for server in self.fleet.backend_servers[2:]:
+            self.gateway.services.drop(server.instance_id)
+        for server in self.fleet.backend_servers:
+            server.event_gap_s = 0.12
+        slots = 6 * 2
+        running = asyncio.create_task(self.send_sound(self.gateway, slots))
+        while sum(server.running for server in self.fleet.backend_servers) < slots:
+            await asyncio.sleep(0.01)
+        sending = asyncio.create_task(self.send_bad(self.gateway))
+        await asyncio.sleep(0.1)
+        self.report_crashes(BAD_PART)
+        began_s = time.monotonic()
+        self.assertEqual((await sending)[0], 503)
+        self.assertLess(time.monotonic() - began_s, 0.3)
+        self.assertEqual(self.fleet.bad_arrivals, [])
+        self.assertEqual(await running, slots)
+
+    async def test_a_request_with_a_slot_is_not_sent_once_its_part_is_quarantined(self):
+        queue = self.gateway.services.pool("s").queue
+        acquire = queue.acquire
+
+        async def acquire_late(request):
+            assignment = await acquire(request)
+            self.report_crashes(BAD_PART)
+            return assignment
+
+        queue.acquire = acquire_late
+        status, body = await self.send_bad(self.gateway)
+        self.assertEqual((status, self.fleet.bad_arrivals), (503, []))
+        self.assertIn(b"quarantined", body)
+        self.assertEqual(queue.running, 0)
+
+    async def test_a_request_is_not_sent_again_once_a_peer_has_reported_its_part(self):
+        async def crash_and_report(incarnation, address, must_refuse):
+            self.report_crashes(BAD_PART)
+
+        self.gateway.crashes.on_connection_broken = crash_and_report
+        await self.send_bad(self.gateway)
+        self.assertEqual(len(self.fleet.bad_arrivals), 1)
+
+    async def test_suspects_run_one_at_a_time(self):
+        self.report_crashes(BAD_PART, "first")
+        for server in self.fleet.backend_servers:
+            server.event_gap_s = 0.1
+        answers = await asyncio.gather(*(self.fleet.send(self.gateway, "first") for _ in range(4)))
+        self.assertEqual(sorted(status for status, _ in answers), [200, 503, 503, 503])
+        self.assertEqual(await self.send_sound(self.gateway, 4), 4)
+        self.assertEqual((await self.send_bad(self.gateway))[0], 503)
+
+
+def make_request(*shared_parts):
+    value = ",".join(f"{part}:40" for part in (*shared_parts, "own"))
+    headers = ((b"prompt-prefix", value.encode()), (b"x-api-key", b"key"))
+    request = Request(b"POST", b"/stream/", headers, b"")
+    return request, decode_request(request)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/gateway/test_group_gate.py
+++ b/tests/gateway/test_group_gate.py
@@ -54,6 +54,14 @@
         gate.on_agent_report(False, 0.0)
         self.assertTrue(gate.admits(0.7))
 
+    def test_a_probe_that_was_not_sent_does_not_keep_others_from_probing(self):
+        gate = GroupGate()
+        gate.record_rejection(0.0)
+        gate.record_sent(1.0)
+        self.assertFalse(gate.admits(1.1))
+        gate.record_not_sent()
+        self.assertTrue(gate.admits(1.1))
+
 
 if __name__ == "__main__":
     unittest.main()
