Let gateways learn of crashes whose reports they missed

A report was sent when a crash was seen and once more a quarter of a second later.

Each gateway now sends a hash of the crashes that it knows of to two others every second. One whose hash differs answers with its crashes, and asks for the sender's in turn, so that a part one of them knows to be sound is cleared at both. An exchange is bounded: the 15 crashes that explain a quarantine or are the latest, eight subjects of each, five crashes to a datagram. Their age goes with them, so an exchange does not prolong a quarantine.

The tests start a gateway after the crashes, cut one off during them, and keep gateways apart that know different halves; each refuses the part within 3 s of being reachable and serves sound requests.

--- a/src/bronzerudder/gateway/crash_watch.py
+++ b/src/bronzerudder/gateway/crash_watch.py
@@ -18,7 +18,14 @@
 
 from bronzerudder.http1 import Request, TransportError, connect
 from bronzerudder.observability.event_log import EventLog
-from bronzerudder.peers.messages import Cleared, CrashMessage, CrashSeen
+from bronzerudder.peers.messages import (
+    Cleared,
+    CrashDigest,
+    CrashEvidence,
+    CrashMessage,
+    CrashSeen,
+)
+from bronzerudder.peers.messenger import GatewayMessenger
 from bronzerudder.platform.requests import RequestHead
 from bronzerudder.policy.quarantine import (
     QuarantineState,
@@ -43,6 +50,12 @@
 comes about 0.1 s after the answer begins, before the first event."""
 CLEARANCES = 2
 """Times that a clearance is sent, as messages may be lost."""
+EXCHANGE_INTERVAL_S = 1.0
+EXCHANGE_PEERS = 2
+"""A gateway that starts, was suspended or lost messages learns of all crashes within 3 s, the time
+after which it must act on them."""
+CRASHES_PER_MESSAGE = 5
+"""Keeps a message below 1,200 bytes."""
 SUSPECT_RETRY_S = 1.0
 """Time after which it is known whether the suspect that is running is sound."""
 
@@ -123,8 +136,8 @@
     ----------
     name : str
         Name of this gateway, used in the ids of crashes that are not certain.
-    announce : callable
-        Sends a message to the other gateways; it may be lost.
+    messenger : GatewayMessenger
+        Sends messages to the other gateways.
     log : EventLog
         Takes a line for each crash, quarantine and clearance.
     tasks : TaskGroup
@@ -136,13 +149,13 @@
     def __init__(
         self,
         name: str,
-        announce: Callable[[CrashMessage], None],
+        messenger: GatewayMessenger,
         log: EventLog,
         tasks: TaskGroup,
         probe: Callable[[str], Awaitable[bool]] = refuses_connections,
     ) -> None:
         self._name = name
-        self._announce = announce
+        self._messenger = messenger
         self._log = log
         self._tasks = tasks
         self._probe = probe
@@ -153,6 +166,7 @@
         self._breaks = 0
         self._reports_to_repeat: list[tuple[CrashSeen, float]] = []
         self._to_clear: dict[str, int] = {}
+        self._asked_at_s = 0.0
 
     def find_quarantine(self, subjects: RequestSubjects) -> Verdict | None:
         """Return the verdict if the request must not run; None if it may."""
@@ -226,12 +240,20 @@
 
     def on_message(self, message: CrashMessage) -> None:
         """Handle a message of another gateway."""
-        if isinstance(message, Cleared):
+        if isinstance(message, CrashSeen):
+            self.add_report(message)
+        elif isinstance(message, Cleared):
             for subject in message.subjects:
                 self._to_clear.pop(subject, None)
             self._record_proof(message.subjects, is_own=False)
-            return
-        self.add_report(message)
+        elif isinstance(message, CrashDigest):
+            if message.value != self._ledger.digest:
+                self._send_evidence(message.address, wants_reply=True)
+        else:
+            for crash in message.crashes:
+                self.add_report(crash)
+            if message.reply_to:
+                self._send_evidence(message.reply_to, wants_reply=False)
 
     def add_report(self, crash: CrashSeen) -> None:
         """Record a crash that this gateway or another one has reported."""
@@ -245,13 +267,17 @@
             self._log_verdicts(before)
 
     def maintain(self) -> None:
-        """Repeat the reports and clearances since the last call, as messages may be lost."""
+        """Repeat messages, as they may be lost, and ask for those that were missed."""
         now_s = time.monotonic()
         self._ledger.expire(now_s)
         for crash, happened_at_s in self._reports_to_repeat:
-            self._announce(msgspec.structs.replace(crash, age_s=now_s - happened_at_s))
+            self._messenger.send_to_all(msgspec.structs.replace(crash, age_s=now_s - happened_at_s))
         self._reports_to_repeat.clear()
         self._send_clearances()
+        if now_s - self._asked_at_s >= EXCHANGE_INTERVAL_S:
+            self._asked_at_s = now_s
+            digest = CrashDigest(self._messenger.address, self._ledger.digest)
+            self._messenger.send_to_some(digest, EXCHANGE_PEERS)
         for incarnation, check in list(self._checks.items()):
             if check.started_at_s < now_s - SAME_CRASH_S and check.done.is_set():
                 del self._checks[incarnation]
@@ -288,7 +314,7 @@
         if not crash.fingerprints:
             return
         self.add_report(crash)
-        self._announce(crash)
+        self._messenger.send_to_all(crash)
         self._reports_to_repeat.append((crash, happened_at_s))
 
     def _record_proof(self, subjects: Iterable[str], is_own: bool) -> None:
@@ -309,12 +335,24 @@
         """
         subjects = list(self._to_clear)
         for begin in range(0, len(subjects), MAX_SUBJECTS):
-            self._announce(Cleared(subjects[begin : begin + MAX_SUBJECTS]))
+            self._messenger.send_to_all(Cleared(subjects[begin : begin + MAX_SUBJECTS]))
         for subject in subjects:
             self._to_clear[subject] -= 1
             if not self._to_clear[subject]:
                 del self._to_clear[subject]
 
+    def _send_evidence(self, address: str, wants_reply: bool) -> None:
+        now_s = time.monotonic()
+        crashes = []
+        for crash in self._ledger.known_crashes:
+            age_s = now_s - crash.happened_at_s
+            crashes.append(CrashSeen(crash.crash_id, list(crash.subjects), age_s))
+        reply_to = self._messenger.address if wants_reply else ""
+        for begin in range(0, max(1, len(crashes)), CRASHES_PER_MESSAGE):
+            some = crashes[begin : begin + CRASHES_PER_MESSAGE]
+            self._messenger.send_to(CrashEvidence(some, reply_to), address)
+            reply_to = ""
+
     def _log_verdicts(self, before: frozenset[str]) -> None:
         after = self._ledger.offenders
         for subject in sorted(after - before):
--- a/src/bronzerudder/peers/messages.py
+++ b/src/bronzerudder/peers/messages.py
@@ -52,8 +52,38 @@
     subjects: list[str]
 
 
-Message = RankLoad | CrashSeen | Cleared
-CrashMessage = CrashSeen | Cleared
+class CrashDigest(msgspec.Struct, frozen=True, tag="digest"):
+    """Asks a gateway that knows of other crashes for them.
+
+    Parameters
+    ----------
+    address : str
+        ``host:port`` of the sender.
+    value : int
+        Equal at gateways that know of the same crashes.
+    """
+
+    address: str
+    value: int
+
+
+class CrashEvidence(msgspec.Struct, frozen=True, tag="evidence"):
+    """The crashes that a gateway knows of.
+
+    Parameters
+    ----------
+    crashes : list of CrashSeen
+        Some of them, each with the subjects that best explain it.
+    reply_to : str
+        Address that wants the receiver's crashes in turn; empty for none.
+    """
+
+    crashes: list[CrashSeen]
+    reply_to: str = ""
+
+
+CrashMessage = CrashSeen | Cleared | CrashDigest | CrashEvidence
+Message = RankLoad | CrashMessage
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Message)
--- a/src/bronzerudder/policy/quarantine/subjects.py
+++ b/src/bronzerudder/policy/quarantine/subjects.py
@@ -6,6 +6,8 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
+import xxhash
+
 from bronzerudder.policy.quarantine.api import (
     CLEAR,
     Clearance,
@@ -27,6 +29,9 @@
 """Crashes of several backend servers within this time may all be due to something else, such as a
 loss of power, and count as one against a prompt part."""
 MIN_OCCASIONS = 2
+MAX_EXCHANGED_CRASHES = 15
+MAX_EXCHANGED_SUBJECTS = 8
+"""Bound what ledgers exchange; a verdict needs two to five crashes and one subject of each."""
 
 
 class RequestSubjects(NamedTuple):
@@ -70,6 +75,24 @@
         return now_s - self._proven_at_s.get(part, -PROVEN_S) < PROVEN_S
 
 
+class KnownCrash(NamedTuple):
+    """A crash as ledgers exchange it.
+
+    Parameters
+    ----------
+    crash_id : str
+        Identifies the crash.
+    subjects : tuple of str
+        Subjects that may explain it, the likeliest first.
+    happened_at_s : float
+        Monotonic time of the crash.
+    """
+
+    crash_id: str
+    subjects: tuple[str, ...]
+    happened_at_s: float
+
+
 class SubjectLedger:
     """Derives verdicts on requests from the crashes at which their subjects were in flight.
 
@@ -90,6 +113,7 @@
         self._crash_at_s: dict[str, float] = {}
         self._explanations: dict[str, frozenset[str]] = {}
         self._offenders: frozenset[str] = frozenset()
+        self._digest: int | None = None
 
     @property
     def offenders(self) -> frozenset[str]:
@@ -102,16 +126,38 @@
         return len(self._proven)
 
     @property
-    def reports(self) -> tuple[CrashReport, ...]:
-        """Reports that have not expired, without the subjects that are known to be sound."""
+    def known_crashes(self) -> tuple[KnownCrash, ...]:
+        """Crashes to exchange with other ledgers: those that offenders explain, then the latest."""
         cleared: dict[str, set[str]] = {}
         for clearance in self._ledger.clearances:
             for crash_id in clearance.crash_ids:
                 cleared.setdefault(crash_id, set()).add(clearance.fingerprint)
-        return tuple(
-            report._replace(fingerprints=report.fingerprints - cleared.get(report.crash_id, set()))
-            for report in self._ledger.reports
+        crashes = []
+        for report in self._ledger.reports:
+            suspects = report.fingerprints - cleared.get(report.crash_id, set())
+            if not suspects:
+                continue
+            likeliest = sorted(
+                suspects, key=lambda name: (name not in self._offenders, not is_part(name), name)
+            )
+            at_s = self._crash_at_s[report.crash_id]
+            subjects = tuple(likeliest[:MAX_EXCHANGED_SUBJECTS])
+            crashes.append(KnownCrash(report.crash_id, subjects, at_s))
+        crashes.sort(
+            key=lambda crash: (crash.crash_id not in self._explanations, -crash.happened_at_s)
         )
+        return tuple(crashes[:MAX_EXCHANGED_CRASHES])
+
+    @property
+    def digest(self) -> int:
+        """Hash of the crashes to exchange; equal for ledgers that need exchange nothing."""
+        if self._digest is None:
+            digest = xxhash.xxh3_64()
+            for crash in sorted(self.known_crashes):
+                for text in (crash.crash_id, *sorted(filter(is_part, crash.subjects))):
+                    digest.update(text.encode() + b"\0")
+            self._digest = digest.intdigest()
+        return self._digest
 
     def record_crash(
         self, crash_id: str, subjects: Iterable[str], happened_at_s: float, now_s: float
@@ -187,6 +233,7 @@
                 explanations.setdefault(crash_id, set()).add(name)
         self._explanations = {name: frozenset(items) for name, items in explanations.items()}
         self._offenders = frozenset().union(*self._explanations.values())
+        self._digest = None
 
     def _count_occasions(self, crash_ids: Iterable[str]) -> int:
         """Count the crashes, taking those that happened at the same time as one."""
--- a/src/bronzerudder/processes/gateway.py
+++ b/src/bronzerudder/processes/gateway.py
@@ -28,7 +28,8 @@
 from bronzerudder.observability.event_log import DEFAULT_LINES_PER_S, EventLog
 from bronzerudder.observability.metrics_page import MetricsHandler
 from bronzerudder.peers.datagrams import DatagramPort
-from bronzerudder.peers.messages import CrashMessage, Message, RankLoad
+from bronzerudder.peers.messages import Message, RankLoad
+from bronzerudder.peers.messenger import DatagramMessenger
 from bronzerudder.peers.registry import GatewayRegistry
 from bronzerudder.platform import wire
 from bronzerudder.platform.configuration import decode_backend_server, decode_configuration
@@ -132,7 +133,10 @@
             self._set_started_if_ready,
         )
         self._started = anyio.Event()
-        self._crashes = CrashWatch(settings["gateway_id"], self._send_to_gateways, self._log, tasks)
+        self._gateways = GatewayRegistry(self._store, self._log)
+        self._peers = DatagramPort(settings["peer_address"])
+        messenger = DatagramMessenger(self._peers, self._gateways, settings["peer_address"])
+        self._crashes = CrashWatch(settings["gateway_id"], messenger, self._log, tasks)
         context = GatewayContext(
             self._services,
             self._connections,
@@ -147,8 +151,6 @@
         )
         self._server = HttpServer(handler, self._limits, self._record_rejection)
         self._suspension_detector = SuspensionDetector()
-        self._gateways = GatewayRegistry(self._store, self._log)
-        self._peers = DatagramPort(settings["peer_address"])
 
     def _build_spans(self) -> SpanSource:
         share = self._settings.get("traces", {}).get("share", 0.0)
@@ -220,11 +222,6 @@
             return
         self._crashes.on_message(message)
 
-    def _send_to_gateways(self, message: CrashMessage) -> None:
-        own = self._settings["peer_address"]
-        others = [address for address in self._gateways.addresses if address != own]
-        self._peers.send(message, others)
-
     def _limits(self) -> ServerLimits:
         current = self._configuration.current
         return ServerLimits() if current is None else current.limits
--- a/tests/gateway/gateway_fleet.py
+++ b/tests/gateway/gateway_fleet.py
@@ -4,11 +4,13 @@
 
 import asyncio
 import itertools
+import random
 import time
 
 from bronzerudder.gateway.services import RetryBudgetLimits
 from bronzerudder.http1 import listen
-from bronzerudder.peers.messages import CrashSeen
+from bronzerudder.peers.messages import CrashSeen, encode_message
+from bronzerudder.peers.messenger import GatewayMessenger
 from bronzerudder.processes.gateway import MAINTENANCE_INTERVAL_S
 from bronzerudder.standin.fleet import CrashPlan, StandinBackendServer
 from tests.gateway.harness import GatewayHarness
@@ -27,6 +29,8 @@
         In the order of their start.
     cut_off : set of str
         Names of the gateways that neither send nor receive messages.
+    largest_message : int
+        Bytes of the largest message sent.
     """
 
     def __init__(self, gateways: int = 3, servers: int = 6) -> None:
@@ -34,6 +38,7 @@
         self.gateways: list[GatewayHarness] = []
         self.backend_servers = [StandinBackendServer(f"i-{number}") for number in range(servers)]
         self.cut_off: set[str] = set()
+        self.largest_message = 0
         self._addresses: dict[str, str] = {}
         self._serving: list[asyncio.Task] = []
         self._listeners = []
@@ -79,7 +84,7 @@
     async def add_gateway(self) -> GatewayHarness:
         """Start another gateway, which knows nothing yet."""
         gateway = GatewayHarness(0, RETRY, f"g-{len(self.gateways)}")
-        gateway.announce = self._make_announcement(gateway)
+        gateway.messenger = FleetMessenger(self, gateway)
         await gateway.start()
         for instance_id, address in self._addresses.items():
             gateway.list_server(instance_id, address)
@@ -116,19 +121,53 @@
 
         return relist
 
-    def _make_announcement(self, sender: GatewayHarness):
-        def announce(message) -> None:
-            reported = {report.crash_id for report in sender.crash_reports}
-            if isinstance(message, CrashSeen) and message.crash_id not in reported:
-                sender.crash_reports.append(message)
-                sender.report_at_s.append(time.monotonic())
-            if sender.name in self.cut_off:
-                return
-            for gateway in self.gateways:
-                if gateway is not sender and gateway.name not in self.cut_off:
-                    gateway.crashes.on_message(message)
 
-        return announce
+class FleetMessenger(GatewayMessenger):
+    """Delivers messages to the gateways of a fleet, unless it or they are cut off.
+
+    Parameters
+    ----------
+    fleet : GatewayFleet
+        All gateways.
+    sender : GatewayHarness
+        The gateway whose messages these are.
+    """
+
+    def __init__(self, fleet: GatewayFleet, sender: GatewayHarness) -> None:
+        self._fleet = fleet
+        self._sender = sender
+
+    @property
+    def address(self) -> str:
+        """Name of the gateway."""
+        return self._sender.name
+
+    def send_to_all(self, message) -> None:
+        """Deliver to all others; record a report that was not sent before."""
+        sender = self._sender
+        reported = {report.crash_id for report in sender.crash_reports}
+        if isinstance(message, CrashSeen) and message.crash_id not in reported:
+            sender.crash_reports.append(message)
+            sender.report_at_s.append(time.monotonic())
+        for gateway in self._fleet.gateways:
+            self.send_to(message, gateway.name)
+
+    def send_to_some(self, message, count) -> None:
+        """Deliver to that many others."""
+        names = [gateway.name for gateway in self._fleet.gateways if gateway is not self._sender]
+        for name in random.sample(names, min(count, len(names))):
+            self.send_to(message, name)
+
+    def send_to(self, message, address) -> None:
+        """Deliver to one gateway."""
+        size = len(encode_message(message))
+        self._fleet.largest_message = max(self._fleet.largest_message, size)
+        cut_off = self._fleet.cut_off
+        for gateway in self._fleet.gateways:
+            if gateway.name != address or gateway is self._sender:
+                continue
+            if gateway.name not in cut_off and self._sender.name not in cut_off:
+                gateway.crashes.on_message(message)
 
 
 async def _maintain(gateway: GatewayHarness) -> None:
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -20,6 +20,8 @@
 from bronzerudder.gateway.tables import BackendServer
 from bronzerudder.http1 import ClientPool, HttpServer, ServerLimits, listen
 from bronzerudder.observability.event_log import EventLog
+from bronzerudder.peers.messages import CrashSeen
+from bronzerudder.peers.messenger import GatewayMessenger
 from bronzerudder.platform.configuration import decode_configuration
 from bronzerudder.standin.fleet import StandinBackendServer
 
@@ -66,6 +68,26 @@
     return EventLog({}, os.open(os.devnull, os.O_WRONLY))
 
 
+class RecordingMessenger(GatewayMessenger):
+    """Sends nothing, and adds the crash reports to a list."""
+
+    address = "g"
+
+    def __init__(self, crash_reports: list) -> None:
+        self._crash_reports = crash_reports
+
+    def send_to_all(self, message) -> None:
+        """Record a report."""
+        if isinstance(message, CrashSeen):
+            self._crash_reports.append(message)
+
+    def send_to_some(self, message, count) -> None:
+        """Do nothing."""
+
+    def send_to(self, message, address) -> None:
+        """Do nothing."""
+
+
 class GatewayHarness:
     """One handler and its stand-ins; call `start` in asyncSetUp and `stop` as a cleanup."""
 
@@ -83,7 +105,7 @@
         self.is_current = True
         self.crash_reports: list = []
         self.report_at_s: list[float] = []
-        self.announce = self.crash_reports.append
+        self.messenger: GatewayMessenger = RecordingMessenger(self.crash_reports)
         self._retry = retry or RetryBudgetLimits(0.2, 100.0, 10.0)
         self._running: list[asyncio.Task] = []
         self._listeners = []
@@ -102,7 +124,7 @@
         for server in self.backend_servers:
             self.add(server)
         self.metrics = GatewayMetrics(CollectorRegistry())
-        self.crashes = CrashWatch(self.name, self.announce, self.log, self._queue_tasks)
+        self.crashes = CrashWatch(self.name, self.messenger, self.log, self._queue_tasks)
         shared = GatewayContext(
             self.services, self.connections, {}, self.crashes, self.metrics, self.log, NoSpans()
         )
--- a/tests/gateway/test_crashing_parts.py
+++ b/tests/gateway/test_crashing_parts.py
@@ -22,6 +22,9 @@
 """Requests with the part that may still reach backend servers after `CRASHES_BEFORE_BOUND`."""
 
 
+MAX_ROUNDS = 10
+
+
 class FleetCase(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.fleet = GatewayFleet()
@@ -41,6 +44,15 @@
     async def send_bad(self, gateway):
         return await self.fleet.send(gateway, "first", "other0", BAD_PART, "common")
 
+    async def crash_until_quarantined(self, *gateways):
+        for _ in range(MAX_ROUNDS):
+            for gateway in gateways:
+                await self.send_bad(gateway)
+            if len(self.fleet.crashes) >= 2 and self.fleet.is_quiet():
+                return
+            await asyncio.sleep(0.3)
+        self.fail("not quarantined")
+
 
 class CrashingPartTest(FleetCase):
     async def test_different_requests_with_a_crashing_part_stop_after_a_few_crashes(self):
@@ -56,10 +68,7 @@
     async def test_sound_requests_are_served_while_requests_with_a_crashing_part_still_come(self):
         for gateway in self.fleet.gateways:
             self.assertEqual(await self.send_sound(gateway, 6), 6)
-        while len(self.fleet.crashes) < 2 or not self.fleet.is_quiet():
-            for gateway in self.fleet.gateways:
-                await self.send_bad(gateway)
-            await asyncio.sleep(0.3)
+        await self.crash_until_quarantined(*self.fleet.gateways)
         await asyncio.sleep(0.5)
         arrived = len(self.fleet.bad_arrivals)
         served = 0
@@ -73,9 +82,7 @@
         self.assertLessEqual(arrived, CRASHES_BEFORE_BOUND + MAX_ARRIVALS_AFTER)
 
     async def test_sound_parts_that_every_crashing_request_has_are_soon_served_again(self):
-        while len(self.fleet.crashes) < 2 or not self.fleet.is_quiet():
-            await self.send_bad(self.fleet.gateways[0])
-            await asyncio.sleep(0.3)
+        await self.crash_until_quarantined(self.fleet.gateways[0])
         await asyncio.sleep(0.5)
         arrived = len(self.fleet.bad_arrivals)
         for gateway in self.fleet.gateways:
@@ -118,6 +125,48 @@
             self.assertEqual(await self.send_sound(gateway, 5), 5)
 
 
+class MissedMessagesTest(FleetCase):
+    LEARNED_S = 3.0
+    """Time after which a gateway must act on crashes that others know of."""
+
+    async def assert_refused_everywhere(self):
+        arrived = len(self.fleet.bad_arrivals)
+        for gateway in self.fleet.gateways:
+            self.assertEqual((await self.send_bad(gateway))[0], 503, gateway.name)
+            self.assertEqual(await self.send_sound(gateway, 6), 6)
+        self.assertEqual(len(self.fleet.bad_arrivals), arrived)
+        self.assertLess(self.fleet.largest_message, 1400)
+
+    async def test_a_gateway_that_starts_after_the_crashes_learns_of_them(self):
+        for gateway in self.fleet.gateways:
+            await self.send_sound(gateway, 6)
+        await self.crash_until_quarantined(self.fleet.gateways[0])
+        await self.fleet.add_gateway()
+        await asyncio.sleep(self.LEARNED_S)
+        await self.assert_refused_everywhere()
+
+    async def test_a_gateway_that_lost_all_messages_learns_once_they_arrive_again(self):
+        for gateway in self.fleet.gateways:
+            await self.send_sound(gateway, 6)
+        self.fleet.cut_off.add("g-2")
+        await self.crash_until_quarantined(self.fleet.gateways[0])
+        self.fleet.cut_off.clear()
+        await asyncio.sleep(self.LEARNED_S)
+        await self.assert_refused_everywhere()
+
+    async def test_gateways_that_were_apart_agree_on_what_is_sound(self):
+        first, second, third = self.fleet.gateways
+        await self.send_sound(third, 6)
+        self.fleet.cut_off.update(("g-0", "g-1"))
+        await self.crash_until_quarantined(first)
+        await self.crash_until_quarantined(second)
+        self.fleet.cut_off.clear()
+        await asyncio.sleep(self.LEARNED_S)
+        await self.assert_refused_everywhere()
+        digests = {gateway.crashes._ledger.digest for gateway in self.fleet.gateways}
+        self.assertEqual(len(digests), 1)
+
+
 class JudgedBeforeSendTest(FleetCase):
     """Requests that are admitted before the crashes are known."""
 
--- a/tests/policy/quarantine/test_subjects.py
+++ b/tests/policy/quarantine/test_subjects.py
@@ -17,7 +17,12 @@
     RequestSubjects,
     SubjectLedger,
 )
-from bronzerudder.policy.quarantine.subjects import MAX_PROVEN_PARTS, MAX_REPORTS, PROVEN_S
+from bronzerudder.policy.quarantine.subjects import (
+    MAX_EXCHANGED_CRASHES,
+    MAX_PROVEN_PARTS,
+    MAX_REPORTS,
+    PROVEN_S,
+)
 
 CRASH_INTERVAL_S = 4.0
 
@@ -106,6 +111,18 @@
         self.crash("2", "pa")
         self.assertEqual(self.judge("pa"), QuarantineState.QUARANTINED)
 
+    def test_ledgers_that_exchange_their_crashes_reach_the_same_verdicts(self):
+        other = SubjectLedger()
+        self.assertEqual(self.ledger.digest, other.digest)
+        for number in range(30):
+            fingerprints = [f"f{number}-{running}" for running in range(40)]
+            self.crash(f"i-{number}", "pkiller", f"p{number}", *fingerprints)
+        self.assertNotEqual(self.ledger.digest, other.digest)
+        for crash in self.ledger.known_crashes:
+            other.record_crash(crash.crash_id, crash.subjects, crash.happened_at_s, self.now_s)
+        self.assertEqual(other.offenders, {"pkiller"})
+        self.assertEqual(self.ledger.digest, other.digest)
+
     def test_a_report_that_has_expired_is_not_recorded(self):
         self.assertFalse(
             self.ledger.record_crash("1", ["pa"], self.now_s - QUARANTINE_S, self.now_s)
@@ -117,7 +134,8 @@
         for number in range(300):
             self.crash(f"{number}", f"f{number}", "pkiller")
         self.assertEqual(self.ledger.proven_parts, MAX_PROVEN_PARTS)
-        self.assertLessEqual(len(self.ledger.reports), MAX_REPORTS)
+        self.assertLessEqual(len(self.ledger.crashes_of("pkiller")), MAX_REPORTS)
+        self.assertLessEqual(len(self.ledger.known_crashes), MAX_EXCHANGED_CRASHES)
         self.assertEqual(self.judge("pkiller"), QuarantineState.QUARANTINED)
 
     def test_a_killer_is_found_in_a_storm_of_crashes(self):
