Keep the crashes behind a quarantine on the store

Gateways that start ask the others for crashes.

The gateway whose request is among the causes writes one small entry for each crash that an offender explains, and deletes it when the subjects turn out to be sound or the quarantine ends. Every gateway reads the list every 4 s with stale reads, a tenth of a call each, and takes each entry in once. Entries carry the age at which they were written but no time of day, as clocks may be stepped; the first gateway that has known an entry for the length of a quarantine deletes it. A store that is down delays only this copy.

--- a/src/bronzerudder/gateway/crash_watch.py
+++ b/src/bronzerudder/gateway/crash_watch.py
@@ -48,6 +48,7 @@
 SETTLED_S = 0.5
 """A stream whose first event is this old did not crash its backend server, and will not. A crash
 comes about 0.1 s after the answer begins, before the first event."""
+MAX_OWN_REPORTS = 64
 CLEARANCES = 2
 """Times that a clearance is sent, as messages may be lost."""
 EXCHANGE_INTERVAL_S = 1.0
@@ -165,9 +166,23 @@
         self._checks: dict[str, _CrashCheck] = {}
         self._breaks = 0
         self._reports_to_repeat: list[tuple[CrashSeen, float]] = []
+        self._own_reports: dict[str, frozenset[str]] = {}
         self._to_clear: dict[str, int] = {}
         self._asked_at_s = 0.0
 
+    def find_crashes_to_keep(self) -> dict[str, CrashSeen]:
+        """Return the crashes of which this gateway has reported an offender, by id.
+
+        So usually one gateway keeps a crash: the one that sent the request that caused it.
+        """
+        offenders = self._ledger.offenders
+        crashes = {}
+        for crash in self._ledger.known_crashes if offenders else ():
+            if offenders & self._own_reports.get(crash.crash_id, frozenset()):
+                age_s = time.monotonic() - crash.happened_at_s
+                crashes[crash.crash_id] = CrashSeen(crash.crash_id, list(crash.subjects), age_s)
+        return crashes
+
     def find_quarantine(self, subjects: RequestSubjects) -> Verdict | None:
         """Return the verdict if the request must not run; None if it may."""
         verdict = self._ledger.judge(subjects, time.monotonic())
@@ -270,6 +285,8 @@
         """Repeat messages, as they may be lost, and ask for those that were missed."""
         now_s = time.monotonic()
         self._ledger.expire(now_s)
+        while len(self._own_reports) > MAX_OWN_REPORTS:
+            del self._own_reports[next(iter(self._own_reports))]
         for crash, happened_at_s in self._reports_to_repeat:
             self._messenger.send_to_all(msgspec.structs.replace(crash, age_s=now_s - happened_at_s))
         self._reports_to_repeat.clear()
@@ -313,6 +330,7 @@
         crash = CrashSeen(crash_id, suspects[:MAX_SUBJECTS], now_s - happened_at_s)
         if not crash.fingerprints:
             return
+        self._own_reports[crash_id] = frozenset(crash.fingerprints)
         self.add_report(crash)
         self._messenger.send_to_all(crash)
         self._reports_to_repeat.append((crash, happened_at_s))
--- a/src/bronzerudder/processes/gateway.py
+++ b/src/bronzerudder/processes/gateway.py
@@ -27,6 +27,7 @@
 from bronzerudder.http1 import ClientPool, HttpServer, ServerLimits, listen
 from bronzerudder.observability.event_log import DEFAULT_LINES_PER_S, EventLog
 from bronzerudder.observability.metrics_page import MetricsHandler
+from bronzerudder.peers.crash_archive import CrashArchive
 from bronzerudder.peers.datagrams import DatagramPort
 from bronzerudder.peers.messages import Message, RankLoad
 from bronzerudder.peers.messenger import DatagramMessenger
@@ -137,6 +138,12 @@
         self._peers = DatagramPort(settings["peer_address"])
         messenger = DatagramMessenger(self._peers, self._gateways, settings["peer_address"])
         self._crashes = CrashWatch(settings["gateway_id"], messenger, self._log, tasks)
+        self._archive = CrashArchive(
+            self._store,
+            self._crashes.find_crashes_to_keep,
+            self._crashes.add_report,
+            self._log,
+        )
         context = GatewayContext(
             self._services,
             self._connections,
@@ -173,6 +180,7 @@
         self._tasks.start_soon(metrics_server.serve, listen(settings["metrics_address"]))
         self._tasks.start_soon(self._gateways.register, settings["peer_address"])
         self._tasks.start_soon(supervise, "list of gateways", self._gateways.run)
+        self._tasks.start_soon(supervise, "crash archive", self._archive.run)
         self._tasks.start_soon(supervise, "peers", self._receive_messages)
         self._tasks.start_soon(supervise, "housekeeping", self._run_maintenance)
         self._log.state("started", process=os.getpid(), store=settings["store_address"])
