Test crashing prompt parts before a lock-step group

The incident's backend servers were ranks of one group, which reset their streams after a crash and reject requests until the crashed rank is back. The fleet of the tests now plays that: three gateways get 24 requests with the part beside sound ones; the part alone is quarantined, after at most the crashes that the rule allows, and requests cut by the stalled ranks are served afterwards.

--- a/tests/gateway/gateway_fleet.py
+++ b/tests/gateway/gateway_fleet.py
@@ -12,11 +12,14 @@
 from bronzerudder.peers.messages import CrashSeen, encode_message
 from bronzerudder.peers.messenger import GatewayMessenger
 from bronzerudder.processes.gateway import MAINTENANCE_INTERVAL_S
-from bronzerudder.standin.fleet import CrashPlan, StandinBackendServer
+from bronzerudder.standin.fleet import Behaviour, CrashPlan, StandinBackendServer
+from bronzerudder.standin.fleet.backend_server import EVENT_GAP_S
 from tests.gateway.harness import GatewayHarness
 
 BAD_PART = "bad0"
 CRASH_PLAN = CrashPlan(frozenset({BAD_PART}), down_s=0.3, new_instance=True)
+STALL_S = 0.2
+FOREVER_S = 60.0
 RETRY = RetryBudgetLimits(0.2, 1000.0, 10.0)
 
 
@@ -31,14 +34,19 @@
         Names of the gateways that neither send nor receive messages.
     largest_message : int
         Bytes of the largest message sent.
+    cut_streams : int
+        Streams that ranks reset because another one crashed.
     """
 
-    def __init__(self, gateways: int = 3, servers: int = 6) -> None:
+    def __init__(self, gateways: int = 3, servers: int = 6, in_lockstep: bool = False) -> None:
+        self._in_lockstep = in_lockstep
+        self._stalls: list[asyncio.Task] = []
         self._gateway_count = gateways
         self.gateways: list[GatewayHarness] = []
         self.backend_servers = [StandinBackendServer(f"i-{number}") for number in range(servers)]
         self.cut_off: set[str] = set()
         self.largest_message = 0
+        self.cut_streams = 0
         self._addresses: dict[str, str] = {}
         self._serving: list[asyncio.Task] = []
         self._listeners = []
@@ -88,6 +96,7 @@
         await gateway.start()
         for instance_id, address in self._addresses.items():
             gateway.list_server(instance_id, address)
+        gateway.services.pool("s").set_in_lockstep(self._in_lockstep)
         self.gateways.append(gateway)
         self._maintaining.append(asyncio.create_task(_maintain(gateway)))
         return gateway
@@ -96,9 +105,10 @@
         """Stop all gateways and backend servers."""
         for gateway in self.gateways:
             await gateway.stop()
-        for task in (*self._maintaining, *self._serving):
+        tasks = (*self._maintaining, *self._stalls, *self._serving)
+        for task in tasks:
             task.cancel()
-        await asyncio.gather(*self._maintaining, *self._serving, return_exceptions=True)
+        await asyncio.gather(*tasks, return_exceptions=True)
         for listener in self._listeners:
             listener.close()
 
@@ -118,9 +128,27 @@
             for gateway in self.gateways:
                 gateway.services.drop(old_id)
                 gateway.list_server(server.instance_id, address)
+            if self._in_lockstep:
+                self._stalls.append(asyncio.create_task(self._stall(server)))
 
         return relist
 
+    async def _stall(self, crashed: StandinBackendServer) -> None:
+        """Stall the other ranks, let them reset their streams, and form the group again."""
+        others = [server for server in self.backend_servers if server is not crashed]
+        for server in others:
+            server.event_gap_s = FOREVER_S
+        await asyncio.sleep(STALL_S)
+        for server in others:
+            server.usual = Behaviour.SHED
+            self.cut_streams += server.running
+            for connection in list(server.server._connections):
+                connection.reset()
+        await asyncio.sleep(crashed.crash_plan.down_s)
+        for server in others:
+            server.usual = Behaviour.ANSWER
+            server.event_gap_s = EVENT_GAP_S
+
 
 class FleetMessenger(GatewayMessenger):
     """Delivers messages to the gateways of a fleet, unless it or they are cut off.
--- a/tests/gateway/test_crashing_parts.py
+++ b/tests/gateway/test_crashing_parts.py
@@ -26,8 +26,10 @@
 
 
 class FleetCase(unittest.IsolatedAsyncioTestCase):
+    in_lockstep = False
+
     async def asyncSetUp(self):
-        self.fleet = GatewayFleet()
+        self.fleet = GatewayFleet(in_lockstep=self.in_lockstep)
         await self.fleet.start()
         self.addAsyncCleanup(self.fleet.stop)
 
@@ -125,6 +127,26 @@
             self.assertEqual(await self.send_sound(gateway, 5), 5)
 
 
+class LockstepGroupTest(FleetCase):
+    in_lockstep = True
+
+    async def test_crashes_of_a_group_quarantine_the_part_and_no_request_that_was_cut(self):
+        for number in range(24):
+            gateway = self.fleet.gateways[number % 3]
+            sound = asyncio.create_task(self.send_sound(gateway, 4))
+            await self.send_bad(gateway)
+            await sound
+            await asyncio.sleep(0.1)
+        self.assertGreater(self.fleet.cut_streams, 0)
+        self.assertLessEqual(
+            len(self.fleet.bad_arrivals), CRASHES_BEFORE_BOUND + MAX_ARRIVALS_AFTER
+        )
+        await asyncio.sleep(1.0)
+        for gateway in self.fleet.gateways:
+            self.assertEqual(await self.send_sound(gateway, 30), 30)
+            self.assertEqual(len(gateway.crashes._ledger.offenders), 1)
+
+
 class MissedMessagesTest(FleetCase):
     LEARNED_S = 3.0
     """Time after which a gateway must act on crashes that others know of."""
