--- a/bench/quarantine.py
+++ b/bench/quarantine.py
@@ -7,12 +7,32 @@
 from __future__ import annotations
 
 import time
+import tracemalloc
 from typing import NamedTuple
 
 import anyio
 
 from bronzerudder.frames import exchange_pb2 as pb
-from bronzerudder.policy.quarantine import QUARANTINE_S, CrashReport, QuarantineLedger
+from bronzerudder.gateway.crash_watch import CRASHES_PER_MESSAGE, MAX_SUBJECTS
+from bronzerudder.peers.messages import (
+    Cleared,
+    CrashDigest,
+    CrashEvidence,
+    CrashSeen,
+    encode_message,
+)
+from bronzerudder.policy.quarantine import (
+    QUARANTINE_S,
+    CrashReport,
+    QuarantineLedger,
+    RequestSubjects,
+    SubjectLedger,
+)
+from bronzerudder.policy.quarantine.subjects import (
+    MAX_EXCHANGED_SUBJECTS,
+    MAX_PROVEN_PARTS,
+    MAX_REPORTS,
+)
 from bronzerudder.quarantine import QuarantineFeed
 
 IN_FLIGHT = 64
@@ -64,6 +84,48 @@
     return frozenset(f"{crash * count + n:0{FINGERPRINT_DIGITS}x}" for n in range(count))
 
 
+def measure_subjects() -> None:
+    """Print what a gateway spends on prompt parts: time, memory and bytes of messages."""
+    print(f"{'reports held':>13}{'judge us':>10}{'proof us':>10}{'report ms':>11}")
+    request = RequestSubjects("f" * 16, tuple(f"p{n:016x}" for n in range(3)))
+    for held in (0, 2, 16, MAX_REPORTS):
+        ledger = SubjectLedger()
+        report_ms = 0.0
+        for crash in range(held):
+            subjects = [f"f{crash}-{n}" for n in range(IN_FLIGHT // 2)]
+            subjects += [f"p{crash % 8}-{n}" for n in range(IN_FLIGHT // 2 - 1)]
+            began = time.process_time()
+            ledger.record_crash(f"c{crash}", ["pkiller", *subjects], 4.0 * crash, 4.0 * held)
+            report_ms = (time.process_time() - began) * 1e3
+        began = time.process_time()
+        for _ in range(JUDGEMENTS):
+            ledger.judge(request, 4.0 * held)
+        judge_us = (time.process_time() - began) / JUDGEMENTS * 1e6
+        began = time.process_time()
+        for _ in range(JUDGEMENTS):
+            ledger.record_proof((request.fingerprint, *request.parts), 4.0 * held)
+        proof_us = (time.process_time() - began) / JUDGEMENTS * 1e6
+        print(f"{held:>13}{judge_us:>10.2f}{proof_us:>10.2f}{report_ms:>11.2f}")
+    tracemalloc.start()
+    ledger = SubjectLedger()
+    for part in range(MAX_PROVEN_PARTS):
+        ledger.record_proof((f"p{part:016x}",), float(part))
+    print(f"memory of {MAX_PROVEN_PARTS} proven parts: {tracemalloc.get_traced_memory()[0]:,} B")
+    tracemalloc.stop()
+    subjects = [f"p{number:016x}" for number in range(MAX_SUBJECTS)]
+    crash_id = "i-7f3a91c2d0@1700000000123"
+    exchanged = [
+        CrashSeen(crash_id, subjects[:MAX_EXCHANGED_SUBJECTS], 599.9)
+    ] * CRASHES_PER_MESSAGE
+    for message in (
+        CrashSeen(crash_id, subjects, 0.25),
+        Cleared(subjects),
+        CrashDigest("10.1.0.22:7240", 1 << 63),
+        CrashEvidence(exchanged, "10.1.0.22:7240"),
+    ):
+        print(f"{type(message).__name__:>13}: {len(encode_message(message))} B at most")
+
+
 def measure_ledger() -> None:
     """Print the time to judge a request and to record the last of the reports held."""
     print(f"{'reports held':>13}{'judge us':>10}{'report ms':>11}")
@@ -110,6 +172,7 @@
 def main() -> None:
     """Print both tables."""
     measure_ledger()
+    measure_subjects()
     anyio.run(measure_spread)
 
 
--- a/src/bronzerudder/gateway/crash_watch.py
+++ b/src/bronzerudder/gateway/crash_watch.py
@@ -43,8 +43,8 @@
 """A lost packet must not hide a crash."""
 REFUSED = "ECONNREFUSED"
 MAX_SUBJECTS = 64
-"""Bounds a message to 1,200 bytes, which fit in one packet; a backend server runs fewer requests
-at once than this."""
+"""Bounds a message to 1,300 bytes, which fit in one packet; a backend server runs fewer requests
+of one gateway at once than this."""
 SETTLED_S = 0.5
 """A stream whose first event is this old did not crash its backend server, and will not. A crash
 comes about 0.1 s after the answer begins, before the first event."""
@@ -170,6 +170,11 @@
         self._to_clear: dict[str, int] = {}
         self._asked_at_s = 0.0
 
+    @property
+    def verdicts_changed(self) -> int:
+        """Number of times that verdicts have changed."""
+        return self._ledger.changes
+
     def find_crashes_to_keep(self) -> dict[str, CrashSeen]:
         """Return the crashes of which this gateway has reported an offender, by id.
 
--- a/src/bronzerudder/gateway/forwarding.py
+++ b/src/bronzerudder/gateway/forwarding.py
@@ -150,6 +150,7 @@
         self._last_answer: CompleteAnswer | None = None
         self._queue_s = 0.0
         self._last_instance = ""
+        self._judged_after_changes = -1
 
     @property
     def relay(self) -> StreamRelay | None:
@@ -234,7 +235,12 @@
         )
 
     def _find_quarantine(self) -> Refusal | None:
-        verdict = self._context.crashes.find_quarantine(self._admitted.subjects)
+        """Return why the request must not run; judges only if verdicts have changed since."""
+        crashes = self._context.crashes
+        if crashes.verdicts_changed == self._judged_after_changes:
+            return None
+        self._judged_after_changes = crashes.verdicts_changed
+        verdict = crashes.find_quarantine(self._admitted.subjects)
         return None if verdict is None else quarantine_refusal(verdict)
 
     async def _attempt(
--- a/src/bronzerudder/policy/quarantine/subjects.py
+++ b/src/bronzerudder/policy/quarantine/subjects.py
@@ -114,12 +114,18 @@
         self._explanations: dict[str, frozenset[str]] = {}
         self._offenders: frozenset[str] = frozenset()
         self._digest: int | None = None
+        self._changes = 0
 
     @property
     def offenders(self) -> frozenset[str]:
         """Subjects that explain repeated crashes."""
         return self._offenders
 
+    @property
+    def changes(self) -> int:
+        """Number of times that the offenders have been determined."""
+        return self._changes
+
     @property
     def proven_parts(self) -> int:
         """Number of parts that are known to be sound."""
@@ -234,6 +240,7 @@
         self._explanations = {name: frozenset(items) for name, items in explanations.items()}
         self._offenders = frozenset().union(*self._explanations.values())
         self._digest = None
+        self._changes += 1
 
     def _count_occasions(self, crash_ids: Iterable[str]) -> int:
         """Count the crashes, taking those that happened at the same time as one."""
