--- a/src/bronzerudder/gateway/forwarding.py
+++ b/src/bronzerudder/gateway/forwarding.py
@@ -24,6 +24,7 @@
 from bronzerudder.http1 import ClientPool, Request, ResponseWriter
 from bronzerudder.observability.event_log import EventLog
 from bronzerudder.platform.requests import AnswerHead, RequestHead, encode_request
+from bronzerudder.policy.quarantine import QuarantineState, RequestSubjects, Verdict
 from bronzerudder.policy.retry import RetryDenial
 from bronzerudder.policy.routing import Assignment, Candidate, RoutedRequest
 
@@ -34,6 +35,7 @@
 STREAM_IDLE_TIMEOUT_S = 0.8
 """Idle timeout of a repeatable stream: longer than a prompt is held up by the tokens of other
 requests, shorter than callers' timeouts."""
+STATUS_NOT_SUCCESS = 300
 ERROR_STATUS = 500
 STATUS_MISDIRECTED = 421
 
@@ -56,8 +58,8 @@
         Version of the configuration that applies to it.
     arrived_at_s, deadline_at_s : float
         Monotonic times of its arrival and of its deadline.
-    fingerprint : str
-        Identifies the request when a caller sends it again.
+    subjects : RequestSubjects
+        What the request is judged by when backend servers crash.
     traceparent : str
         Parent of the spans of its attempts; empty if the request is not traced.
     """
@@ -70,7 +72,7 @@
     version: int
     arrived_at_s: float
     deadline_at_s: float
-    fingerprint: str
+    subjects: RequestSubjects
     traceparent: str = ""
 
 
@@ -104,6 +106,15 @@
     spans: SpanSource
 
 
+def quarantine_refusal(verdict: Verdict) -> Refusal:
+    """Return the refusal of a request that must not run, or not now."""
+    if verdict.quarantine_state is QuarantineState.QUARANTINED:
+        reason = f"it would crash backend servers, as at {len(verdict.crash_ids)} crashes"
+    else:
+        reason = "a similar request runs to find out whether it crashes backend servers"
+    return Refusal(RefusalKind.QUARANTINED, reason, verdict.retry_after_s)
+
+
 class RequestForwarder:
     """Forwards one request until it is answered or has failed.
 
@@ -141,6 +152,7 @@
         self._last_answer: CompleteAnswer | None = None
         self._queue_s = 0.0
         self._last_instance = ""
+        self._judged_after_changes = -1
 
     @property
     def relay(self) -> StreamRelay | None:
@@ -183,6 +195,10 @@
             if isinstance(assignment, Refusal):
                 return self._final_result(assignment)
             try:
+                verdict = self._context.crashes.find_refusal(self._admitted.subjects)
+                if verdict is not None:
+                    self._pool.gate.record_not_sent()
+                    return self._final_result(quarantine_refusal(verdict))
                 result = await self._attempt(assignment)
             finally:
                 self._pool.queue.release(slot_request, assignment)
@@ -217,8 +233,18 @@
             admitted.arrived_at_s + ON_TIME_FRACTION * admitted.route.objective_s,
             latest_start_s(admitted.route, last_received_at_s, admitted.deadline_at_s),
             routed,
+            self._find_quarantine,
         )
 
+    def _find_quarantine(self) -> Refusal | None:
+        """Return why the request must not run; judges only if verdicts have changed since."""
+        crashes = self._context.crashes
+        if crashes.verdicts_changed == self._judged_after_changes:
+            return None
+        self._judged_after_changes = crashes.verdicts_changed
+        verdict = crashes.find_quarantine(self._admitted.subjects)
+        return None if verdict is None else quarantine_refusal(verdict)
+
     async def _attempt(
         self, assignment: Assignment
     ) -> CompleteAnswer | StreamDelivered | AttemptFailure:
@@ -230,9 +256,12 @@
             "attempt", self._admitted.traceparent, instance=candidate.name, service=service
         )
         outgoing = self._build_outgoing(candidate, span.traceparent)
+        incarnation = self._pool.incarnation_of(candidate.name)
+        crashes = self._context.crashes
 
         def on_event(is_first: bool) -> None:
             assignment.count_answer_token()
+            crashes.record_event(running)
             if is_first:
                 self._record_group_progress()
 
@@ -243,9 +272,12 @@
         # Counted before the send, so that a cancelled attempt counts as possibly run.
         self._possible_runs += 1
         try:
-            with self._context.crashes.running(candidate.name, self._admitted.fingerprint):
+            with crashes.running(incarnation, self._admitted.subjects) as running:
                 result = await attempt.run()
                 self._record_result(candidate, attempt, result)
+                if _has_run(attempt, result):
+                    crashes.record_success(running)
+                await self._check_for_crash(incarnation, attempt, result)
         finally:
             span.end(status=0 if attempt.answer is None else attempt.answer.status)
         if isinstance(result, AttemptFailure) and result.has_not_run:
@@ -318,11 +350,28 @@
         if blamed != candidate.name:
             services.report_failure(blamed, result.reason, certain=True)
             return
-        if result.kind is FailureKind.BROKEN:
-            self._context.crashes.on_connection_broken(candidate.name)
         certain = result.has_not_run
         services.report_failure(candidate.name, result.reason, certain)
 
+    async def _check_for_crash(
+        self,
+        incarnation: str,
+        attempt: BackendAttempt,
+        result: CompleteAnswer | StreamDelivered | AttemptFailure,
+    ) -> None:
+        """Check whether an attempt ended because the backend server crashed."""
+        must_refuse = True
+        if isinstance(result, AttemptFailure):
+            if result.faulty_address not in ("", attempt.address):
+                return
+            if result.kind not in (FailureKind.BROKEN, FailureKind.UNRESPONSIVE):
+                return
+            must_refuse = self._pool.in_lockstep or result.kind is FailureKind.UNRESPONSIVE
+        elif not isinstance(result, StreamDelivered) or attempt.has_event:
+            return
+        # A stream without an event may end with its connection, and so look complete.
+        await self._context.crashes.on_connection_broken(incarnation, attempt.address, must_refuse)
+
     def _record_group_progress(self) -> None:
         if self._pool.record_progress():
             self._context.log.state("group runs again", service=self._pool.name)
@@ -347,7 +396,7 @@
     def _find_retry_denial(self, failure: AttemptFailure) -> str:
         """Return why the request is not sent again, or an empty string."""
         self._last_failure = failure
-        if self._context.crashes.find_quarantine(self._admitted.fingerprint) is not None:
+        if self._context.crashes.find_quarantine(self._admitted.subjects) is not None:
             return "it crashes backend servers"
         route = self._admitted.route
         now_s = time.monotonic()
@@ -414,6 +463,8 @@
             kind=result.kind.value,
             reason=result.reason,
             blamed=result.faulty_address,
+            has_event=attempt.has_event,
+            shared_parts=self._admitted.caller.shared_parts,
             took_s=round(took_s, 4),
             own_requests=candidate.own_requests,
             others_requests=candidate.others_requests,
@@ -434,3 +485,12 @@
     if answer is not None:
         fields.update(status=answer.status, answer_id=answer.request_id, delimited=answer.delimited)
     return fields
+
+
+def _has_run(
+    attempt: BackendAttempt, result: CompleteAnswer | StreamDelivered | AttemptFailure
+) -> bool:
+    """Whether the backend server has run the request to its end."""
+    if isinstance(result, StreamDelivered):
+        return attempt.has_event
+    return isinstance(result, CompleteAnswer) and result.answer.status < STATUS_NOT_SUCCESS
--- a/src/bronzerudder/peers/messages.py
+++ b/src/bronzerudder/peers/messages.py
@@ -32,16 +32,58 @@
     Parameters
     ----------
     crash_id : str
-        Identifies the crash as observed by this gateway.
+        Identifies the crash. Gateways that are certain of it use the same id, so that their reports
+        count as one crash.
     fingerprints : list of str
-        Requests of the gateway that were running there.
+        Subjects of the gateway's requests that were running there: fingerprints of requests, and
+        parts of their prompts.
+    age_s : float
+        Time since the crash.
     """
 
     crash_id: str
     fingerprints: list[str]
+    age_s: float = 0.0
 
 
-Message = RankLoad | CrashSeen
+class Cleared(msgspec.Struct, frozen=True, tag="cleared"):
+    """Requests with these subjects have run without a crash, so they explain none."""
+
+    subjects: list[str]
+
+
+class CrashDigest(msgspec.Struct, frozen=True, tag="digest"):
+    """Asks a gateway that knows of other crashes for them.
+
+    Parameters
+    ----------
+    address : str
+        ``host:port`` of the sender.
+    value : int
+        Equal at gateways that know of the same crashes.
+    """
+
+    address: str
+    value: int
+
+
+class CrashEvidence(msgspec.Struct, frozen=True, tag="evidence"):
+    """The crashes that a gateway knows of.
+
+    Parameters
+    ----------
+    crashes : list of CrashSeen
+        Some of them, each with the subjects that best explain it.
+    reply_to : str
+        Address that wants the receiver's crashes in turn; empty for none.
+    """
+
+    crashes: list[CrashSeen]
+    reply_to: str = ""
+
+
+CrashMessage = CrashSeen | Cleared | CrashDigest | CrashEvidence
+Message = RankLoad | CrashMessage
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Message)
--- a/src/bronzerudder/platform/wire.py
+++ b/src/bronzerudder/platform/wire.py
@@ -30,6 +30,7 @@
 # request's or session's own.
 PROMPT_PARTS = b"prompt-prefix"
 PRIORITY = b"request-priority"
+MODEL = b"model"
 # Address, not id, of the backend server at fault.
 FAULTY_ADDRESS = b"at-server"
 API_KEY = b"x-api-key"
--- a/src/bronzerudder/processes/gateway.py
+++ b/src/bronzerudder/processes/gateway.py
@@ -27,8 +27,10 @@
 from bronzerudder.http1 import ClientPool, HttpServer, ServerLimits, listen
 from bronzerudder.observability.event_log import DEFAULT_LINES_PER_S, EventLog
 from bronzerudder.observability.metrics_page import MetricsHandler
+from bronzerudder.peers.crash_archive import CrashArchive
 from bronzerudder.peers.datagrams import DatagramPort
-from bronzerudder.peers.messages import CrashSeen, Message, RankLoad
+from bronzerudder.peers.messages import Message, RankLoad
+from bronzerudder.peers.messenger import DatagramMessenger
 from bronzerudder.peers.registry import GatewayRegistry
 from bronzerudder.platform import wire
 from bronzerudder.platform.configuration import decode_backend_server, decode_configuration
@@ -132,7 +134,16 @@
             self._set_started_if_ready,
         )
         self._started = anyio.Event()
-        self._crashes = CrashWatch(settings["gateway_id"], self._report_crash, self._log)
+        self._gateways = GatewayRegistry(self._store, self._log)
+        self._peers = DatagramPort(settings["peer_address"])
+        messenger = DatagramMessenger(self._peers, self._gateways, settings["peer_address"])
+        self._crashes = CrashWatch(settings["gateway_id"], messenger, self._log, tasks)
+        self._archive = CrashArchive(
+            self._store,
+            self._crashes.find_crashes_to_keep,
+            self._crashes.add_report,
+            self._log,
+        )
         context = GatewayContext(
             self._services,
             self._connections,
@@ -147,8 +158,6 @@
         )
         self._server = HttpServer(handler, self._limits, self._record_rejection)
         self._suspension_detector = SuspensionDetector()
-        self._gateways = GatewayRegistry(self._store, self._log)
-        self._peers = DatagramPort(settings["peer_address"])
 
     def _build_spans(self) -> SpanSource:
         share = self._settings.get("traces", {}).get("share", 0.0)
@@ -171,6 +180,7 @@
         self._tasks.start_soon(metrics_server.serve, listen(settings["metrics_address"]))
         self._tasks.start_soon(self._gateways.register, settings["peer_address"])
         self._tasks.start_soon(supervise, "list of gateways", self._gateways.run)
+        self._tasks.start_soon(supervise, "crash archive", self._archive.run)
         self._tasks.start_soon(supervise, "peers", self._receive_messages)
         self._tasks.start_soon(supervise, "housekeeping", self._run_maintenance)
         self._log.state("started", process=os.getpid(), store=settings["store_address"])
@@ -218,12 +228,7 @@
         if isinstance(message, RankLoad):
             self._services.on_rank_load(message)
             return
-        self._crashes.add_report(message)
-
-    def _report_crash(self, crash: CrashSeen) -> None:
-        own = self._settings["peer_address"]
-        others = [address for address in self._gateways.addresses if address != own]
-        self._peers.send(crash, others)
+        self._crashes.on_message(message)
 
     def _limits(self) -> ServerLimits:
         current = self._configuration.current
@@ -286,7 +291,7 @@
             self._directory.drop_missing()
             self._services.set_gateways(len(self._gateways.addresses))
             self._connections.sweep()
-            self._crashes.repeat_reports()
+            self._crashes.maintain()
             self._log.flush()
 
     def _refresh_metrics(self) -> None:
