List a crashed backend server of the soak as a new start

The logs show that all six stand-ins crashed within 0.25 s, which counts as one occasion against a part, and that every later crash was united with the first one of its server: the stand-ins came back under the same id without a time of their start.

--- a/bench/soak/deployment.py
+++ b/bench/soak/deployment.py
@@ -4,6 +4,7 @@
 
 import pathlib
 import random
+from collections.abc import Callable
 from typing import Any, NamedTuple
 
 import anyio
@@ -166,9 +167,20 @@
                 self.fleet.further_servers.append(backend)
                 address = self.fleet.serve(backend.server)
                 self.fleet.register_backend_server(backend, workload.service, address)
+                if isinstance(backend, StandinBackendServer):
+                    backend.on_new_instance = self._make_relisting(backend, address)
         document = make_configuration(1, self.further_routes, services=self.further_services)
         self.fleet.store.put(wire.CONFIGURATION_KIND, wire.CONFIGURATION_NAME, document)
 
+    def _make_relisting(self, backend: StandinBackendServer, address: str) -> Callable[[str], None]:
+        """Make a function that lists a crashed backend server under its new id."""
+
+        def relist(old_id: str) -> None:
+            self.fleet.store.remove(wire.BACKEND_SERVER_KIND, old_id)
+            self.fleet.register_backend_server(backend, PROMPTS.service, address)
+
+        return relist
+
     def _start_gateway(self, gateway: SoakGateway) -> None:
         gateway.highest_version = 0
         gateway.process = self.fleet.start_process("gateway", gateway.name, gateway.settings)
--- a/bench/soak/injector.py
+++ b/bench/soak/injector.py
@@ -305,7 +305,12 @@
         """Send requests with a crashing part; sound ones share their keys and other parts."""
         part = f"{int(fault.target * 2**32):08x}"
         after_first_event = fault.target < CRASH_AFTER_EVENT_BELOW
-        plan = CrashPlan(frozenset({part}), down_s=CRASHED_S, after_first_event=after_first_event)
+        plan = CrashPlan(
+            frozenset({part}),
+            down_s=CRASHED_S,
+            after_first_event=after_first_event,
+            new_instance=True,
+        )
         for server in self._deployment.prompt_servers:
             server.crash_plan = plan
         shared, other = PROMPTS.parts
