--- a/tests/gateway/gateway_fleet.py
+++ b/tests/gateway/gateway_fleet.py
@@ -20,6 +20,7 @@
 CRASH_PLAN = CrashPlan(frozenset({BAD_PART}), down_s=0.3, new_instance=True)
 STALL_S = 0.2
 FOREVER_S = 60.0
+ANSWER_TIMEOUT_S = 10.0
 ROUTE = make_route("stream", "streaming", resumable=True, timeout_ms=8000)
 RETRY = RetryBudgetLimits(0.2, 1000.0, 10.0)
 
@@ -94,6 +95,7 @@
         """Start another gateway, which knows nothing yet."""
         gateway = GatewayHarness(0, RETRY, f"g-{len(self.gateways)}")
         gateway.messenger = FleetMessenger(self, gateway)
+        gateway.answer_timeout_s = ANSWER_TIMEOUT_S
         await gateway.start()
         for instance_id, address in self._addresses.items():
             gateway.list_server(instance_id, address)
