Do not take a body that a duplicate response filled up for whole

Callers of plain routes could get their own head with a body whose end was the head of another response, as a whole 200 with a signature: a backend server sent less than the announced length, kept the connection, and then a duplicate response of this or another request, whose first bytes were counted as the rest of the body. Cause: bytes attributed to a response by their place on the connection; only bodies without length were searched. If bytes remain behind a body and a response head begins inside it, the attempt now fails as malformed. A head that begins right behind the body is a duplicate of a complete response, as before. Bodies with nothing behind them are not searched, so ordinary answers cost nothing more. Evidence: test_a_body_that_a_duplicate_fills_up_is_not_taken_for_whole failed in all eight forms before (the duplicate's bytes with status 200) and passes; so does the rest of tests.gateway.test_answer_integrity (23). Not seen if the rest of the duplicate arrives after the last byte of the body.

--- a/src/bronzerudder/gateway/attempt.py
+++ b/src/bronzerudder/gateway/attempt.py
@@ -291,8 +291,10 @@
     def _complete(
         self, exchange: Exchange, answer: AnswerHead, body: bytes
     ) -> CompleteAnswer | AttemptFailure:
-        if not answer.delimited and contains_response_head(body):
-            reason = "a further response in a body without length"
+        # A further response fills up a body that was cut short of its length, and bytes remain.
+        trailing = exchange.trailing_bytes
+        if (trailing or not answer.delimited) and contains_response_head(body, trailing):
+            reason = "a further response begins inside the body"
             return AttemptFailure(FailureKind.MALFORMED, reason)
         if answer.request_id:
             # A duplicate of an answer without an id could not be told from the next answer.
--- a/src/bronzerudder/http1/client.py
+++ b/src/bronzerudder/http1/client.py
@@ -65,9 +65,13 @@
         return any(name in (b"content-length", b"transfer-encoding") for name, _ in self.headers)
 
 
-def contains_response_head(body: bytes) -> bool:
-    """Whether a further response follows an answer that ends with its connection."""
-    return _RESPONSE_HEAD.search(body) is not None
+def contains_response_head(body: bytes, trailing: bytes = b"") -> bool:
+    """Whether a further response begins inside a body that ``trailing`` bytes follow."""
+    if _RESPONSE_HEAD.match(trailing):
+        # It begins right behind the body.
+        trailing = b""
+    found = _RESPONSE_HEAD.search(body + trailing)
+    return found is not None and found.start() < len(body)
 
 
 class _IdleConnection(NamedTuple):
@@ -101,6 +105,11 @@
         """Whether the connection has served an earlier request."""
         return self._reused
 
+    @property
+    def trailing_bytes(self) -> bytes:
+        """Bytes received behind the answer, once it was read to its end."""
+        return self._http.trailing_data[0]
+
     async def send(
         self, method: bytes, target: bytes, headers: list[tuple[bytes, bytes]], body: bytes
     ) -> HttpError | None:
--- a/tests/gateway/test_answer_integrity.py
+++ b/tests/gateway/test_answer_integrity.py
@@ -255,6 +255,28 @@
                 status, _, body = await self.send("/read/")
                 self.assertEqual((status, body), (200, b"mine"))
 
+    async def test_a_body_that_a_duplicate_fills_up_is_not_taken_for_whole(self):
+        begin = HEAD % b"r1" + b"Content-Length: 100\r\n\r\n"
+        for missing in (3, 10, 96, 100):
+            for duplicate in (make_plain(b"r1", b"x" * 100), make_plain(b"r0", b"other" * 9)):
+                with self.subTest(missing=missing, duplicate=duplicate):
+                    reply = FailsOnce(
+                        RawReply(begin + b"x" * (100 - missing) + duplicate),
+                        lambda n, i, h: RawReply(make_plain(i, b"mine")),
+                    )
+                    await self.start(reply, reply)
+                    status, _, body = await self.send("/read/")
+                    self.assertEqual((status, body), (200, b"mine"))
+
+    async def test_a_sound_answer_before_a_duplicate_is_passed_on(self):
+        body = b"quoted: HTTP/1.1 200 OK"
+        for duplicate in (b"", make_plain(b"r1", body), make_plain(b"r0", b"other")):
+            with self.subTest(duplicate=duplicate):
+                sent = RawReply(make_plain(b"r1", body) + duplicate)
+                await self.start(FailsOnce(sent, answer_stream(1)))
+                status, _, received = await self.send("/book/", method=b"POST")
+                self.assertEqual((status, received), (200, body))
+
     async def test_an_undelimited_answer_with_a_second_head_runs_a_booking_once(self):
         await self.start(
             lambda n, i, h: RawReply(UNDELIMITED % i + b"mine" + make_plain(i, b"mine"), "close")
