Do not exclude a backend server for a 421 that proves nothing

After one 421 without an id on a reused connection, callers of a sound backend server got 503 until its entry in the directory changed: "overloaded: no slot became free in time" if there was no other. The attempt failed as malformed, as the answer may be of an earlier request, but its status still excluded the server. Cause: the status was read from the head, whether or not the head had been accepted as the answer to this request. The server is now excluded only if the attempt failed as not executed, which every 421 of the request itself does; the malformed one counts like any other failure. Evidence: test_a_421_without_an_id_on_a_reused_connection_excludes_no_server got 503 for the third request before and 200 now; the tests of test_answer_integrity (24) and tests.gateway.test_handler (28, with the exclusion after a 421 of another instance) pass.

--- a/src/bronzerudder/gateway/forwarding.py
+++ b/src/bronzerudder/gateway/forwarding.py
@@ -308,10 +308,10 @@
             services.report_success(candidate.name)
             self._record_group_progress()
             return
-        if answer is not None and answer.status == STATUS_MISDIRECTED:
-            services.exclude(candidate.name, "another instance has its address")
-            return
         if result.kind is FailureKind.NOT_EXECUTED and answer is not None:
+            if answer.status == STATUS_MISDIRECTED:
+                services.exclude(candidate.name, "another instance has its address")
+                return
             self._record_rejection(candidate, answer)
             return
         blamed = self._pool.find_address(result.faulty_address) or candidate.name
--- a/tests/gateway/test_answer_integrity.py
+++ b/tests/gateway/test_answer_integrity.py
@@ -336,6 +336,20 @@
         status, _, _ = await self.send("/book/", "r2", method=b"POST")
         self.assertEqual((status, self.servers[0].accepted), (502, 1))
 
+    async def test_a_421_without_an_id_on_a_reused_connection_excludes_no_server(self):
+        misdirected = b"HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n"
+
+        def reply(number: int, request_id: bytes, head: bytes) -> RawReply:
+            answer = make_plain(request_id, b"mine")
+            return RawReply(misdirected + answer if number == 2 else answer)
+
+        await self.start(reply)
+        statuses = []
+        for request_id in ("r1", "r2", "r3"):
+            status, _, _ = await self.send("/book/", request_id, method=b"POST")
+            statuses.append(status)
+        self.assertEqual(statuses, [200, 502, 200])
+
     async def test_a_rejection_of_another_request_is_skipped(self):
         rejected = (
             b"HTTP/1.1 503 Full\r\nAttempt-Id: r1\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
