Do not believe an answer without an id behind the answer to another request

A booking that ran could be sent again, up to three times, and be answered 503, which promises that it has not run. On a new connection an answer without an id counts as the request's own; it did so even after the answer to another request had been skipped there, which shows that the backend server owes answers on it. Cause: an answer attributed to a request by its place on a connection, as on reused ones. An answer without an id that follows a skipped one now fails the attempt as malformed, which promises nothing. Evidence: test_a_rejection_without_an_id_after_a_foreign_answer_proves_nothing got 503 after three sends before, and 502 after one now; the other 24 tests of tests.gateway.test_answer_integrity pass.

--- a/src/bronzerudder/gateway/attempt.py
+++ b/src/bronzerudder/gateway/attempt.py
@@ -240,9 +240,9 @@
 
     def _find_fault(self, answer: AnswerHead) -> AttemptFailure | None:
         """Return why the head is not an acceptable answer to this request, or None."""
-        if not answer.request_id and self._reused:
+        if not answer.request_id and (self._reused or self._skipped_ids):
             # It may answer an earlier request, and then proves nothing about this one.
-            reason = f"status {answer.status} without an id on a reused connection"
+            reason = f"status {answer.status} without an id on a connection with other answers"
             return AttemptFailure(FailureKind.MALFORMED, reason)
         if answer.not_executed:
             reason = f"status {answer.status}, not executed"
--- a/tests/gateway/test_answer_integrity.py
+++ b/tests/gateway/test_answer_integrity.py
@@ -350,6 +350,13 @@
             statuses.append(status)
         self.assertEqual(statuses, [200, 502, 200])
 
+    async def test_a_rejection_without_an_id_after_a_foreign_answer_proves_nothing(self):
+        rejected = b"HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+        foreign = make_plain(b"r0", b"other")
+        await self.start(lambda n, i, h: RawReply(foreign + rejected + make_plain(i, b"mine")))
+        status, _, _ = await self.send("/book/", method=b"POST")
+        self.assertEqual((status, self.received), (502, 1))
+
     async def test_a_rejection_of_another_request_is_skipped(self):
         rejected = (
             b"HTTP/1.1 503 Full\r\nAttempt-Id: r1\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
