--- a/src/bronzerudder/gateway/attempt.py
+++ b/src/bronzerudder/gateway/attempt.py
@@ -250,9 +250,9 @@
 
     def _find_fault(self, answer: AnswerHead) -> AttemptFailure | None:
         """Return why the head is not an acceptable answer to this request, or None."""
-        if not answer.request_id and self._reused:
+        if not answer.request_id and (self._reused or self._skipped_ids):
             # It may answer an earlier request, and then proves nothing about this one.
-            reason = f"status {answer.status} without an id on a reused connection"
+            reason = f"status {answer.status} without an id on a connection with other answers"
             return AttemptFailure(FailureKind.MALFORMED, reason)
         if answer.not_executed:
             reason = f"status {answer.status}, not executed"
@@ -301,8 +301,10 @@
     def _complete(
         self, exchange: Exchange, answer: AnswerHead, body: bytes
     ) -> CompleteAnswer | AttemptFailure:
-        if not answer.delimited and contains_response_head(body):
-            reason = "a further response in a body without length"
+        # A further response fills up a body that was cut short of its length, and bytes remain.
+        trailing = exchange.trailing_bytes
+        if (trailing or not answer.delimited) and contains_response_head(body, trailing):
+            reason = "a further response begins inside the body"
             return AttemptFailure(FailureKind.MALFORMED, reason)
         if answer.request_id:
             # A duplicate of an answer without an id could not be told from the next answer.
