--- a/tests/http1/test_client.py
+++ b/tests/http1/test_client.py
@@ -2,11 +2,19 @@
 
 from __future__ import annotations
 
+import time
 import unittest
 
 import anyio
 
-from bronzerudder.http1 import ClientPool, Connection, HttpError, HttpErrorKind, listen
+from bronzerudder.http1 import (
+    ClientPool,
+    Connection,
+    HttpError,
+    HttpErrorKind,
+    contains_response_head,
+    listen,
+)
 from bronzerudder.http1.sockets import accept
 
 TIMEOUT_S = 5.0
@@ -74,6 +82,14 @@
         self.cut_off.set()
 
 
+class ResponseHeadTest(unittest.TestCase):
+    def test_the_search_of_repeated_status_lines_does_not_hold_the_event_loop(self):
+        body = b"HTTP/1.1 200 " * 5_000
+        began_at_s = time.process_time()
+        self.assertFalse(contains_response_head(body))
+        self.assertLess(time.process_time() - began_at_s, 1.0)
+
+
 class ClientPoolTest(unittest.IsolatedAsyncioTestCase):
     async def call(self, pool, address):
         with anyio.fail_after(TIMEOUT_S):
