Do not take a body for whole that ends inside a further response's head

Callers of plain routes got a body with the status line of a second response at its end, as a whole 200: the body had no length, and the connection ended after the status line of a duplicate response, before the name of its first header was complete, which the search for a further response wanted. A status line that ends with CR LF and is followed by nothing but a part of a header's name now counts as well. A head that is cut inside its status line still can't be told from a body that quotes one.

--- a/src/bronzerudder/http1/client.py
+++ b/src/bronzerudder/http1/client.py
@@ -37,10 +37,11 @@
 """Chunks of received data that are parsed before other tasks run; one read can hold 11,000."""
 _HEAD = b"HEAD"
 _ANY_HOST = [(b"host", b"-")]
-# A status line and the name of a header; bodies hardly contain both. The reason is bounded, so that
-# a long line that repeats the start of a status line is searched in linear time.
+# A status line and the name of a header, perhaps cut off; bodies hardly contain both. The reason is
+# bounded, so that a long line that repeats the start of a status line is searched in linear time.
 _RESPONSE_HEAD = re.compile(
-    rb"HTTP/1\.[01] \d{3}(?: [^\r\n]{0,100})?\r?\n[!#$%&'*+.^_`|~0-9A-Za-z-]+:"
+    rb"HTTP/1\.[01] \d{3}(?: [^\r\n]{0,100})?"
+    rb"(?:\r?\n[!#$%&'*+.^_`|~0-9A-Za-z-]+:|\r\n[!#$%&'*+.^_`|~0-9A-Za-z-]*\Z)"
 )
 
 
--- a/tests/gateway/test_answer_integrity.py
+++ b/tests/gateway/test_answer_integrity.py
@@ -245,7 +245,8 @@
 
 class PlainIntegrityTest(AnswerIntegrityCase):
     async def test_an_undelimited_answer_with_a_second_head_is_not_taken_for_whole(self):
-        for duplicate in (make_plain(b"r1", b"mine"), make_plain(b"r0", b"other")):
+        cut = (b"HTTP/1.1 200 OK\r\n", b"HTTP/1.1 200 OK\r\nAttempt")
+        for duplicate in (make_plain(b"r1", b"mine"), make_plain(b"r0", b"other"), *cut):
             with self.subTest(duplicate=duplicate):
                 reply = FailsOnce(
                     RawReply(UNDELIMITED % b"r1" + b"mine" + duplicate, "close"),
