List that an event without an id is relayed twice on resumption

A stream that breaks off after an event without an id is resumed after the last id that the caller has, so it gets the event again, with status 200 and ended as complete. The platform's events have ids; a foreign event without one would be met.

--- a/tests/gateway/test_answer_integrity.py
+++ b/tests/gateway/test_answer_integrity.py
@@ -218,6 +218,15 @@
         status, _, body = await self.send("/stream/", last_event_id="2")
         self.assertEqual(status, 502, body)
 
+    async def test_an_event_without_an_id_is_not_relayed_twice_on_resumption(self):
+        unnumbered = b"data: without id\n\n"
+        sent = RawReply(CHUNKED % b"r1" + make_chunk(make_event(1) + unnumbered), "reset")
+        rest = make_chunk(unnumbered + make_event(2))
+        reply = FailsOnce(sent, lambda n, i, h: RawReply(CHUNKED % i + rest + LAST_CHUNK))
+        await self.start(reply, reply)
+        _, body, _ = await self.read_stream("/stream/")
+        self.assertEqual(body.count(unnumbered), 1)
+
     async def test_an_undelimited_stream_without_an_event_is_not_taken_for_whole(self):
         await self.check_resumed(RawReply(UNDELIMITED % b"r1", "close"))
 
