Reset an answer to HTTP/1.0 that the stop of the server cuts

An HTTP/1.0 caller took an incomplete answer for whole if the server was stopped while it was being sent: such an answer has no chunks and ends with its connection, which was closed like after a complete one, since the reset came only if the handler returned. It now comes also when the handler is cancelled. Callers on the platform speak HTTP/1.1; whether any met it is not known. A killed process still can't reset its connections.

--- a/src/bronzerudder/http1/server.py
+++ b/src/bronzerudder/http1/server.py
@@ -277,13 +277,13 @@
             await self._reject(request)
             return False
         writer = ResponseWriter(self._http, self._connection, self._server._closing)
-        await self._handle(request, writer)
-        if self._caller_disconnected or writer.failed:
-            return False
-        if not writer.finished:
-            if self._http.their_http_version != b"1.1":
+        try:
+            await self._handle(request, writer)
+        finally:
+            if not writer.finished and self._http.their_http_version != b"1.1":
                 # Such an answer has no chunks, so the end of its connection would complete it.
                 self._connection.reset()
+        if self._caller_disconnected or writer.failed or not writer.finished:
             return False
         if self._http.our_state is not h11.DONE or self._http.their_state is not h11.DONE:
             await self._linger()
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -28,6 +28,15 @@
     await writer.respond(200, [], request.target + b" " + request.body)
 
 
+class Unfinished:
+    """Begins an answer and does not finish it."""
+
+    async def __call__(self, request, writer):
+        await writer.start(200, [])
+        await writer.write(b"begin")
+        await anyio.sleep_forever()
+
+
 class Served:
     """A server on a free port, and the requests that it rejected; an async context manager."""
 
@@ -271,5 +280,18 @@
         self.assertFalse(writer.finished)
 
 
+class StoppedServerTest(unittest.IsolatedAsyncioTestCase):
+    async def test_an_answer_to_http_1_0_that_a_stop_cuts_does_not_look_complete(self):
+        async with Served(Unfinished()) as served:
+            connection = await connect(served.address, TIMEOUT_S)
+            await connection.send(GET.replace(b"1.1", b"1.0"))
+            received = b""
+            with anyio.fail_after(TIMEOUT_S):
+                while not received.endswith(b"begin"):
+                    received += await connection.receive()
+        self.assertIsInstance(await connection.receive(), TransportError)
+        connection.close()
+
+
 if __name__ == "__main__":
     unittest.main()
