List that a refused HEAD request gets no answer

A HEAD request without a route, or that is refused, gets a closed connection instead of 404 or 503: the writer sends the text of the refusal as a body, which h11 refuses to send.

--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -293,5 +293,16 @@
         connection.close()
 
 
+class HeadTest(unittest.IsolatedAsyncioTestCase):
+    async def test_an_answer_with_a_body_to_a_head_request_is_not_lost(self):
+        async with Served() as served:
+            connection = await connect(served.address, TIMEOUT_S)
+            await connection.send(GET.replace(b"GET", b"HEAD"))
+            with anyio.fail_after(TIMEOUT_S):
+                received = await connection.receive()
+        self.assertTrue(received.startswith(b"HTTP/1.1 200 "), received)
+        connection.close()
+
+
 if __name__ == "__main__":
     unittest.main()
