--- a/tests/http1/test_client.py
+++ b/tests/http1/test_client.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-import tracemalloc
 import time
+import tracemalloc
 import unittest
 
 import anyio
