Do not resume a stream behind an event that has no id

The platform's events have ids, so it takes a faulty or foreign event. Cause: what the caller has was known by ids alone. The sequence of events now knows whether the last event has one, and if not, no further attempt is made and the stream is left incomplete, which the caller sees. The other 66 tests of tests.gateway.test_answer_integrity, test_handler, test_answer_bounds and tests.web.test_event_stream pass.

--- a/src/bronzerudder/gateway/forwarding.py
+++ b/src/bronzerudder/gateway/forwarding.py
@@ -398,6 +398,8 @@
         self._last_failure = failure
         if self._context.crashes.find_quarantine(self._admitted.subjects) is not None:
             return "it crashes backend servers"
+        if self._relay is not None and not self._relay.resumable:
+            return "the last event sent has no id after which to resume"
         route = self._admitted.route
         now_s = time.monotonic()
         if not failure.has_not_run:
--- a/src/bronzerudder/gateway/relay.py
+++ b/src/bronzerudder/gateway/relay.py
@@ -38,6 +38,11 @@
         """Id of the last event that the caller has; empty if none."""
         return self._sequence.last_event_id
 
+    @property
+    def resumable(self) -> bool:
+        """Whether a stream that goes on after `last_event_id` repeats no event."""
+        return self._sequence.resumable
+
     @property
     def last_event_at_s(self) -> float:
         """Monotonic time of the last event, or of the request's arrival."""
--- a/src/bronzerudder/web/event_stream.py
+++ b/src/bronzerudder/web/event_stream.py
@@ -114,12 +114,18 @@
     def __init__(self, last_event_id: str) -> None:
         self._last_event_id = last_event_id
         self._last_number = _parse_id(last_event_id.encode())
+        self._resumable = True
 
     @property
     def last_event_id(self) -> str:
         """Id of the last event accepted; the initial one before the first."""
         return self._last_event_id
 
+    @property
+    def resumable(self) -> bool:
+        """Whether the last event accepted has an id; comments count for nothing."""
+        return self._resumable
+
     def accept(self, events: bytes) -> AcceptedEvents:
         """Accept complete events up to the first faulty one."""
         if not self._find_fault(events):
@@ -139,7 +145,10 @@
             return "bytes that are no event"
         last_id = b""
         last_number = self._last_number
-        for last_id in _IDS.findall(events):
+        end = 0
+        for match in _IDS.finditer(events):
+            last_id = match[1] or b""
+            end = match.end()
             number = _parse_id(last_id)
             if number <= last_number:
                 return f"event id {last_id!r} does not follow {self._last_event_id!r}"
@@ -147,8 +156,19 @@
         if last_id:
             self._last_event_id = last_id.decode("latin-1")
             self._last_number = last_number
+        self._record_unnumbered(events, end)
         return ""
 
+    def _record_unnumbered(self, events: bytes, end: int) -> None:
+        """Record whether events follow the one whose id ends at ``end``, or begin at 0."""
+        if end:
+            self._resumable = True
+            end = events.index(EVENT_END, end) + len(EVENT_END)
+        for line in events[end:].split(b"\n"):
+            if line and not line.startswith(b":"):
+                self._resumable = False
+                return
+
 
 def _parse_id(event_id: bytes) -> int:
     """Return the number of an event; -1, which follows none, if it has none."""
--- a/tests/web/test_event_stream.py
+++ b/tests/web/test_event_stream.py
@@ -77,6 +77,19 @@
                     self.assertNotEqual(accepted.fault, "")
                     self.assertEqual(sequence.last_event_id, "4")
 
+    def test_a_stream_is_not_resumable_after_an_event_without_an_id(self):
+        sequence = EventSequence("2")
+        for events, resumable in (
+            (b": comment\n\n", True),
+            (b"id: 3\ndata: a\n\n", True),
+            (b"data: b\n\n", False),
+            (b": comment\n\n", False),
+            (b"data: c\n\nid: 4\nident: 5\n\n: comment\n\n", True),
+            (b"id: 6\n\ndata: d\n\n", False),
+        ):
+            self.assertEqual(sequence.accept(events).fault, "")
+            self.assertEqual(sequence.resumable, resumable, events)
+
     def test_ids_rise_over_all_calls(self):
         sequence = EventSequence("")
         self.assertEqual(sequence.accept(b"id: 9\n\n").fault, "")
