Answer HEAD requests without a body

Callers of HEAD got a closed connection where the gateway refused or failed the request: the answer of its own has a body, which h11 does not allow there, and the error ended the connection. Cause: the writer did not know the method. It now leaves the body of such an answer out and keeps the length of its head.

--- a/src/bronzerudder/http1/server.py
+++ b/src/bronzerudder/http1/server.py
@@ -75,10 +75,25 @@
 
 
 class ResponseWriter:
-    """Writes the answer to one request."""
+    """Writes the answer to one request.
 
-    def __init__(self, http: h11.Connection, connection: Connection, closing: bool) -> None:
+    Parameters
+    ----------
+    http : h11.Connection
+        Encodes the answer.
+    connection : Connection
+        Connection to the caller.
+    closing : bool
+        Whether the connection is closed after the answer.
+    has_body : bool
+        Whether the body is sent; answers to HEAD requests have none.
+    """
+
+    def __init__(
+        self, http: h11.Connection, connection: Connection, closing: bool, has_body: bool = True
+    ) -> None:
         self._http = http
+        self._has_body = has_body
         self._connection = connection
         self._closing = closing
         self._failed = False
@@ -112,7 +127,8 @@
 
     async def write(self, data: bytes) -> None:
         """Send a chunk of the body."""
-        await self._send(h11.Data(data=data))
+        if self._has_body:
+            await self._send(h11.Data(data=data))
 
     async def finish(self) -> None:
         """Mark the end of the answer, which makes it complete."""
@@ -124,7 +140,9 @@
         length = (b"content-length", str(len(body)).encode())
         extra = [(b"connection", b"close")] if self._closing else []
         head = h11.Response(status_code=status, headers=[*headers, length, *extra])
-        chunks = [self._http.send(head), self._http.send(h11.Data(data=body))]
+        chunks = [self._http.send(head)]
+        if self._has_body:
+            chunks.append(self._http.send(h11.Data(data=body)))
         chunks.append(self._http.send(h11.EndOfMessage()))
         await self._write(b"".join(chunk for chunk in chunks if chunk))
 
@@ -281,7 +299,8 @@
             self._server._on_rejected(request.status, request.reason)
             await self._reject(request)
             return False
-        writer = ResponseWriter(self._http, self._connection, self._server._closing)
+        has_body = request.method != b"HEAD"
+        writer = ResponseWriter(self._http, self._connection, self._server._closing, has_body)
         try:
             await self._handle(request, writer)
         finally:
