--- a/src/bronzerudder/gateway/attempt.py
+++ b/src/bronzerudder/gateway/attempt.py
@@ -279,11 +279,9 @@
         size = 0
         try:
             while True:
-                chunk = await self._read_with_timeout(exchange.read_body)
+                chunk = await self._read_chunk(exchange)
                 if isinstance(chunk, AttemptFailure):
                     return chunk
-                if isinstance(chunk, HttpError):
-                    return _attempt_failure(chunk)
                 if chunk is None:
                     return self._complete(exchange, answer, b"".join(chunks))
                 chunks.append(chunk)
@@ -326,11 +324,9 @@
     ) -> StreamDelivered | AttemptFailure:
         splitter = EventSplitter()
         while True:
-            chunk = await self._read_with_timeout(exchange.read_body)
+            chunk = await self._read_chunk(exchange)
             if isinstance(chunk, AttemptFailure):
                 return chunk
-            if isinstance(chunk, HttpError):
-                return _attempt_failure(chunk)
             if chunk is None:
                 fault = self._find_end_fault(answer, splitter, relay)
                 if fault:
@@ -367,6 +363,11 @@
             self._has_event = True
             self._progress.record_first_event(now_s - self._sent_at_s)
 
+    async def _read_chunk(self, exchange: Exchange) -> bytes | None | AttemptFailure:
+        """Read the next chunk of the body; None at its end."""
+        chunk = await self._read_with_timeout(exchange.read_body)
+        return _attempt_failure(chunk) if isinstance(chunk, HttpError) else chunk
+
     async def _read_with_timeout(self, read):  # noqa: ANN001, ANN202
         """Read with the idle timeout.
 
--- a/src/bronzerudder/http1/client.py
+++ b/src/bronzerudder/http1/client.py
@@ -34,7 +34,7 @@
 """Default limit of the body of an answer that is read as a whole, framing included."""
 MAX_ANSWER_CHUNKS = 8_192
 """Default limit of the chunks of such an answer; each takes time to parse, however small it is."""
-MAX_BUFFERED_EVENTS = 64
+CHUNKS_BETWEEN_PAUSES = 64
 """Chunks of received data that are parsed before other tasks run; one read can hold 11,000."""
 _HEAD = b"HEAD"
 _ANY_HOST = [(b"host", b"-")]
@@ -102,7 +102,7 @@
         self._head: ResponseHead | None = None
         self._reused = reused
         self._received_bytes = 0
-        self._buffered_events = 0
+        self._chunks_since_pause = 0
         self._ended = False
 
     @property
@@ -239,9 +239,9 @@
 
     async def _next_event(self) -> h11.Event | HttpError:
         peer_closed = False
-        self._buffered_events += 1
-        if self._buffered_events > MAX_BUFFERED_EVENTS:
-            self._buffered_events = 0
+        self._chunks_since_pause += 1
+        if self._chunks_since_pause > CHUNKS_BETWEEN_PAUSES:
+            self._chunks_since_pause = 0
             await anyio.lowlevel.checkpoint()
         while True:
             try:
@@ -256,7 +256,7 @@
             if isinstance(data, TransportError):
                 return self._fail(HttpErrorKind.BROKEN, data.reason)
             peer_closed = not data
-            self._buffered_events = 0
+            self._chunks_since_pause = 0
             self._received_bytes += len(data)
             self._http.receive_data(data)
 
