Check sound prompts in the soak also after fewer than five crashes

The soak compared how sound requests are served only if five crashes had happened. The users' rule counts from the last crash if there are fewer than five; so does the check now. The new test of the check fails on the old one, and the bound on late arrivals applies as before.

--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -173,9 +173,10 @@
         for at_s in server.crash_at_s
         if window.begin_s <= at_s <= window.end_s
     )
-    if len(crashes) < CRASHES_BEFORE_BOUND:
+    if not crashes:
         return []
-    bound_from_s = crashes[CRASHES_BEFORE_BOUND - 1] + STABLE_WINDOW_S
+    last_s = crashes[:CRASHES_BEFORE_BOUND][-1]
+    bound_from_s = last_s + STABLE_WINDOW_S
     gateways = {result.request_id: result.gateway for result in history.results}
     late = []
     for server in servers:
@@ -188,7 +189,7 @@
             if history.was_in_touch(gateway, arrival.at_s):
                 late.append(request_id)
     found = []
-    if len(late) > MAX_LATE_ARRIVALS:
+    if len(crashes) >= CRASHES_BEFORE_BOUND and len(late) > MAX_LATE_ARRIVALS:
         found.append(
             f"part {window.part} reached backend servers {len(late)} times after five crashes and"
             f" the stable window, {len(crashes)} crashes in all: {late[:10]}"
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -167,6 +167,15 @@
         self.add_prompts(5, self.BOUND_FROM_S + STABLE_WINDOW_S + 1.0, 503)
         self.assertEqual(len(self.find()), 1)
 
+    def test_sound_requests_that_are_refused_after_fewer_than_five_crashes_are_found(self):
+        self.server.crash_at_s = [1.0, 2.0]
+        self.add_prompts(30, 0.1)
+        self.add_prompts(30, self.BOUND_FROM_S + STABLE_WINDOW_S + 1.0, 503)
+        self.add_prompts(9, self.BOUND_FROM_S + 2.0, 502, crashes=True)
+        found = self.find()
+        self.assertEqual(len(found), 1)
+        self.assertIn("sound requests", found[0])
+
 
 if __name__ == "__main__":
     unittest.main()
