Log the limits that backend servers name, and the requests sent in spite of them

The adapter decodes the header into a rate, or into the text of a malformed value: both decisions are explicit, as a malformed value must not end a limit. A ledger keeps the newest statement of each start of a backend server, as answers on different connections overtake each other. A limit that begins, changes or ends, and one that is malformed, is a line; every attempt at a limited server is one too, with the limit and its age; metrics count both. The head is recorded when it arrives, not when its stream ends.

No request is routed, held back or refused otherwise than before.

--- a/src/bronzerudder/gateway/attempt.py
+++ b/src/bronzerudder/gateway/attempt.py
@@ -140,6 +140,9 @@
         Progress of the service's streams.
     on_event : callable
         Called when events of a stream arrive, with whether they are the first.
+    on_head : callable
+        Called with the head of the answer to this request, and with the monotonic time at which the
+        request was sent.
     """
 
     def __init__(
@@ -149,8 +152,10 @@
         relay: StreamRelay | None,
         progress: ServiceProgress,
         on_event: Callable[[bool], None],
+        on_head: Callable[[AnswerHead, float], None],
     ) -> None:
         self._on_event = on_event
+        self._on_head = on_head
         self._connections = connections
         self._outgoing = outgoing
         self._relay = relay
@@ -220,6 +225,8 @@
         if isinstance(answer, AttemptFailure):
             return answer
         self._answer = answer
+        if answer.request_id == outgoing.request_id:
+            self._on_head(answer, self._sent_at_s)
         fault = self._find_fault(answer)
         if fault is not None:
             return fault
--- a/src/bronzerudder/gateway/forwarding.py
+++ b/src/bronzerudder/gateway/forwarding.py
@@ -265,8 +265,14 @@
             if is_first:
                 self._record_group_progress()
 
+        def on_head(answer: AnswerHead, asked_at_s: float) -> None:
+            self._record_limit(incarnation, answer, asked_at_s)
+
+        limit = self._context.services.limits.describe(incarnation)
+        if limit:
+            self._context.metrics.limited_attempts.labels(service).inc()
         attempt = BackendAttempt(
-            self._context.connections, outgoing, self._relay, progress, on_event
+            self._context.connections, outgoing, self._relay, progress, on_event, on_head
         )
         sent_at_s = time.monotonic()
         # Counted before the send, so that a cancelled attempt counts as possibly run.
@@ -283,7 +289,7 @@
         if isinstance(result, AttemptFailure) and result.has_not_run:
             self._possible_runs -= 1
             self._rejections += 1
-        self._log_attempt(candidate, attempt, result, time.monotonic() - sent_at_s)
+        self._log_attempt(candidate, attempt, result, time.monotonic() - sent_at_s, limit)
         return result
 
     def _build_outgoing(self, candidate: Candidate, traceparent: str) -> OutgoingRequest:
@@ -320,6 +326,19 @@
             return STREAM_IDLE_TIMEOUT_S
         return PLAIN_TIMEOUT_FACTOR * route.objective_s
 
+    def _record_limit(self, incarnation: str, answer: AnswerHead, asked_at_s: float) -> None:
+        """Record the rate limit that an answer names, or that it names none any more."""
+        limits = self._context.services.limits
+        if answer.status == STATUS_MISDIRECTED:
+            # Another instance has answered.
+            return
+        if answer.limit.malformed:
+            limits.record_malformed(incarnation, answer.limit.malformed, answer.request_id)
+            return
+        if answer.limit.rate_rps is None and not answer.signed:
+            return
+        limits.record_answer(incarnation, answer.limit.rate_rps, asked_at_s, answer.request_id)
+
     def _record_result(
         self,
         candidate: Candidate,
@@ -439,18 +458,20 @@
         attempt: BackendAttempt,
         result: CompleteAnswer | StreamDelivered | AttemptFailure,
         took_s: float,
+        limit: dict[str, object],
     ) -> None:
         """Count and log a result; a server that may have run the request is not tried again."""
         name = self._pool.name
         if not isinstance(result, AttemptFailure):
             self._context.metrics.attempts.labels(name, "answered").inc()
-            if _is_notable(attempt, result.answer):
+            if limit or _is_notable(attempt, result.answer):
                 self._context.log.routine(
                     "attempt answered",
                     self._admitted.caller.request_id,
                     instance=candidate.name,
                     service=name,
                     took_s=round(took_s, 4),
+                    **limit,
                     **_describe_connection(attempt),
                 )
             return
@@ -471,6 +492,7 @@
             own_requests=candidate.own_requests,
             others_requests=candidate.others_requests,
             load_age_s=round(time.monotonic() - candidate.reported_at_s, 2),
+            **limit,
             **_describe_connection(attempt),
         )
 
--- a/src/bronzerudder/gateway/metrics.py
+++ b/src/bronzerudder/gateway/metrics.py
@@ -65,6 +65,17 @@
             ("reason",),
             registry=registry,
         )
+        self.limited_servers = Gauge(
+            "bronzerudder_limited_servers",
+            "Backend servers that have named a limit of the rate of requests.",
+            registry=registry,
+        )
+        self.limited_attempts = Counter(
+            "bronzerudder_limited_attempts",
+            "Requests sent to backend servers that had named a limit.",
+            ("service",),
+            registry=registry,
+        )
         self.configuration_version = Gauge(
             "bronzerudder_configuration_version",
             "Version of the configuration in force.",
--- a/src/bronzerudder/gateway/services.py
+++ b/src/bronzerudder/gateway/services.py
@@ -9,6 +9,7 @@
 from anyio.abc import TaskGroup
 
 from bronzerudder.gateway.group_gate import GroupGate
+from bronzerudder.gateway.server_limits import ServerLimitKeeper
 from bronzerudder.gateway.slot_queue import SlotQueue
 from bronzerudder.gateway.tables import BackendServer, Service
 from bronzerudder.http1 import ClientPool
@@ -42,8 +43,11 @@
 class ServicePool:
     """Candidates, slot queue, group gate and retry budget of one service at this gateway."""
 
-    def __init__(self, name: str, retry: RetryBudgetLimits, gateways: int) -> None:
+    def __init__(
+        self, name: str, retry: RetryBudgetLimits, gateways: int, limits: ServerLimitKeeper
+    ) -> None:
         self._name = name
+        self._limits = limits
         self._candidates: dict[str, Candidate] = {}
         self._addresses: dict[str, str] = {}
         self._incarnations: dict[str, str] = {}
@@ -121,6 +125,8 @@
         candidate.leaving = server.leaving
         candidate.connected = True
         self._addresses[server.instance_id] = server.address
+        if self.incarnation_of(server.instance_id) != server.incarnation:
+            self._limits.forget(self.incarnation_of(server.instance_id))
         self._incarnations[server.instance_id] = server.incarnation
         self.queue.assign_slots()
 
@@ -129,7 +135,7 @@
         candidate = self._candidates.pop(instance_id, None)
         if candidate is not None:
             candidate.leaving = True
-        self._incarnations.pop(instance_id, None)
+        self._limits.forget(self._incarnations.pop(instance_id, instance_id))
         address = self._addresses.pop(instance_id, None)
         if address is not None and self._by_address.get(address) == instance_id:
             del self._by_address[address]
@@ -154,11 +160,19 @@
         Takes a line when a backend server is excluded, suspected or has recovered.
     tasks : TaskGroup
         Runs the slot queues.
+    limits : ServerLimitKeeper
+        Limits that backend servers have named.
     """
 
     def __init__(
-        self, retry: RetryBudgetLimits, connections: ClientPool, log: EventLog, tasks: TaskGroup
+        self,
+        retry: RetryBudgetLimits,
+        connections: ClientPool,
+        log: EventLog,
+        tasks: TaskGroup,
+        limits: ServerLimitKeeper,
     ) -> None:
+        self._limits = limits
         self._retry_limits = retry
         self._connections = connections
         self._log = log
@@ -167,11 +181,16 @@
         self._service_of: dict[str, str] = {}
         self._gateways = DEFAULT_GATEWAY_COUNT
 
+    @property
+    def limits(self) -> ServerLimitKeeper:
+        """Limits that backend servers have named."""
+        return self._limits
+
     def pool(self, service: str) -> ServicePool:
         """Pool of a service, empty if no backend server is listed."""
         pool = self._pools.get(service)
         if pool is None:
-            pool = ServicePool(service, self._retry_limits, self._gateways)
+            pool = ServicePool(service, self._retry_limits, self._gateways, self._limits)
             self._pools[service] = pool
             self._tasks.start_soon(pool.queue.run)
         return pool
--- a/src/bronzerudder/platform/requests.py
+++ b/src/bronzerudder/platform/requests.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import re
 from typing import NamedTuple
 
 from bronzerudder.http1 import Request, ResponseHead
@@ -15,6 +16,10 @@
 """Prompt parts of a request that are read; prompts of the platform have fewer."""
 MAX_PART_ID_LENGTH = 64
 """The platform's ids are 64-bit numbers in hexadecimal; longer ones count as malformed."""
+MAX_QUOTED_LENGTH = 64
+"""Characters of a malformed value that are kept for the log."""
+_LIMIT = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
+"""A decimal number; a rate above 10^9 requests per second is no limit of a server."""
 
 
 class RequestHead(NamedTuple):
@@ -63,6 +68,21 @@
     slots: int
 
 
+class RateLimit(NamedTuple):
+    """Rate at which a backend server accepts requests, as one of its answers states it.
+
+    Parameters
+    ----------
+    rate_rps : float or None
+        Requests per second of all gateways together; None if the answer states no valid rate.
+    malformed : str
+        Start of a value that is no valid rate, or of several that differ; empty if there is none.
+    """
+
+    rate_rps: float | None = None
+    malformed: str = ""
+
+
 class AnswerHead(NamedTuple):
     """Content of the head of a backend server's answer.
 
@@ -87,6 +107,8 @@
         Address of the backend server to which an error answer attributes the fault; empty if none.
     delimited : bool
         Whether the body has a length or chunks; otherwise it ends with its connection.
+    limit : RateLimit
+        Rate at which the server accepts requests.
     """
 
     status: int
@@ -98,6 +120,7 @@
     load: ServerLoad | None
     faulty_address: str
     delimited: bool
+    limit: RateLimit = RateLimit()
 
 
 def decode_request(request: Request) -> RequestHead:
@@ -176,6 +199,7 @@
         _decode_load(_text(found.get(wire.LOAD))),
         _text(found.get(wire.FAULTY_ADDRESS)),
         head.is_delimited,
+        _decode_limit([value for name, value in head.headers if name == wire.LIMIT]),
     )
 
 
@@ -203,6 +227,17 @@
     return ServerLoad(running, waiting, slots)
 
 
+def _decode_limit(values: list[bytes]) -> RateLimit:
+    if not values:
+        return RateLimit()
+    texts = {_text(value) for value in values}
+    text = texts.pop()
+    if texts or _LIMIT.fullmatch(text) is None:
+        quoted = _text(b", ".join(values))[:MAX_QUOTED_LENGTH]
+        return RateLimit(malformed=quoted or "empty")
+    return RateLimit(float(text))
+
+
 def _decode_shared_parts(value: str) -> tuple[str, ...]:
     entries = value.split(",", MAX_SHARED_PARTS + 1)[:-1]
     ids = (entry.partition(":")[0].strip().lower() for entry in entries[:MAX_SHARED_PARTS])
--- a/src/bronzerudder/platform/wire.py
+++ b/src/bronzerudder/platform/wire.py
@@ -21,6 +21,8 @@
 WORKSPACE = b"tenant"
 EXPECTED_INSTANCE = b"expect-instance"
 LOAD = b"server-load"
+# Requests per second that the server accepts from all gateways together; absent without a limit.
+LIMIT = b"server-limit"
 NOT_EXECUTED = b"not-executed"
 # "prompt tokens,maximum answer tokens" that a request announces, not the tokens that were used.
 TOKENS = b"token-usage"
--- a/src/bronzerudder/processes/gateway.py
+++ b/src/bronzerudder/processes/gateway.py
@@ -22,6 +22,7 @@
 from bronzerudder.gateway.forwarding import GatewayContext
 from bronzerudder.gateway.handler import GatewayHandler
 from bronzerudder.gateway.metrics import GatewayMetrics
+from bronzerudder.gateway.server_limits import ServerLimitKeeper
 from bronzerudder.gateway.services import RetryBudgetLimits, ServiceTable
 from bronzerudder.gateway.spans import NoSpans, RecordedSpans, SpanSource
 from bronzerudder.http1 import ClientPool, HttpServer, ServerLimits, listen
@@ -112,7 +113,10 @@
         self._store = RemoteObjectStore(settings["store_address"])
         self._connections = ClientPool()
         retry = _read_retry_budget(settings)
-        self._services = ServiceTable(retry, self._connections, self._log, tasks)
+        self._server_limits = ServerLimitKeeper(self._log, self._metrics)
+        self._services = ServiceTable(
+            retry, self._connections, self._log, tasks, self._server_limits
+        )
         self._configuration = ConfigurationHolder(
             wire.CONFIGURATION_NAME, decode_configuration, self._on_configuration_change, self._log
         )
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -15,6 +15,7 @@
 from bronzerudder.gateway.forwarding import GatewayContext
 from bronzerudder.gateway.handler import GatewayHandler
 from bronzerudder.gateway.metrics import GatewayMetrics
+from bronzerudder.gateway.server_limits import ServerLimitKeeper
 from bronzerudder.gateway.services import RetryBudgetLimits, ServiceTable
 from bronzerudder.gateway.spans import NoSpans
 from bronzerudder.gateway.tables import BackendServer
@@ -120,11 +121,14 @@
         ready = anyio.Event()
         self._running.append(asyncio.create_task(self._hold_tasks(ready)))
         await ready.wait()
-        self.services = ServiceTable(self._retry, self.connections, self.log, self._queue_tasks)
+        self.metrics = GatewayMetrics(CollectorRegistry())
+        self.limits = ServerLimitKeeper(self.log, self.metrics)
+        self.services = ServiceTable(
+            self._retry, self.connections, self.log, self._queue_tasks, self.limits
+        )
         self.services.set_gateways(1)
         for server in self.backend_servers:
             self.add(server)
-        self.metrics = GatewayMetrics(CollectorRegistry())
         self.crashes = CrashWatch(self.name, self.messenger, self.log, self._queue_tasks)
         shared = GatewayContext(
             self.services, self.connections, {}, self.crashes, self.metrics, self.log, NoSpans()
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -97,6 +97,27 @@
         headers = ((b"transfer-encoding", b"chunked"), (b"keep-alive", b"timeout=5"), (b"x", b"y"))
         self.assertEqual(decode_answer(ResponseHead(200, headers)).headers, [(b"x", b"y")])
 
+    def test_a_limit_is_a_decimal_number(self):
+        for value, expected in ((b"4", 4.0), (b" 1.25 ", 1.25), (b"0", 0.0), (b"0.3", 0.3)):
+            with self.subTest(value=value):
+                answer = decode_answer(ResponseHead(200, ((b"server-limit", value),)))
+                self.assertEqual(answer.limit, (expected, ""))
+
+    def test_a_malformed_limit_is_no_limit_and_not_the_end_of_one(self):
+        for value in (b"-1", b"nan", b"inf", b"1e9", b"", b"x", b"1" * 40, b"1.5 r/s", b"0x4"):
+            with self.subTest(value=value):
+                limit = decode_answer(ResponseHead(200, ((b"server-limit", value),))).limit
+                self.assertIsNone(limit.rate_rps)
+                self.assertEqual(limit.malformed, value.decode() or "empty")
+        self.assertEqual(decode_answer(ResponseHead(200, ())).limit, (None, ""))
+
+    def test_repeated_limits_must_agree(self):
+        same = ((b"server-limit", b"2"), (b"server-limit", b"2"))
+        self.assertEqual(decode_answer(ResponseHead(200, same)).limit.rate_rps, 2.0)
+        differing = ((b"server-limit", b"2"), (b"server-limit", b"9"))
+        limit = decode_answer(ResponseHead(200, differing)).limit
+        self.assertEqual(limit, (None, "2, 9"))
+
 
 if __name__ == "__main__":
     unittest.main()
--- /dev/null
+++ b/tests/policy/server_limits/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the package `policy.server_limits`."""
