Show that gateways send more to a backend server than the limit that it names

What callers saw: nothing; the backend server in need got up to three times what it had named. Cause: not decided by this commit.

--- a/src/bronzerudder/standin/fleet/backend_server.py
+++ b/src/bronzerudder/standin/fleet/backend_server.py
@@ -11,6 +11,7 @@
 
 from bronzerudder.http1 import Request, ResponseWriter, ServerLimits
 from bronzerudder.platform import wire
+from bronzerudder.standin.fleet.rate_limit import NamedLimit
 from bronzerudder.standin.fleet.restartable import RestartableServer
 
 EVENTS = 6
@@ -112,6 +113,10 @@
         Called after a crash with its old instance id if `instance_id` has changed.
     server : RestartableServer
         Serves it; a crash takes this server down.
+    limit : NamedLimit
+        The rate that it names as its limit, and the requests that reached it.
+    answer_delay_s : float
+        Time that it takes for a plain answer.
     """
 
     def __init__(self, instance_id: str) -> None:
@@ -129,13 +134,17 @@
         self.on_new_instance: Callable[[str], None] = lambda old_id: None
         self.server = RestartableServer(self.handle, ServerLimits)
         self._base_id = instance_id
+        self.limit = NamedLimit()
+        self.answer_delay_s = 0.0
 
     async def handle(self, request: Request, writer: ResponseWriter) -> None:
         """Serve one request."""
         if self.crash_plan.crashes_on(request):
             self.crashing_arrivals.append(CrashingArrival(request, time.monotonic()))
         expected = request.header(wire.EXPECTED_INSTANCE)
-        headers = [(wire.LOAD, b"1,0,6")]
+        request_id = (request.header(wire.REQUEST_ID) or b"").decode()
+        self.limit.record_arrival(request_id)
+        headers = [(wire.LOAD, b"1,0,6"), *self.limit.headers(request_id)]
         if expected != self.instance_id.encode():
             await writer.respond(wire.STATUS_NOT_THIS_INSTANCE, headers, b"")
             return
@@ -188,6 +197,7 @@
             await writer.start(200, [*headers, (b"content-length", b"100")])
             await writer.write(b"half")
             return
+        await anyio.sleep(self.answer_delay_s)
         await writer.respond(200, headers, b"from " + self.instance_id.encode())
 
     async def _crash_while_answering(self, request: Request, writer: ResponseWriter) -> None:
--- a/tests/gateway/gateway_fleet.py
+++ b/tests/gateway/gateway_fleet.py
@@ -40,7 +40,14 @@
         Streams that ranks reset because another one crashed.
     """
 
-    def __init__(self, gateways: int = 3, servers: int = 6, in_lockstep: bool = False) -> None:
+    def __init__(
+        self,
+        gateways: int = 3,
+        servers: int = 6,
+        in_lockstep: bool = False,
+        routes: list[dict] | None = None,
+    ) -> None:
+        self._routes = routes or [ROUTE]
         self._in_lockstep = in_lockstep
         self._stalls: list[asyncio.Task] = []
         self._gateway_count = gateways
@@ -99,7 +106,7 @@
         await gateway.start()
         for instance_id, address in self._addresses.items():
             gateway.list_server(instance_id, address)
-        gateway.configuration.apply_value(make_configuration(2, routes=[ROUTE]))
+        gateway.configuration.apply_value(make_configuration(2, routes=self._routes))
         gateway.services.pool("s").set_in_lockstep(self._in_lockstep)
         self.gateways.append(gateway)
         self._maintaining.append(asyncio.create_task(_maintain(gateway)))
