Keep to the limits of backend servers together with the other gateways

What callers saw: nothing; a backend server that had named 1.1 requests a second got 2.1, and the class reaches further: any bound that holds for all gateways together and that each of them would keep alone, by news that reaches them at different times.

Cause: nothing followed the limit. Slots bound how many requests run at once; a server that answers fast gets as many a second as come.

For each limited server one gateway issues permits for single requests from one token bucket; the others ask it. All agree on it by a rendezvous hash of the two names, so that no election is needed. Permits go where requests are, whatever the traffic, and shares below one request need no rounding. Limits spread to all gateways, also to one that starts. - An issuer that does not answer for 0.2 s is passed over until it is heard again; its successor issues only once it does not hear the issuer either. An issuer greets its next two successors, so that one that is not listed yet is known. - Without an issuer, or without any message of others, a gateway keeps to an even share. - Servers without a limit are preferred while they are little used, so that the permits are left to requests that can go nowhere else; above half of their slots, limited servers take their share. - A server that accepts nothing is asked once in 4 s, since only answers tell that a limit has ended. - A rejection that names a limit counts neither against the server nor against its group.

Evidence. tests/gateway/test_server_limits.py, 16 cases: 1, 4, 12 gateways, even and uneven traffic, streams, messages lost, late, cut one way or all, an issuer cut off and back, gateways that join unlisted, limits that fall, rise, end and are 0.

Ruled out: an even share alone refuses at a busy gateway what an idle one may send; announcing each send lets all gateways meet on one free token, the more the more gateways there are.

--- a/src/bronzerudder/gateway/errors.py
+++ b/src/bronzerudder/gateway/errors.py
@@ -16,6 +16,7 @@
     QUARANTINED = "quarantined"
     NO_BACKEND_SERVER = "no-backend-server"
     OVERLOADED = "overloaded"
+    RATE_LIMITED = "rate-limited"
     DEADLINE_EXCEEDED = "out-of-time"
     NOT_EXECUTED = "not-executed"
 
--- a/src/bronzerudder/gateway/forwarding.py
+++ b/src/bronzerudder/gateway/forwarding.py
@@ -401,6 +401,9 @@
         if load is not None and load.running + load.waiting >= load.slots:
             # Full, not faulty; its load is recorded already.
             return
+        if answer.limit.rate_rps is not None:
+            # It limits its rate, and is not faulty.
+            return
         if not self._pool.in_lockstep:
             self._context.services.report_failure(candidate.name, f"status {answer.status}", True)
             return
--- a/src/bronzerudder/gateway/metrics.py
+++ b/src/bronzerudder/gateway/metrics.py
@@ -76,6 +76,12 @@
             ("service",),
             registry=registry,
         )
+        self.permits = Counter(
+            "bronzerudder_permits",
+            "Requests for permits to send to backend servers with a limit, by result.",
+            ("result",),
+            registry=registry,
+        )
         self.configuration_version = Gauge(
             "bronzerudder_configuration_version",
             "Version of the configuration in force.",
--- a/src/bronzerudder/gateway/services.py
+++ b/src/bronzerudder/gateway/services.py
@@ -59,6 +59,7 @@
             self._usable_candidates,
             lambda: tuple(self._candidates.values()),
             self.gate.record_sent,
+            limits,
         )
         self.budget = WindowBudget(retry.share, retry.extra / gateways, retry.window_s)
 
@@ -128,6 +129,9 @@
         if self.incarnation_of(server.instance_id) != server.incarnation:
             self._limits.forget(self.incarnation_of(server.instance_id))
         self._incarnations[server.instance_id] = server.incarnation
+        gate = self._limits.gate(server.incarnation)
+        gate.on_permit = self.queue.on_permit
+        candidate.gate = gate
         self.queue.assign_slots()
 
     def drop(self, instance_id: str) -> None:
--- a/src/bronzerudder/gateway/slot_queue.py
+++ b/src/bronzerudder/gateway/slot_queue.py
@@ -1,7 +1,8 @@
 """Queues requests until a backend server has a free slot, or refuses them immediately.
 
-It handles load beyond the slots of a service: bursts, the loss of some backend servers, and a group
-of ranks that re-forms.
+It handles load beyond the slots of a service, or beyond the rates that its backend servers accept:
+bursts, the loss of some backend servers, servers that limit their rate, and a group of ranks that
+re-forms.
 """
 
 from __future__ import annotations
@@ -14,6 +15,7 @@
 import anyio
 
 from bronzerudder.gateway.errors import Refusal, RefusalKind
+from bronzerudder.gateway.permit_source import PermitSource
 from bronzerudder.policy.routing import (
     Assignment,
     Candidate,
@@ -21,6 +23,8 @@
     NoCandidateKind,
     RoutedRequest,
     RoutingPolicy,
+    SendGate,
+    has_free_slot,
     slots_in_use,
 )
 
@@ -36,6 +40,10 @@
 """Retry-after is lengthened by a random fraction up to this, so that callers that are refused
 together do not retry together."""
 MIN_RETRY_AFTER_S = 0.1
+LOADED_FRACTION = 0.5
+"""Part of the slots in use above which backend servers that limit their rate take their share."""
+MAX_PERMIT_WAIT_S = 0.02
+"""Time that a request waits for a permit while other backend servers have room."""
 
 
 class SlotRequest(NamedTuple):
@@ -96,6 +104,8 @@
         Returns all backend servers of the service.
     on_assigned : callable
         Called with the monotonic time at which a request was given a slot.
+    permits : PermitSource or None
+        Permits for backend servers that limit their rate; None if none does.
     """
 
     def __init__(
@@ -104,13 +114,16 @@
         candidates: Callable[[], Sequence[Candidate]],
         all_candidates: Callable[[], Sequence[Candidate]],
         on_assigned: Callable[[float], None] = lambda now_s: None,
+        permits: PermitSource | None = None,
     ) -> None:
+        self._permits = permits
         self._all_candidates = all_candidates
         self._on_assigned = on_assigned
         self._routing = routing
         self._candidates = candidates
         self._waiters: list[_Waiter] = []
         self._running: dict[str, int] = {}
+        self._permit_answered = anyio.Event()
         self._free_rate = 0.0
         self._last_freed_at_s = 0.0
 
@@ -128,10 +141,19 @@
         """Estimate the time until a slot is free behind ``ahead`` other requests, in seconds.
 
         While the backend servers accept no requests at all, as when a group re-forms, the estimate
-        starts from the time at which they accept them again.
+        starts from the time at which they accept them again. Backend servers that limit their rate
+        count by their permits, the others by their slots.
         """
         now_s = time.monotonic()
         slots, used = self._count_slots(now_s)
+        wait_s = self._estimate_slot_wait_s(ahead, slots, used)
+        gates = self._find_limited_gates(now_s, RoutedRequest())
+        if not gates or self._permits is None:
+            return wait_s
+        permit_wait_s = self._permits.estimate_wait_s(gates, ahead)
+        return min(wait_s, permit_wait_s) if slots else permit_wait_s
+
+    def _estimate_slot_wait_s(self, ahead: int, slots: float, used: float) -> float:
         slots_needed = ahead + 1 - max(0.0, slots - used)
         if slots_needed <= 0 or not slots:
             return 0.0
@@ -139,6 +161,8 @@
 
     async def acquire(self, request: SlotRequest) -> Assignment | Refusal:
         """Wait for a slot, which must then be given back by `release`."""
+        if self._permits is not None and self._permits.has_limits:
+            await self._obtain_permit(request, self._permits)
         now_s = time.monotonic()
         if not self._waiters:
             assigned = self._assign(request, now_s)
@@ -149,17 +173,22 @@
                 return refusal
         elif len(self._waiters) >= MAX_WAITING:
             return self._overload_refusal(now_s, request, "the queue is full")
-        elif now_s + self.estimated_wait_s(self._count_ahead(request, now_s)) > request.refuse_at_s:
+        elif now_s + self.estimated_wait_s(self._count_ahead(request, now_s)) > (
+            self._latest_start_s(request, now_s)
+        ):
             return self._overload_refusal(
                 now_s, request, "the wait would exceed the caller's timeout"
             )
         return await self._wait(_Waiter(request, now_s))
 
     def _count_slots(self, now_s: float) -> tuple[float, float]:
-        """Count all slots, and those in use, of the backend servers that are not leaving."""
+        """Count all slots, and those in use, of the backend servers that are not leaving.
+
+        Those that limit their rate are left out, as a free slot there may not be used.
+        """
         slots = used = 0.0
         for candidate in self._all_candidates():
-            if candidate.leaving or not candidate.connected:
+            if candidate.leaving or not candidate.connected or candidate.gate.is_limited:
                 continue
             slots += candidate.slots
             used += min(float(candidate.slots), slots_in_use(candidate, now_s))
@@ -180,13 +209,93 @@
         """Give free slots to waiting requests, and refuse those that need no longer wait."""
         now_s = time.monotonic()
         self._expire(now_s)
+        has_asked = False
         while self._waiters:
             first = min(self._waiters, key=lambda waiter: self._sort_key(waiter, now_s))
             assigned = self._assign(first.request, now_s)
-            if isinstance(assigned, NoCandidate):
-                return
-            self._waiters.remove(first)
-            first.resolve(assigned)
+            if not isinstance(assigned, NoCandidate):
+                self._waiters.remove(first)
+                first.resolve(assigned)
+                continue
+            if has_asked or not self._request_permits(first.request, now_s):
+                break
+            # A permit that this gateway issues itself is valid immediately.
+            has_asked = True
+        if has_asked:
+            self._refuse_beyond_limits(now_s)
+
+    def _find_limited_gates(self, now_s: float, routed: RoutedRequest) -> list[SendGate]:
+        """Return the gates of the usable backend servers that limit their rate."""
+        if self._permits is None or not self._permits.has_limits:
+            return []
+        gates = []
+        for candidate in self._candidates():
+            if not candidate.gate.is_limited or candidate.name in routed.excluded:
+                continue
+            if candidate.is_available(now_s) and has_free_slot(candidate, now_s):
+                gates.append(candidate.gate)
+        return gates
+
+    def _request_permits(self, request: SlotRequest, now_s: float) -> bool:
+        """Ask for permits for all waiting requests; return whether a backend server needs them."""
+        gates = self._find_limited_gates(now_s, request.routed)
+        if not gates or self._permits is None:
+            return False
+        self._permits.request_permits(gates, len(self._waiters))
+        return True
+
+    async def _obtain_permit(self, request: SlotRequest, permits: PermitSource) -> None:
+        """Obtain a permit for a backend server that limits its rate, though others have room.
+
+        While the others are little used, permits are left to requests that can go nowhere else, but
+        for a few that find out whether the limit still holds.
+        """
+        now_s = time.monotonic()
+        slots, used = self._count_slots(now_s)
+        if not slots or self._waiters:
+            # Waiting requests ask for permits themselves.
+            return
+        gates = self._find_limited_gates(now_s, request.routed)
+        gate = permits.request_available(gates, only_unheard=used < slots * LOADED_FRACTION)
+        if gate is None or gate.admits(now_s):
+            return
+        with anyio.move_on_after(MAX_PERMIT_WAIT_S):
+            await self._permit_answered.wait()
+
+    def _latest_start_s(self, request: SlotRequest, now_s: float) -> float:
+        """Return the latest start for which a request may join those that wait."""
+        if self._is_rate_bound(now_s):
+            # Once late, it would be overtaken by later ones until its caller times out.
+            return request.latest_on_time_start_s
+        return request.refuse_at_s
+
+    def _is_rate_bound(self, now_s: float) -> bool:
+        """Whether all usable backend servers limit their rate."""
+        if self._permits is None or not self._permits.has_limits:
+            return False
+        return not self._count_slots(now_s)[0] and bool(
+            self._find_limited_gates(now_s, RoutedRequest())
+        )
+
+    def _refuse_beyond_limits(self, now_s: float) -> None:
+        """Refuse the requests that cannot get a permit in time, if there is no other way."""
+        if not self._is_rate_bound(now_s):
+            return
+        ordered = sorted(self._waiters, key=lambda waiter: self._sort_key(waiter, now_s))
+        ahead = 0
+        for waiter in ordered:
+            if now_s + self.estimated_wait_s(ahead) <= waiter.request.refuse_at_s:
+                ahead += 1
+                continue
+            self._waiters.remove(waiter)
+            reason = "the wait for a permit would exceed the caller's timeout"
+            waiter.resolve(self._overload_refusal(now_s, waiter.request, reason))
+
+    def on_permit(self) -> None:
+        """Handle the answer to a request for a permit, or the end of a limit."""
+        self._permit_answered.set()
+        self._permit_answered = anyio.Event()
+        self.assign_slots()
 
     async def run(self) -> None:
         """Check periodically for free slots while requests wait."""
@@ -198,6 +307,8 @@
     async def _wait(self, waiter: _Waiter) -> Assignment | Refusal:
         self._waiters.append(waiter)
         try:
+            if self._permits is not None and self._permits.has_limits:
+                self.assign_slots()
             await waiter.done.wait()
         except anyio.get_cancelled_exc_class():
             if isinstance(waiter.result, Assignment):
@@ -215,6 +326,7 @@
             return picked
         self._running[request.workspace] = self._running.get(request.workspace, 0) + 1
         self._on_assigned(now_s)
+        picked.gate.record_sent(now_s)
         routed = request.routed
         return picked.begin(routed.estimated_tokens, routed.prompt_tokens)
 
@@ -222,7 +334,7 @@
         self, request: SlotRequest, no_candidate: NoCandidate, now_s: float
     ) -> Refusal | None:
         """Return a refusal if no backend server can take the request before it must be given up."""
-        if no_candidate.kind is NoCandidateKind.ALL_BUSY:
+        if no_candidate.kind in (NoCandidateKind.ALL_BUSY, NoCandidateKind.ALL_LIMITED):
             if now_s + self.estimated_wait_s(0) > request.refuse_at_s:
                 return self._overload_refusal(now_s, request, no_candidate.reason)
             return None
@@ -267,11 +379,12 @@
     def _overload_refusal(self, now_s: float, request: SlotRequest, reason: str) -> Refusal:
         wait_s = max(MIN_RETRY_AFTER_S, self.estimated_wait_s(len(self._waiters)))
         jittered_wait_s = wait_s * random.uniform(1.0, 1.0 + RETRY_JITTER_FRACTION)
-        return Refusal(
-            RefusalKind.OVERLOADED,
-            f"{reason}; {len(self._waiters)} requests waiting",
-            jittered_wait_s,
-        )
+        reason = f"{reason}; {len(self._waiters)} requests waiting"
+        gates = self._find_limited_gates(now_s, request.routed)
+        if not gates or self._permits is None:
+            return Refusal(RefusalKind.OVERLOADED, reason, jittered_wait_s)
+        reason = f"{reason}; {self._permits.describe_limits(gates)}"
+        return Refusal(RefusalKind.RATE_LIMITED, reason, jittered_wait_s)
 
     def _update_free_rate(self, now_s: float) -> None:
         """Update the moving average of the rate at which slots become free."""
--- a/src/bronzerudder/peers/messages.py
+++ b/src/bronzerudder/peers/messages.py
@@ -82,8 +82,91 @@
     reply_to: str = ""
 
 
+class ServerLimit(msgspec.Struct, frozen=True):
+    """The newest statement on the rate at which a backend server accepts requests.
+
+    Parameters
+    ----------
+    server : str
+        The start of the backend server.
+    rate_rps : float or None
+        Requests per second of all gateways together; None for no limit.
+    asked_age_s, heard_age_s : float
+        Time since the request was sent whose answer stated it, and since that answer arrived.
+    """
+
+    server: str
+    rate_rps: float | None
+    asked_age_s: float
+    heard_age_s: float
+
+
+class ServerLimits(msgspec.Struct, frozen=True, tag="limits"):
+    """Limits that a gateway knows of."""
+
+    sender: str
+    limits: list[ServerLimit]
+
+
+class PermitRequest(msgspec.Struct, frozen=True, tag="permit-request"):
+    """Asks the gateway that issues a server's permits for a permit to send it one request.
+
+    Parameters
+    ----------
+    sender : str
+        ``host:port`` of the gateway that asks.
+    number : int
+        Repeated by the answer.
+    limit : ServerLimit
+        The limit as the sender knows it.
+    """
+
+    sender: str
+    number: int
+    limit: ServerLimit
+
+
+class PermitAnswer(msgspec.Struct, frozen=True, tag="permit-answer"):
+    """Answers a request for a permit.
+
+    Parameters
+    ----------
+    sender : str
+        ``host:port`` of the gateway that answers.
+    number : int
+        Number of the request.
+    limit : ServerLimit
+        The limit as the sender knows it.
+    issuer : str
+        Gateway that issues the server's permits; empty if it is the sender, or not known.
+    granted : bool
+        Whether the permit is granted.
+    delay_s, next_delay_s : float
+        Time after which it is valid, and after which another one would be, in seconds.
+    gateways : int
+        Gateways that share the limit.
+    """
+
+    sender: str
+    number: int
+    limit: ServerLimit
+    issuer: str
+    granted: bool
+    delay_s: float
+    next_delay_s: float
+    gateways: int
+
+
+class GatewayCheck(msgspec.Struct, frozen=True, tag="check"):
+    """Shows that a gateway runs, and may ask the receiver for the same."""
+
+    sender: str
+    wants_reply: bool
+
+
 CrashMessage = CrashSeen | Cleared | CrashDigest | CrashEvidence
-Message = RankLoad | CrashMessage
+ServerLimitMessage = ServerLimits | PermitRequest | PermitAnswer | GatewayCheck
+Message = RankLoad | CrashMessage | ServerLimitMessage
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Message)
--- a/src/bronzerudder/policy/limits/bucket.py
+++ b/src/bronzerudder/policy/limits/bucket.py
@@ -40,6 +40,20 @@
         self._tokens -= 1.0
         return True
 
+    def reserve(self, max_wait_s: float, now_s: float) -> float | None:
+        """Take a token that is available within `max_wait_s`, even if not yet now.
+
+        Returns
+        -------
+        float or None
+            Seconds until the token is available; None if none was taken.
+        """
+        wait_s = self.wait_s(now_s)
+        if wait_s > max_wait_s:
+            return None
+        self._tokens -= 1.0
+        return wait_s
+
     def give_back(self) -> None:
         """Return an unused token."""
         self._tokens += 1.0
--- a/src/bronzerudder/policy/routing/__init__.py
+++ b/src/bronzerudder/policy/routing/__init__.py
@@ -10,10 +10,15 @@
 )
 from bronzerudder.policy.routing.breaker import Breaker
 from bronzerudder.policy.routing.candidate import Assignment, Candidate, LoadReport
-from bronzerudder.policy.routing.free_slots import FreeSlotRouting, slots_in_use
+from bronzerudder.policy.routing.free_slots import (
+    FreeSlotRouting,
+    has_free_slot,
+    slots_in_use,
+)
 from bronzerudder.policy.routing.least_outstanding import LeastOutstandingRouting
 from bronzerudder.policy.routing.outlier import OutlierBreaker
 from bronzerudder.policy.routing.random_choice import RandomRouting
+from bronzerudder.policy.routing.send_gate import OPEN_GATE, OpenGate, SendGate
 from bronzerudder.policy.routing.token_load import TokenLoadParameters, TokenLoadRouting
 
 __all__ = [
@@ -29,7 +34,11 @@
     "RandomRouting",
     "RoutedRequest",
     "RoutingPolicy",
+    "OPEN_GATE",
+    "OpenGate",
+    "SendGate",
     "TokenLoadRouting",
     "TokenLoadParameters",
+    "has_free_slot",
     "slots_in_use",
 ]
--- a/src/bronzerudder/policy/routing/api.py
+++ b/src/bronzerudder/policy/routing/api.py
@@ -38,6 +38,7 @@
     ALL_EXCLUDED = "all-excluded"
     ALL_UNAVAILABLE = "all-unavailable"
     ALL_BUSY = "all-busy"
+    ALL_LIMITED = "all-limited"
 
 
 class NoCandidate(NamedTuple):
--- a/src/bronzerudder/policy/routing/candidate.py
+++ b/src/bronzerudder/policy/routing/candidate.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from bronzerudder.policy.routing.breaker import Breaker
+from bronzerudder.policy.routing.send_gate import OPEN_GATE, SendGate
 
 UNAVAILABLE_RETRY_AFTER_S = 1.0
 
@@ -108,6 +109,8 @@
         Ratio of the time that its work takes to the usual time; above 1 is slower.
     agent_seen_at_s : float or None
         Monotonic time of the last load report from its agent; None without an agent.
+    gate : SendGate
+        Limits the rate of requests.
     """
 
     def __init__(
@@ -121,6 +124,7 @@
         self.leaving = False
         self.slowdown = 1.0
         self.agent_seen_at_s: float | None = None
+        self.gate: SendGate = OPEN_GATE
         self.report = LoadReport()
         self._own_requests = 0
         self._own_tokens = 0
--- a/src/bronzerudder/policy/routing/free_slots.py
+++ b/src/bronzerudder/policy/routing/free_slots.py
@@ -38,6 +38,8 @@
 
     The random draw allows many gateways to share one large group with slightly outdated reports.
 
+    Candidates whose gate admits no request now are left out.
+
     A request beyond the slots would queue inside the backend server and could not move to a slot
     that becomes free elsewhere. So none is picked while all slots are in use.
 
@@ -61,7 +63,11 @@
                 return available
             # Breakers open on all candidates point to faulty requests, not to faulty servers.
             available = blocked
-        available = _drop_slow(_drop_unresponsive(available, now_s))
+        admitting = [candidate for candidate in available if candidate.gate.admits(now_s)]
+        if not admitting:
+            reason = f"{len(available)} backend servers are at the rate that they accept"
+            return NoCandidate(NoCandidateKind.ALL_LIMITED, reason, BUSY_RETRY_AFTER_S)
+        available = _drop_slow(_drop_unresponsive(admitting, now_s))
         best = self._pick_from(self._draw(available), now_s)
         if best is None and len(available) > CHOICES:
             best = self._pick_from(available, now_s)
@@ -80,7 +86,7 @@
         best_cost = (math.inf, math.inf, math.inf)
         for candidate in candidates:
             used = slots_in_use(candidate, now_s)
-            if candidate.slots and used > candidate.slots - 1:
+            if not _is_free(candidate, used):
                 continue
             prompts = candidate.own_prompt_tokens / PROMPT_TOKENS_PER_SLOT
             cost = (round(used) + prompts, candidate.own_tokens, self._generator.random())
@@ -125,6 +131,15 @@
     return [candidate for candidate in available if candidate.slowdown <= limit]
 
 
+def _is_free(candidate: Candidate, used: float) -> bool:
+    return not candidate.slots or used <= candidate.slots - 1
+
+
+def has_free_slot(candidate: Candidate, now_s: float) -> bool:
+    """Whether a candidate can run a further request immediately."""
+    return _is_free(candidate, slots_in_use(candidate, now_s))
+
+
 def slots_in_use(candidate: Candidate, now_s: float) -> float:
     """Estimate the slots in use from own requests and the last report."""
     others = candidate.others_requests
--- a/src/bronzerudder/policy/server_limits/__init__.py
+++ b/src/bronzerudder/policy/server_limits/__init__.py
@@ -2,6 +2,29 @@
 
 from __future__ import annotations
 
+from bronzerudder.policy.server_limits.issuer import (
+    MAX_RESERVE_S,
+    MIN_RATE_RPS,
+    PermitDecision,
+    PermitIssuer,
+)
+from bronzerudder.policy.server_limits.ranking import GatewayRanking
 from bronzerudder.policy.server_limits.statements import LimitStatement, ServerLimitLedger
+from bronzerudder.policy.server_limits.wallet import (
+    PermitOutlook,
+    PermitWallet,
+    estimate_wait_s,
+)
 
-__all__ = ["LimitStatement", "ServerLimitLedger"]
+__all__ = [
+    "MAX_RESERVE_S",
+    "MIN_RATE_RPS",
+    "GatewayRanking",
+    "LimitStatement",
+    "PermitDecision",
+    "PermitIssuer",
+    "PermitOutlook",
+    "PermitWallet",
+    "ServerLimitLedger",
+    "estimate_wait_s",
+]
--- a/src/bronzerudder/policy/subset/rendezvous.py
+++ b/src/bronzerudder/policy/subset/rendezvous.py
@@ -39,7 +39,9 @@
         chosen: list[Member] = []
         for domain, count in self._allocate_by_domain(entry_id, by_domain).items():
             ranked = sorted(
-                by_domain[domain], key=lambda member: _hash(entry_id, member.name), reverse=True
+                by_domain[domain],
+                key=lambda member: rendezvous_hash(entry_id, member.name),
+                reverse=True,
             )
             chosen.extend(ranked[:count])
         return tuple(sorted(chosen))
@@ -61,9 +63,10 @@
         return counts
 
 
-def _hash(entry_id: str, name: str) -> int:
+def rendezvous_hash(entry_id: str, name: str) -> int:
+    """Hash a pair of names, the same in every process."""
     return xxhash.xxh64_intdigest(f"{entry_id}\0{name}".encode())
 
 
 def _hash_to_unit(entry_id: str, name: str) -> float:
-    return (_hash(entry_id, name) + 1) / (HASH_RANGE + 1)
+    return (rendezvous_hash(entry_id, name) + 1) / (HASH_RANGE + 1)
--- a/src/bronzerudder/processes/gateway.py
+++ b/src/bronzerudder/processes/gateway.py
@@ -30,7 +30,7 @@
 from bronzerudder.observability.metrics_page import MetricsHandler
 from bronzerudder.peers.crash_archive import CrashArchive
 from bronzerudder.peers.datagrams import DatagramPort
-from bronzerudder.peers.messages import Message, RankLoad
+from bronzerudder.peers.messages import CrashDigest, Message, RankLoad, ServerLimitMessage
 from bronzerudder.peers.messenger import DatagramMessenger
 from bronzerudder.peers.registry import GatewayRegistry
 from bronzerudder.platform import wire
@@ -113,7 +113,10 @@
         self._store = RemoteObjectStore(settings["store_address"])
         self._connections = ClientPool()
         retry = _read_retry_budget(settings)
-        self._server_limits = ServerLimitKeeper(self._log, self._metrics)
+        self._gateways = GatewayRegistry(self._store, self._log)
+        self._peers = DatagramPort(settings["peer_address"])
+        messenger = DatagramMessenger(self._peers, self._gateways, settings["peer_address"])
+        self._server_limits = ServerLimitKeeper(messenger, self._log, self._metrics)
         self._services = ServiceTable(
             retry, self._connections, self._log, tasks, self._server_limits
         )
@@ -138,9 +141,6 @@
             self._set_started_if_ready,
         )
         self._started = anyio.Event()
-        self._gateways = GatewayRegistry(self._store, self._log)
-        self._peers = DatagramPort(settings["peer_address"])
-        messenger = DatagramMessenger(self._peers, self._gateways, settings["peer_address"])
         self._crashes = CrashWatch(settings["gateway_id"], messenger, self._log, tasks)
         self._archive = CrashArchive(
             self._store,
@@ -232,6 +232,11 @@
         if isinstance(message, RankLoad):
             self._services.on_rank_load(message)
             return
+        if isinstance(message, ServerLimitMessage):
+            self._server_limits.on_message(message)
+            return
+        if isinstance(message, CrashDigest):
+            self._server_limits.record_peer(message.address)
         self._crashes.on_message(message)
 
     def _limits(self) -> ServerLimits:
@@ -294,6 +299,8 @@
             self.reload()
             self._directory.drop_missing()
             self._services.set_gateways(len(self._gateways.addresses))
+            self._server_limits.set_gateways(self._gateways.addresses)
+            self._server_limits.maintain()
             self._connections.sweep()
             self._crashes.maintain()
             self._log.flush()
--- a/src/bronzerudder/standin/fleet/backend_server.py
+++ b/src/bronzerudder/standin/fleet/backend_server.py
@@ -150,7 +150,8 @@
             return
         behaviour = self.script.pop(0) if self.script else self.usual
         if behaviour is Behaviour.SHED:
-            await writer.respond(503, [*headers, (wire.NOT_EXECUTED, b"1")], b"")
+            shed = [*headers, (wire.REQUEST_ID, request_id.encode()), (wire.NOT_EXECUTED, b"1")]
+            await writer.respond(503, shed, b"")
             return
         self.runs.append(request)
         self.run_at_s.append(time.monotonic())
--- a/tests/gateway/gateway_fleet.py
+++ b/tests/gateway/gateway_fleet.py
@@ -9,7 +9,12 @@
 
 from bronzerudder.gateway.services import RetryBudgetLimits
 from bronzerudder.http1 import listen
-from bronzerudder.peers.messages import CrashSeen, encode_message
+from bronzerudder.peers.messages import (
+    CrashDigest,
+    CrashSeen,
+    ServerLimitMessage,
+    encode_message,
+)
 from bronzerudder.peers.messenger import GatewayMessenger
 from bronzerudder.processes.gateway import MAINTENANCE_INTERVAL_S
 from bronzerudder.standin.fleet import Behaviour, CrashPlan, StandinBackendServer
@@ -38,6 +43,8 @@
         Bytes of the largest message sent.
     cut_streams : int
         Streams that ranks reset because another one crashed.
+    links : MessageLinks
+        Delays and loses the messages about the limits of backend servers.
     """
 
     def __init__(
@@ -48,6 +55,7 @@
         routes: list[dict] | None = None,
     ) -> None:
         self._routes = routes or [ROUTE]
+        self.links = MessageLinks()
         self._in_lockstep = in_lockstep
         self._stalls: list[asyncio.Task] = []
         self._gateway_count = gateways
@@ -98,8 +106,11 @@
         self._arrivals_seen = len(self.bad_arrivals)
         return quiet
 
-    async def add_gateway(self) -> GatewayHarness:
-        """Start another gateway, which knows nothing yet."""
+    async def add_gateway(self, is_listed: bool = True) -> GatewayHarness:
+        """Start another gateway, which knows nothing yet.
+
+        It knows of all the others; they know of it once it is listed.
+        """
         gateway = GatewayHarness(0, RETRY, f"g-{len(self.gateways)}")
         gateway.messenger = FleetMessenger(self, gateway)
         gateway.answer_timeout_s = ANSWER_TIMEOUT_S
@@ -109,9 +120,18 @@
         gateway.configuration.apply_value(make_configuration(2, routes=self._routes))
         gateway.services.pool("s").set_in_lockstep(self._in_lockstep)
         self.gateways.append(gateway)
+        gateway.limits.set_gateways([item.name for item in self.gateways])
+        if is_listed:
+            self.update_registry()
         self._maintaining.append(asyncio.create_task(_maintain(gateway)))
         return gateway
 
+    def update_registry(self) -> None:
+        """Let all gateways know of each other."""
+        names = [gateway.name for gateway in self.gateways]
+        for gateway in self.gateways:
+            gateway.limits.set_gateways(names)
+
     async def stop(self) -> None:
         """Stop all gateways and backend servers."""
         for gateway in self.gateways:
@@ -205,11 +225,51 @@
         for gateway in self._fleet.gateways:
             if gateway.name != address or gateway is self._sender:
                 continue
-            if gateway.name not in cut_off and self._sender.name not in cut_off:
+            if gateway.name in cut_off or self._sender.name in cut_off:
+                continue
+            links = self._fleet.links
+            if not isinstance(message, ServerLimitMessage):
                 gateway.crashes.on_message(message)
+                is_digest = isinstance(message, CrashDigest)
+                if is_digest and not links.loses(self._sender.name, gateway.name):
+                    gateway.limits.record_peer(message.address)
+                continue
+            links.sent_bytes += size
+            if links.loses(self._sender.name, gateway.name):
+                continue
+            loop = asyncio.get_running_loop()
+            loop.call_later(links.delay_s, gateway.limits.on_message, message)
+
+
+class MessageLinks:
+    """Links between the gateways.
+
+    Attributes
+    ----------
+    delay_s : float
+        Time that a message takes.
+    loss : float
+        Fraction of the messages that are lost.
+    cut : set
+        Pairs of sender and receiver whose messages are all lost.
+    sent_bytes : int
+        Bytes of all messages sent.
+    """
+
+    def __init__(self) -> None:
+        self.delay_s = 0.002
+        self.loss = 0.0
+        self.cut: set[tuple[str, str]] = set()
+        self.sent_bytes = 0
+        self._generator = random.Random(23)
+
+    def loses(self, sender: str, receiver: str) -> bool:
+        """Whether a message is lost."""
+        return (sender, receiver) in self.cut or self._generator.random() < self.loss
 
 
 async def _maintain(gateway: GatewayHarness) -> None:
     while True:
         await asyncio.sleep(MAINTENANCE_INTERVAL_S)
         gateway.crashes.maintain()
+        gateway.limits.maintain()
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -122,7 +122,8 @@
         self._running.append(asyncio.create_task(self._hold_tasks(ready)))
         await ready.wait()
         self.metrics = GatewayMetrics(CollectorRegistry())
-        self.limits = ServerLimitKeeper(self.log, self.metrics)
+        self.limits = ServerLimitKeeper(self.messenger, self.log, self.metrics)
+        self.limits.set_gateways([self.messenger.address])
         self.services = ServiceTable(
             self._retry, self.connections, self.log, self._queue_tasks, self.limits
         )
--- a/tests/runner.py
+++ b/tests/runner.py
@@ -23,6 +23,7 @@
     "tests.configuration.test_history",
     "tests.gateway.test_crashing_parts",
     "tests.gateway.test_faulty_answers",
+    "tests.gateway.test_server_limits",
     "tests.test_binary",
 )
 
