Start gateways of tests on ports that no outgoing connection can take

Cause: the tests' free_port bound port 0, closed it and gave the number to the process; such ports are in the ephemeral range, and an outgoing connection of any other test takes them meanwhile. The bench's harness had met this before and draws ports below that range.

Fix: use that function, so that there is one. No check changes.

--- a/tests/processes/gateway_case.py
+++ b/tests/processes/gateway_case.py
@@ -13,6 +13,7 @@
 import anyio
 import msgspec
 
+from bench.harness.fleet import free_port
 from bronzerudder.http1 import ClientPool, HttpError, listen
 from bronzerudder.standin.fleet import StandinBackendServer, StandinStore
 from tests.gateway.harness import make_configuration
@@ -20,13 +21,6 @@
 TIMEOUT_S = 15.0
 
 
-def free_port() -> int:
-    listener = listen("127.0.0.1:0")
-    port = listener.getsockname()[1]
-    listener.close()
-    return port
-
-
 class GatewayProcessCase(unittest.IsolatedAsyncioTestCase):
     """Starts the stand-ins; tests start the gateway with `start`."""
 
@@ -50,7 +44,7 @@
 
     async def start(self, **changes) -> subprocess.Popen:
         names = ("caller_address", "ready_address", "metrics_address", "peer_address")
-        self.addresses = {name: f"127.0.0.1:{free_port()}" for name in names}
+        self.addresses = {name: f"127.0.0.1:{free_port('127.0.0.1')}" for name in names}
         settings = {
             "gateway_id": "g-1",
             "failure_domain": "z",
