Play limited backend servers in the soak

What callers would see and what is guarded: servers of the plain or the model service name limits for most of a run and change them once, beside a restarted gateway or beside faults of all kinds. The soak checks the users' rule from what the servers counted (gateways that were restarted, suspended or cut off are excused), and that half of the requests at least are served where a server without a limit is left.

The faults of a seed stay what they were: limits have a generator of their own.

The checks have tests of their own.

--- a/Makefile
+++ b/Makefile
@@ -32,7 +32,7 @@
 
 soak: $(STAMP)
 	$(BIN)/python -W ignore -m bench.soak $(if $(SEED),--seed=$(SEED),--seeds=$(or $(SEEDS),10)) \
-		$(if $(ANSWERS),--answers=True)
+		$(if $(ANSWERS),--answers=True) $(if $(LIMITS),--limits=True)
 
 binary: dist/bronzerudder
 
--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -28,9 +28,10 @@
     ranks: int = 4,
     seconds: float = 12.0,
     answers: bool = False,
+    limits: bool = False,
 ) -> int:
     """Run one seed and print a report; return the number of violations."""
-    shape = SoakShape(gateways, ranks, seconds=seconds, answers=answers)
+    shape = SoakShape(gateways, ranks, seconds=seconds, answers=answers, limits=limits)
     with tempfile.TemporaryDirectory(prefix=f"soak-{seed}-") as directory:
         started_s = time.monotonic()
         run = SoakRun(seed, shape, pathlib.Path(directory))
@@ -64,6 +65,7 @@
     ranks: int = 4,
     seconds: float = 12.0,
     answers: bool = False,
+    limits: bool = False,
 ) -> None:
     """Run seeds, several at once; exit with code 1 if any run violates a guarantee.
 
@@ -81,15 +83,18 @@
         Duration of the fault injection; start and recovery come in addition.
     answers : bool
         Whether backend servers also write faulty answers and crash on parts of prompts.
+    limits : bool
+        Whether backend servers also limit the rate of requests.
     """
     options = (
         f"--gateways={gateways}",
         f"--ranks={ranks}",
         f"--seconds={seconds}",
         f"--answers={answers}",
+        f"--limits={limits}",
     )
     if seed is not None:
-        sys.exit(1 if run_seed(seed, gateways, ranks, seconds, answers) else 0)
+        sys.exit(1 if run_seed(seed, gateways, ranks, seconds, answers, limits) else 0)
 
     def run_subprocess(number: int) -> bool:
         command = [sys.executable, "-m", "bench.soak", f"--seed={number}", *options]
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -50,6 +50,25 @@
     end_s: float
 
 
+class LimitWindow(NamedTuple):
+    """Interval of monotonic times in which backend servers of a service limited their rate.
+
+    Parameters
+    ----------
+    kinds : tuple of str
+        Kinds of requests that the service runs.
+    has_free : bool
+        Whether some servers of the service had no limit.
+    begin_s, end_s : float
+        Monotonic times.
+    """
+
+    kinds: tuple[str, ...]
+    has_free: bool
+    begin_s: float
+    end_s: float
+
+
 class History(NamedTuple):
     """Record of one run.
 
@@ -68,6 +87,8 @@
         From the signal that stopped a gateway until it was ready again.
     crash_windows : list of CrashWindow
         When requests with a crashing part were sent.
+    limit_windows : list of LimitWindow
+        When backend servers limited their rate.
     """
 
     results: list[Result]
@@ -76,6 +97,7 @@
     left_at_s: dict[str, float]
     restarts: list[Disturbance]
     crash_windows: list[CrashWindow]
+    limit_windows: list[LimitWindow]
 
     def was_disturbed_since(self, started_s: float) -> bool:
         """Return whether anything was disturbed at or after a monotonic time."""
@@ -106,6 +128,9 @@
     found.extend(_check_runs(fleet, history))
     for window in history.crash_windows:
         found.extend(_check_crashes(fleet, history, window))
+    found.extend(_check_limits(fleet, history))
+    for limited in history.limit_windows:
+        found.extend(_check_served_beside_limits(history, limited))
     found.extend(f"step {step} ran on {len(maps)} maps" for step, maps in fleet.group.mixed_steps)
     return found
 
@@ -218,3 +243,42 @@
         f"sound requests beside part {window.part}: {sum(during)} of {len(during)} served,"
         f" {sum(outside)} of {len(outside)} at other times"
     ]
+
+
+def _check_limits(fleet: Fleet, history: History) -> list[str]:
+    """Check that the gateways together kept to the limits that backend servers named."""
+    gateways = {result.request_id: result.gateway for result in history.results}
+
+    def is_excused(gateway: str, at_s: float) -> bool:
+        return not gateway or any(
+            item.scope == gateway and item.begin_s <= at_s <= item.end_s + STABLE_WINDOW_S
+            for item in (*history.disturbances, *history.restarts)
+        )
+
+    found = []
+    for server in (*fleet.plain_servers, *fleet.model_servers):
+        excess = server.limit.find_excess(lambda name: gateways.get(name, ""), is_excused)
+        if excess is not None:
+            found.append(
+                f"{server.instance_id} got {excess.requests} requests in 4 s where its limit allows"
+                f" {excess.allowed:.1f}"
+            )
+    return found
+
+
+def _check_served_beside_limits(history: History, window: LimitWindow) -> list[str]:
+    """Check that servers without a limit serve what the limited ones may not."""
+    if not window.has_free:
+        return []
+    results = [
+        result.status == 200
+        for result in history.results
+        if result.kind in window.kinds
+        and window.begin_s <= result.sent_at_s <= window.end_s
+        and not result.workload.service
+        and not _was_disturbed(result, history)
+        and history.was_in_touch(result.gateway, result.sent_at_s)
+    ]
+    if len(results) < MIN_SOUND_REQUESTS or sum(results) >= MIN_SOUND_RATIO * len(results):
+        return []
+    return [f"{sum(results)} of {len(results)} requests served beside servers with a limit"]
--- a/bench/soak/deployment.py
+++ b/bench/soak/deployment.py
@@ -29,13 +29,17 @@
 
 
 class SoakShape(NamedTuple):
-    """Size of a run, duration of its fault injection, and whether it plays faulty answers."""
+    """Size and duration of a run, and whether it plays faulty answers or limits of servers.
+
+    Faulty answers and limits are not played in the same run.
+    """
 
     gateways: int = 2
     ranks: int = 4
     callers: int = 8
     seconds: float = 12.0
     answers: bool = False
+    limits: bool = False
 
 
 class SoakGateway:
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -16,8 +16,9 @@
     ``..._CUT`` resets open connections; ``..._SILENT`` keeps them open and drops their data.
     ``STORE_LOSES`` executes writes without an answer, ``STORE_FORGETS`` discards the history of
     changes, and ``ORDERS_LATE`` delays the execution of orders at the ranks. ``ANSWERS_FAULTY``
-    lets backend servers write one kind of faulty answers, and ``PROMPTS_CRASH`` sends requests with
-    a prompt part that crashes backend servers.
+    lets backend servers write one kind of faulty answers, ``PROMPTS_CRASH`` sends requests with a
+    prompt part that crashes backend servers, and ``SERVERS_LIMITED`` lets backend servers name a
+    limit of the rate of requests.
     """
 
     GATEWAY_TERM = "gateway-term"
@@ -47,11 +48,15 @@
     REVOKE = "revoke"
     ANSWERS_FAULTY = "answers-faulty"
     PROMPTS_CRASH = "prompts-crash"
+    SERVERS_LIMITED = "servers-limited"
 
 
 ANSWER_KINDS = (FaultKind.ANSWERS_FAULTY, FaultKind.PROMPTS_CRASH)
 """Kinds that only runs with `SoakShape.answers` draw, by a generator of their own."""
-_GENERAL_KINDS = tuple(kind for kind in FaultKind if kind not in ANSWER_KINDS)
+LIMIT_KINDS = (FaultKind.SERVERS_LIMITED,)
+"""Kinds that only runs with `SoakShape.limits` draw, by a generator of their own."""
+_GENERAL_KINDS = tuple(kind for kind in FaultKind if kind not in (*ANSWER_KINDS, *LIMIT_KINDS))
+LIMITED_FROM_S = (0.2, 1.0)
 PROMPTS_CRASH_AT_S = (1.0, 2.0)
 FAULTY_ANSWERS_S = (0.5, 2.0)
 RESTART_AFTER_S = (2.0, 3.0)
@@ -124,3 +129,21 @@
         kind = generator.choice((FaultKind.GATEWAY_KILL, FaultKind.GATEWAY_TERM))
         faults.append(Fault(kind, restart_at_s, RESTART_S, generator.random()))
     return sorted(faults, key=lambda fault: fault.at_s)
+
+
+def draw_limit_faults(
+    generator: random.Random, until_s: float, general: list[Fault]
+) -> list[Fault]:
+    """Draw one window with limited backend servers, as long as the injection.
+
+    Half of the runs have no other faults but the restart of a gateway.
+    """
+    has_general = generator.random() < GENERAL_FAULTS_SHARE
+    faults = list(general) if has_general else []
+    at_s = generator.uniform(*LIMITED_FROM_S)
+    faults.append(Fault(FaultKind.SERVERS_LIMITED, at_s, until_s - at_s, generator.random()))
+    if not has_general:
+        kind = generator.choice((FaultKind.GATEWAY_KILL, FaultKind.GATEWAY_TERM))
+        restart_at_s = at_s + generator.uniform(*RESTART_AFTER_S)
+        faults.append(Fault(kind, restart_at_s, RESTART_S, generator.random()))
+    return sorted(faults, key=lambda fault: fault.at_s)
--- a/bench/soak/injector.py
+++ b/bench/soak/injector.py
@@ -8,11 +8,11 @@
 
 import anyio
 
-from bench.harness.fleet import PLAIN_SERVICE, read_text
+from bench.harness.fleet import MODEL_SERVICE, PLAIN_SERVICE, read_text
 from bench.harness.link import FaultyLink
 from bench.harness.process import ManagedProcess
 from bench.soak.callers import ANSWERS, PROMPTS, Caller
-from bench.soak.checks import CrashWindow, Disturbance, History
+from bench.soak.checks import CrashWindow, Disturbance, History, LimitWindow
 from bench.soak.configuration import ConfigurationEditor
 from bench.soak.deployment import SoakDeployment, SoakGateway
 from bench.soak.faults import Fault, FaultKind
@@ -57,6 +57,9 @@
     Behaviour.WRONG_REQUEST_ID,
     Behaviour.BARE_503,
 )
+LIMIT_RPS = (0.5, 4.0)
+LIMIT_CHANGES = 2
+"""Times that the limits of a window are set."""
 CRASHING_CALLERS = 3
 CRASHED_S = 1.5
 """Time for which a backend server is away after a crash, in seconds."""
@@ -139,6 +142,7 @@
             FaultKind.DEMAND_SHIFT: self._shift_demand,
             FaultKind.ANSWERS_FAULTY: self._write_faulty_answers,
             FaultKind.PROMPTS_CRASH: self._send_crashing_prompts,
+            FaultKind.SERVERS_LIMITED: self._limit_servers,
         }
 
     async def inject(self, faults: list[Fault]) -> None:
@@ -301,6 +305,25 @@
         for server in faulty:
             server.usual = SOUND
 
+    async def _limit_servers(self, fault: Fault) -> None:
+        """Let some servers of a service, or all, name limits, and change these once."""
+        generator = random.Random(fault.target)
+        service = generator.choice((PLAIN_SERVICE, MODEL_SERVICE))
+        plain = service == PLAIN_SERVICE
+        servers = list(self._fleet.plain_servers if plain else self._fleet.model_servers)
+        limited = servers[: generator.randint(1, len(servers))]
+        begin_s = time.monotonic()
+        for _ in range(LIMIT_CHANGES):
+            for server in limited:
+                server.limit.set_rate(round(generator.uniform(*LIMIT_RPS), 2))
+            await anyio.sleep(fault.duration_s / LIMIT_CHANGES)
+        for server in limited:
+            server.limit.set_rate(None)
+        kinds = ("read", "book") if plain else ("stream", "once")
+        has_free = len(limited) < len(servers)
+        window = LimitWindow(kinds, has_free, begin_s, time.monotonic())
+        self._history.limit_windows.append(window)
+
     async def _send_crashing_prompts(self, fault: Fault) -> None:
         """Send requests with a crashing part; sound ones share their keys and other parts."""
         part = f"{int(fault.target * 2**32):08x}"
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -14,7 +14,7 @@
 from bench.soak.checks import History, find_violations
 from bench.soak.configuration import ConfigurationEditor
 from bench.soak.deployment import SoakDeployment, SoakShape
-from bench.soak.faults import Fault, draw_answer_faults, draw_faults
+from bench.soak.faults import Fault, draw_answer_faults, draw_faults, draw_limit_faults
 from bench.soak.injector import FaultInjector
 from bronzerudder.platform import wire
 
@@ -49,9 +49,12 @@
         self._answer_generator = random.Random(f"answers {seed}")
         if shape.answers:
             self._faults = draw_answer_faults(self._answer_generator, shape.seconds, self._faults)
+        if shape.limits:
+            generator = random.Random(f"limits {seed}")
+            self._faults = draw_limit_faults(generator, shape.seconds, self._faults)
         self._deployment = SoakDeployment(directory, shape, self._generator)
         self._results: list[Result] = []
-        self._history = History(self._results, [], {}, {}, [], [])
+        self._history = History(self._results, [], {}, {}, [], [], [])
         self._violations: list[str] = []
         self._editor = ConfigurationEditor(
             self._deployment, self._history, self._generator, self._violations
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -6,13 +6,21 @@
 import random
 import tempfile
 import unittest
+from unittest import mock
 
 from bench.harness.fleet import Fleet, FleetShape
 from bench.soak.callers import ANSWERS, INCOMPLETE, PROMPTS, Result, find_fault
-from bench.soak.checks import STABLE_WINDOW_S, CrashWindow, Disturbance, History, find_violations
+from bench.soak.checks import (
+    STABLE_WINDOW_S,
+    CrashWindow,
+    Disturbance,
+    History,
+    LimitWindow,
+    find_violations,
+)
 from bronzerudder.http1 import Request
 from bronzerudder.platform import wire
-from bronzerudder.standin.fleet import CrashingArrival, StandinBackendServer
+from bronzerudder.standin.fleet import CrashingArrival, StandinBackendServer, rate_limit
 from bronzerudder.standin.fleet.answer_script import EVENTS, event_of, plain_body
 from bronzerudder.standin.fleet.group import LoadedMap
 
@@ -37,7 +45,7 @@
     def setUp(self):
         directory = pathlib.Path(self.enterContext(tempfile.TemporaryDirectory()))
         self.fleet = Fleet(directory, FleetShape(ranks=2), random.Random(1))
-        self.history = History([], [], {}, {}, [], [])
+        self.history = History([], [], {}, {}, [], [], [])
 
     def record_runs(self, times=1, workspace=b"school-a", backend=0):
         headers = [(wire.REQUEST_ID, b"r1"), (wire.WORKSPACE, workspace)]
@@ -120,7 +128,7 @@
         self.server = StandinBackendServer("c-0")
         self.fleet.further_servers.append(self.server)
         self.server.crash_at_s = [1.0, 1.2, 1.4, 1.6, 2.0]
-        self.history = History([], [], {}, {}, [], [CrashWindow("bad", 0.5, 30.0)])
+        self.history = History([], [], {}, {}, [], [CrashWindow("bad", 0.5, 30.0)], [])
 
     def add_prompts(self, count, sent_at_s, status=200, crashes=False):
         for _ in range(count):
@@ -177,5 +185,51 @@
         self.assertIn("sound requests", found[0])
 
 
+class LimitChecksTest(unittest.TestCase):
+    """A server names 1 request a second at 0 s, so the bound holds from the stable window on."""
+
+    def setUp(self):
+        directory = pathlib.Path(self.enterContext(tempfile.TemporaryDirectory()))
+        self.fleet = Fleet(directory, FleetShape(ranks=2), random.Random(1))
+        self.server = self.fleet.plain_servers[0]
+        self.history = History([], [], {}, {}, [], [], [])
+        self.now_s = 0.0
+        clock = mock.Mock(monotonic=lambda: self.now_s)
+        self.enterContext(mock.patch.object(rate_limit, "time", clock))
+        self.server.limit.set_rate(1.0)
+
+    def add_requests(self, begin_s, end_s, rate_rps, gateway="g"):
+        for number in range(int((end_s - begin_s) * rate_rps)):
+            self.now_s = begin_s + number / rate_rps
+            request_id = f"r{len(self.history.results)}"
+            self.server.limit.record_arrival(request_id)
+            self.server.limit.headers(request_id)
+            result = make_result(503, request_id=request_id, gateway=gateway, sent_at_s=self.now_s)
+            self.history.results.append(result)
+
+    def find(self):
+        return [line for line in find_violations(self.fleet, self.history) if "limit" in line]
+
+    def test_requests_beyond_a_limit_are_found(self):
+        self.add_requests(0.0, 12.0, 2.0)
+        self.assertEqual(self.find(), [])
+        self.add_requests(12.0, 14.0, 8.0)
+        self.assertEqual(len(self.find()), 1)
+
+    def test_a_gateway_that_was_restarted_is_excused(self):
+        self.add_requests(0.0, 12.0, 8.0)
+        self.history.restarts.append(Disturbance("g", 2.0, 10.0))
+        self.assertEqual(self.find(), [])
+        self.history.restarts[0] = Disturbance("another", 2.0, 10.0)
+        self.assertEqual(len(self.find()), 1)
+
+    def test_refusals_beside_servers_without_a_limit_are_found(self):
+        self.add_requests(0.0, 12.0, 2.0)
+        self.history.limit_windows.append(LimitWindow(("book",), False, 0.0, 12.0))
+        self.assertEqual(self.find(), [])
+        self.history.limit_windows[0] = LimitWindow(("book",), True, 0.0, 12.0)
+        self.assertEqual(len(self.find()), 1)
+
+
 if __name__ == "__main__":
     unittest.main()
