Show limits beside a request in explain, and forget servers that no one asks for

What an operator saw: `bronzerudder explain` left out the lines on limits, as they had a field named request, which marks the lines of that request itself; and they lacked the service, by which state changes are matched.

Cause of the second: an issuer kept a bucket for each server that another gateway asked for, also after the server was gone from its own list. It is dropped 10 s after the last request, when its bucket is full anyway.

The field is now answer_to, and the lines on limits and issuers name the service.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -25,6 +25,7 @@
     "placement",
     "rank_group",
     "quarantine",
+    "server_limits",
 )
 SECTION_MARK = "## "
 HEADING = """# Bench
--- a/src/bronzerudder/gateway/server_limits.py
+++ b/src/bronzerudder/gateway/server_limits.py
@@ -66,8 +66,8 @@
 
     Parameters
     ----------
-    server : str
-        The start of the backend server.
+    server, service : str
+        The start of the backend server, and its service.
     rate_rps : float or None
         Its limit for all gateways together, in requests per second.
 
@@ -87,8 +87,9 @@
         Called when a permit was granted or denied, and when the limit has ended.
     """
 
-    def __init__(self, server: str, rate_rps: float | None) -> None:
+    def __init__(self, server: str, service: str, rate_rps: float | None) -> None:
         self.server = server
+        self.service = service
         self.rate_rps = rate_rps
         self.wallet = PermitWallet()
         self.even_share: TokenBucket | None = None
@@ -152,11 +153,11 @@
         """Whether any backend server has a limit."""
         return bool(self._limited)
 
-    def gate(self, server: str) -> ServerGate:
+    def gate(self, server: str, service: str) -> ServerGate:
         """Return the gate of a start of a backend server."""
         gate = self._gates.get(server)
         if gate is None:
-            gate = ServerGate(server, self._ledger.rate_rps(server))
+            gate = ServerGate(server, service, self._ledger.rate_rps(server))
             self._gates[server] = gate
         return gate
 
@@ -203,7 +204,7 @@
     def record_malformed(self, server: str, value: str, request_id: str) -> None:
         """Record a limit that is no valid rate; the limit in force stays."""
         self._log.state(
-            "backend server limit malformed", instance=server, value=value, request=request_id
+            "backend server limit malformed", instance=server, value=value, answer_to=request_id
         )
 
     def describe(self, server: str) -> dict[str, object]:
@@ -301,6 +302,8 @@
         self._expire(now_s)
         for server in list(self._to_announce):
             self._announce(server, now_s)
+        for server in self._issuer.expire(now_s):
+            self._ranking.forget(server)
         limited = self._limited
         if limited and now_s - self._exchanged_at_s >= EXCHANGE_INTERVAL_S:
             self._exchanged_at_s = now_s
@@ -316,9 +319,10 @@
         self._log.state(
             "backend server limit changed",
             instance=server,
+            service=self._gates[server].service,
             limit_rps=statement.rate_rps,
             before_rps=before_rps,
-            request=request_id,
+            answer_to=request_id,
             sender=sender,
             age_s=round(time.monotonic() - statement.heard_at_s, 3),
         )
@@ -379,7 +383,12 @@
         issuer = self._ranking.find_issuer(gate.server)
         self._check_silent(gate.server, issuer, now_s)
         if issuer != gate.issuer:
-            self._log.state("issuer changed", instance=gate.server, issuer=issuer)
+            self._log.state(
+                "permit issuer changed",
+                instance=gate.server,
+                service=gate.service,
+                issuer=issuer,
+            )
             gate.issuer = issuer
         if issuer == own and self._ranking.is_isolated(now_s):
             # The others may do the same.
--- a/src/bronzerudder/gateway/services.py
+++ b/src/bronzerudder/gateway/services.py
@@ -129,7 +129,7 @@
         if self.incarnation_of(server.instance_id) != server.incarnation:
             self._limits.forget(self.incarnation_of(server.instance_id))
         self._incarnations[server.instance_id] = server.incarnation
-        gate = self._limits.gate(server.incarnation)
+        gate = self._limits.gate(server.incarnation, self._name)
         gate.on_permit = self.queue.on_permit
         candidate.gate = gate
         self.queue.assign_slots()
--- a/src/bronzerudder/policy/server_limits/issuer.py
+++ b/src/bronzerudder/policy/server_limits/issuer.py
@@ -14,6 +14,9 @@
 RECENT_S = 2.0
 """A gateway counts as sharing a limit for this time after it asked for a permit."""
 
+IDLE_S = 10.0
+"""Time without a request after which a server's state is dropped; its bucket is full by then."""
+
 
 class PermitDecision(NamedTuple):
     """Answer to a gateway that asks for a permit to send one request.
@@ -71,6 +74,16 @@
             return PermitDecision(False, 0.0, next_delay_s, gateways)
         return PermitDecision(True, delay_s, next_delay_s, gateways)
 
+    def expire(self, now_s: float) -> list[str]:
+        """Drop the servers that no gateway asks for any more, and return them."""
+        expired = []
+        for server, state in self._servers.items():
+            if all(now_s - at_s > IDLE_S for at_s in state.asked_at_s.values()):
+                expired.append(server)
+        for server in expired:
+            del self._servers[server]
+        return expired
+
     def forget(self, server: str) -> None:
         """Drop the state of a backend server that is gone or has no limit any more."""
         self._servers.pop(server, None)
--- a/tests/policy/server_limits/test_issuer.py
+++ b/tests/policy/server_limits/test_issuer.py
@@ -58,6 +58,12 @@
             granted += self.issuer.issue("i-0", 1.0, "a", 2.0 + number * 0.1).granted
         self.assertLessEqual(granted, 6)
 
+    def test_servers_that_no_gateway_asks_for_are_dropped(self):
+        self.issuer.issue("i-0", 2.0, "a", 0.0)
+        self.issuer.issue("i-1", 2.0, "a", 8.0)
+        self.assertEqual(self.issuer.expire(9.0), [])
+        self.assertEqual(self.issuer.expire(12.0), ["i-0"])
+
     def test_gateways_that_ask_no_more_do_not_count(self):
         self.issuer.issue("i-0", 2.0, "a", 0.0)
         self.issuer.issue("i-0", 2.0, "b", 1.0)
