Say truthfully why a request is refused when all servers limit their rate

What callers saw: "the wait would exceed the caller's timeout" where the wait for a permit would only have made the answer late. Cause: such a request is refused although it could wait, because later requests that can still be on time go first, and it would wait until its caller gives up; the text was that of the other case.

Tried and not kept: letting it wait if the permits fill at most half of the caller's patience.

Only the two texts change.

--- a/src/bronzerudder/gateway/slot_queue.py
+++ b/src/bronzerudder/gateway/slot_queue.py
@@ -176,9 +176,10 @@
         elif now_s + self.estimated_wait_s(self._count_ahead(request, now_s)) > (
             self._latest_start_s(request, now_s)
         ):
-            return self._overload_refusal(
-                now_s, request, "the wait would exceed the caller's timeout"
-            )
+            reason = "the wait would exceed the caller's timeout"
+            if self._is_rate_bound(now_s):
+                reason = "no permit is left in time"
+            return self._overload_refusal(now_s, request, reason)
         return await self._wait(_Waiter(request, now_s))
 
     def _count_slots(self, now_s: float) -> tuple[float, float]:
@@ -288,7 +289,7 @@
                 ahead += 1
                 continue
             self._waiters.remove(waiter)
-            reason = "the wait for a permit would exceed the caller's timeout"
+            reason = "no permit is left in time"
             waiter.resolve(self._overload_refusal(now_s, waiter.request, reason))
 
     def on_permit(self) -> None:
