Keep messages about limits within one packet

What could happen: a message with 16 limits has 1,571 bytes, is sent as two fragments, and is lost with either. With 12 limits it has 1,189 bytes.

--- a/src/bronzerudder/gateway/server_limits.py
+++ b/src/bronzerudder/gateway/server_limits.py
@@ -57,7 +57,7 @@
 EXCHANGE_INTERVAL_S = 1.0
 EXCHANGE_PEERS = 2
 """A gateway that starts, was suspended or lost messages learns of all limits within seconds."""
-MAX_LIMITS_PER_MESSAGE = 16
+MAX_LIMITS_PER_MESSAGE = 12
 """Keeps a message below 1,300 bytes, which fit in one packet."""
 
 
