Ignore addresses and values of messages that are impossible

What could happen: one malformed datagram with a sender such as "x" would have made that a gateway to ask for permits, and the next request at a limited server would have raised ValueError in the queue's task, which ends the process; a host name would have been resolved, which blocks. A digest of crashes with such an address stopped the receiver of messages for its restart delay before this change too.

Cause: addresses of messages and of the registry went to the socket unchecked, and delays and ages of messages into the permits; a permit valid from nan on would never have lapsed.

Fix: the port sends to IPv4 addresses only and counts the rest as not sent, so no caller of it can raise; limits with impossible rates or ages are ignored, delays are bounded.

--- a/src/bronzerudder/gateway/server_limits.py
+++ b/src/bronzerudder/gateway/server_limits.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 import time
 from collections.abc import Callable, Iterable, Sequence
@@ -23,9 +24,10 @@
     ServerLimits,
 )
 from bronzerudder.peers.messenger import GatewayMessenger
-from bronzerudder.policy.limits.bucket import TokenBucket
+from bronzerudder.policy.limits.bucket import MAX_WAIT_S, TokenBucket
 from bronzerudder.policy.routing import SendGate
 from bronzerudder.policy.server_limits import (
+    MAX_INTRODUCED,
     MAX_RESERVE_S,
     MIN_RATE_RPS,
     GatewayRanking,
@@ -163,7 +165,9 @@
 
     def forget(self, server: str) -> None:
         """Drop all that is known of a start of a backend server that is gone."""
-        self._gates.pop(server, None)
+        gate = self._gates.pop(server, None)
+        if gate is not None:
+            gate.rate_rps = None
         self._ledger.forget(server)
         self._count_limited()
         self._issuer.forget(server)
@@ -244,8 +248,10 @@
                 continue
             if not gate.wallet.may_ask(now_s) or gate.wallet.next_at_s > now_s:
                 continue
-            heard_at_s = self._ledger.statements[gate.server].heard_at_s
-            if only_unheard and now_s - heard_at_s < UNHEARD_S:
+            statement = self._ledger.statements.get(gate.server)
+            if statement is None:
+                continue
+            if only_unheard and now_s - statement.heard_at_s < UNHEARD_S:
                 continue
             available.append(gate)
         if not available:
@@ -348,8 +354,10 @@
         if limit.server not in self._gates:
             # Not listed here: gone already, or not read yet.
             return
-        asked_at_s = now_s - max(0.0, limit.asked_age_s)
-        statement = LimitStatement(limit.rate_rps, asked_at_s, now_s - max(0.0, limit.heard_age_s))
+        if not _is_valid(limit):
+            return
+        asked_at_s = now_s - limit.asked_age_s
+        statement = LimitStatement(limit.rate_rps, asked_at_s, now_s - limit.heard_age_s)
         self._record(limit.server, statement, "", sender)
 
     def _announce(self, server: str, now_s: float) -> None:
@@ -462,7 +470,10 @@
             gate.on_permit()
             return
         decision = PermitDecision(
-            answer.granted, answer.delay_s, answer.next_delay_s, answer.gateways
+            answer.granted,
+            min(MAX_RESERVE_S, max(0.0, answer.delay_s)),
+            min(MAX_WAIT_S, max(0.0, answer.next_delay_s)),
+            min(MAX_INTRODUCED, answer.gateways),
         )
         self._record_decision(gate, decision, now_s)
         gate.on_permit()
@@ -511,3 +522,9 @@
                 continue
             self._greeted_at_s[address] = now_s
             self._messenger.send_to(GatewayCheck(self._messenger.address, False), address)
+
+
+def _is_valid(limit: ServerLimit) -> bool:
+    """Whether the rate and the ages that a message states are possible."""
+    values = (limit.rate_rps or 0.0, limit.asked_age_s, limit.heard_age_s)
+    return all(0.0 <= value < math.inf for value in values)
--- a/src/bronzerudder/peers/datagrams.py
+++ b/src/bronzerudder/peers/datagrams.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import functools
+import ipaddress
 import socket
 from collections.abc import Callable, Iterable
 
@@ -16,6 +18,26 @@
 """Datagrams that are handled before other tasks run; a flood of them would hold the event loop."""
 
 
+MAX_PORT = 65_535
+MAX_PORT_DIGITS = 5
+ADDRESS_CACHE_SIZE = 4096
+
+
+@functools.lru_cache(ADDRESS_CACHE_SIZE)
+def parse_address(address: str) -> tuple[str, int] | None:
+    """Split an address as ``host:port``; None unless the host is an IPv4 address.
+
+    Messages and the store bring addresses of others; a name would be resolved, which blocks.
+    """
+    host, _, port = address.rpartition(":")
+    if len(port) > MAX_PORT_DIGITS or not port.isdecimal() or int(port) > MAX_PORT:
+        return None
+    try:
+        return str(ipaddress.IPv4Address(host)), int(port)
+    except ValueError:
+        return None
+
+
 class DatagramPort:
     """A UDP socket for peer messages.
 
@@ -41,9 +63,12 @@
         """Send a message to each address; it may be lost."""
         data = encode_message(message)
         for address in addresses:
-            host, _, port = address.rpartition(":")
+            receiver = parse_address(address)
+            if receiver is None:
+                self._unsent += 1
+                continue
             try:
-                self._socket.sendto(data, (host, int(port)))
+                self._socket.sendto(data, receiver)
             except OSError:
                 # Same as a lost datagram, which receivers tolerate.
                 self._unsent += 1
--- a/src/bronzerudder/policy/server_limits/__init__.py
+++ b/src/bronzerudder/policy/server_limits/__init__.py
@@ -8,7 +8,7 @@
     PermitDecision,
     PermitIssuer,
 )
-from bronzerudder.policy.server_limits.ranking import GatewayRanking
+from bronzerudder.policy.server_limits.ranking import MAX_INTRODUCED, GatewayRanking
 from bronzerudder.policy.server_limits.statements import LimitStatement, ServerLimitLedger
 from bronzerudder.policy.server_limits.wallet import (
     PermitOutlook,
@@ -17,6 +17,7 @@
 )
 
 __all__ = [
+    "MAX_INTRODUCED",
     "MAX_RESERVE_S",
     "MIN_RATE_RPS",
     "GatewayRanking",
--- a/tests/peers/test_datagrams.py
+++ b/tests/peers/test_datagrams.py
@@ -6,7 +6,7 @@
 
 import anyio
 
-from bronzerudder.peers.datagrams import DatagramPort
+from bronzerudder.peers.datagrams import DatagramPort, parse_address
 from bronzerudder.peers.messages import CrashSeen
 
 MESSAGE = CrashSeen("c", [])
@@ -31,6 +31,14 @@
             await port.run(send_another)
         self.assertLess(received, MESSAGES_AT_MOST)
 
+    async def test_an_address_that_is_none_does_not_stop_the_port(self):
+        port = DatagramPort("127.0.0.1:0")
+        self.addCleanup(port._socket.close)
+        malformed = ("", "x", "1.2.3.4:x", "1.2.3.4:99999", "host:1", "\0:1", "1.2.3.4:" + "1" * 99)
+        port.send(MESSAGE, malformed)
+        self.assertEqual(port.unsent, len(malformed))
+        self.assertEqual(parse_address("10.0.0.1:7000"), ("10.0.0.1", 7000))
+
 
 if __name__ == "__main__":
     unittest.main()
