Refuse at once also where many gateways wait for permits

What callers saw, measured before stand-ins: with 30 gateways, three servers of 4 requests a second and 60 asked for, 10.5 a second were served and nine in ten refusals came within 1.25 s; with 100 gateways 10.2 and 1.37 s. The limits were kept.

Cause: each gateway lets one request wait if a permit is expected in time, and took the time of the next permit for its own. Where more gateways wait than permits are issued ahead, most of them wait in vain.

Fix: if the next permit is as late as permits are issued ahead, half of the other gateways count as before this one.

The harness drew a port twice among 30 gateways, so that one never was ready; drawn ports are remembered.

--- a/bench/harness/fleet.py
+++ b/bench/harness/fleet.py
@@ -140,6 +140,7 @@
             StandinBackendServer(f"p-{number}") for number in range(shape.plain_servers)
         ]
         self.further_servers: list[StandinBackendServer | FaultyAnswerServer] = []
+        self._drawn_ports: set[int] = set()
         self._peer_port = free_port("127.0.0.1")
         hosts = [f"127.0.1.{number + 1}" for number in range(shape.ranks)]
         rank_port = free_port(hosts[0]) if hosts else 0
@@ -202,7 +203,7 @@
     def gateway_settings(self, name: str, store_address: str) -> dict[str, Any]:
         """Make the settings of a gateway on free ports."""
         addresses = {
-            field: f"127.0.0.1:{free_port('127.0.0.1')}"
+            field: f"127.0.0.1:{self._draw_port()}"
             for field in ("caller_address", "ready_address", "metrics_address", "peer_address")
         }
         return {
@@ -214,6 +215,14 @@
             **addresses,
         }
 
+    def _draw_port(self) -> int:
+        """Draw a port that was not drawn before, as its process may not listen yet."""
+        while True:
+            port = free_port("127.0.0.1")
+            if port not in self._drawn_ports:
+                self._drawn_ports.add(port)
+                return port
+
     def agent_settings(self, number: int, store_address: str) -> dict[str, Any]:
         """Make the settings of a rank's agent."""
         host = self._rank_hosts[number]
--- a/src/bronzerudder/gateway/server_limits.py
+++ b/src/bronzerudder/gateway/server_limits.py
@@ -115,8 +115,11 @@
 
     def outlook(self, now_s: float) -> PermitOutlook:
         """Return what this gateway may expect of the backend server."""
-        rate_rps = max(MIN_RATE_RPS, self.rate_rps or 0.0) / self.wallet.gateways
-        return PermitOutlook(self.wallet.valid_from_s(now_s), self.wallet.next_at_s, rate_rps)
+        rate_rps = max(MIN_RATE_RPS, self.rate_rps or 0.0)
+        wallet = self.wallet
+        return PermitOutlook(
+            wallet.valid_from_s(now_s), wallet.next_at_s, rate_rps, wallet.gateways
+        )
 
 
 class ServerLimitKeeper(PermitSource):
--- a/src/bronzerudder/policy/server_limits/wallet.py
+++ b/src/bronzerudder/policy/server_limits/wallet.py
@@ -104,21 +104,32 @@
     next_at_s : float
         Monotonic time at which a further one is available.
     rate_rps : float
-        Permits per second that this gateway may expect.
+        Permits per second that all gateways get.
+    gateways : int
+        Gateways that share them.
     """
 
     valid_from_s: list[float]
     next_at_s: float
     rate_rps: float
+    gateways: int
 
 
 def estimate_wait_s(outlooks: list[PermitOutlook], ahead: int, now_s: float) -> float:
-    """Estimate the time until a permit is left behind `ahead` other requests, in seconds."""
+    """Estimate the time until a permit is left behind `ahead` other requests, in seconds.
+
+    Permits issued ahead are counted by the time of the next one. If that is as late as permits are
+    issued ahead, further gateways wait without one, and on average half of them come first.
+    """
     held = sorted(at_s for outlook in outlooks for at_s in outlook.valid_from_s)
     if ahead < len(held):
         return max(0.0, held[ahead] - now_s)
     rate_rps = sum(outlook.rate_rps for outlook in outlooks)
     if rate_rps <= 0:
         return math.inf
-    first_at_s = min(outlook.next_at_s for outlook in outlooks)
-    return max(0.0, first_at_s - now_s) + (ahead - len(held)) / rate_rps
+    gateways = max(outlook.gateways for outlook in outlooks)
+    first_in_s = min(outlook.next_at_s for outlook in outlooks) - now_s
+    position = (ahead - len(held)) * gateways
+    if first_in_s > MAX_RESERVE_S - MIN_RETRY_S:
+        position += (gateways - 1) / 2
+    return max(0.0, first_in_s) + position / rate_rps
--- a/tests/policy/server_limits/test_wallet.py
+++ b/tests/policy/server_limits/test_wallet.py
@@ -45,11 +45,18 @@
 
 class EstimateTest(unittest.TestCase):
     def test_permits_held_come_first_then_the_expected_rate(self):
-        outlooks = [PermitOutlook([10.2], 11.0, 0.5), PermitOutlook([], 10.5, 1.5)]
+        outlooks = [PermitOutlook([10.2], 11.0, 0.5, 1), PermitOutlook([], 10.5, 1.5, 1)]
         self.assertAlmostEqual(estimate_wait_s(outlooks, 0, 10.0), 0.2)
         self.assertAlmostEqual(estimate_wait_s(outlooks, 1, 10.0), 0.5)
         self.assertAlmostEqual(estimate_wait_s(outlooks, 5, 10.0), 2.5)
 
+    def test_other_gateways_that_wait_come_first_as_well(self):
+        shared = [PermitOutlook([], 11.0, 12.0, 31)]
+        self.assertAlmostEqual(estimate_wait_s(shared, 0, 10.0), 1.0 + 15 / 12)
+        self.assertAlmostEqual(estimate_wait_s(shared, 1, 10.0), 1.0 + 46 / 12)
+        reserved = [PermitOutlook([], 10.5, 12.0, 31)]
+        self.assertAlmostEqual(estimate_wait_s(reserved, 0, 10.0), 0.5)
+
     def test_without_any_server_the_wait_is_endless(self):
         self.assertEqual(estimate_wait_s([], 0, 10.0), math.inf)
 
