Issue permits to oneself only if another gateway finds the issuer silent too

What a backend server would see: with messages of the issuer to one gateway cut one way, up to twice its limit.

Cause, by the ranks: the gateway that cannot hear the issuer passes it over. If it ranks second it became the issuer itself, of its own requests, while the issuer served all others. A gateway that ranks lower asks the second, which hears the issuer and names it. The test cut off whichever gateway came first in a list, and had too little traffic, so it failed only if both met.

Fix: before it issues permits that no other gateway has asked for, a gateway asks a third one whether it hears the issuer, and keeps to its even share until that one finds it silent as well.

--- a/src/bronzerudder/gateway/server_limits.py
+++ b/src/bronzerudder/gateway/server_limits.py
@@ -22,6 +22,8 @@
     ServerLimit,
     ServerLimitMessage,
     ServerLimits,
+    SilenceQuery,
+    SilenceReport,
 )
 from bronzerudder.peers.messenger import GatewayMessenger
 from bronzerudder.policy.limits.bucket import MAX_WAIT_S, TokenBucket
@@ -49,6 +51,9 @@
 GREETED_SUCCESSORS = 2
 """Gateways that would issue permits next; they must hear of a new issuer before the registry lists
 it."""
+QUERY_INTERVAL_S = 0.1
+CONFIRMATION_S = 5.0
+"""Time for which another gateway's report that an issuer is silent holds."""
 EVEN_SHARE_S = 1.0
 """Time for which a gateway keeps to an even share after it found no issuer."""
 DEFAULT_GATEWAY_COUNT = 8
@@ -149,6 +154,8 @@
         self._checked_at_s: dict[str, float] = {}
         self._unanswered_checks: dict[str, float] = {}
         self._greeted_at_s: dict[str, float] = {}
+        self._confirmed_until_s: dict[str, float] = {}
+        self._queried_at_s: dict[str, float] = {}
         self._announced_at_s: dict[str, float] = {}
         self._to_announce: set[str] = set()
         self._exchanged_at_s = 0.0
@@ -295,11 +302,18 @@
             self._record_heard(message.sender, now_s)
             self._learn(message.limit, message.sender, now_s)
             self._on_answer(message, now_s)
-        else:
+        elif isinstance(message, GatewayCheck):
             self._record_heard(message.sender, now_s)
             if message.wants_reply:
                 reply = GatewayCheck(self._messenger.address, False)
                 self._messenger.send_to(reply, message.sender)
+        elif isinstance(message, SilenceQuery):
+            self._record_heard(message.sender, now_s)
+            self._report_silence(message, now_s)
+        else:
+            self._record_heard(message.sender, now_s)
+            if message.is_silent and self._ranking.is_silent(message.about):
+                self._confirmed_until_s[message.about] = now_s + CONFIRMATION_S
 
     def record_peer(self, address: str) -> None:
         """Record that another gateway was heard."""
@@ -401,8 +415,7 @@
                 issuer=issuer,
             )
             gate.issuer = issuer
-        if issuer == own and self._ranking.is_isolated(now_s):
-            # The others may do the same.
+        if issuer == own and not self._may_issue_alone(gate.server, now_s):
             self._take_even_share(gate, rate_rps, now_s)
             return
         if issuer == own:
@@ -416,6 +429,44 @@
         limit = self._encode(gate.server, now_s)
         self._messenger.send_to(PermitRequest(own, self._next_number, limit), issuer)
 
+    def _may_issue_alone(self, server: str, now_s: float) -> bool:
+        """Whether this gateway may issue permits for itself that no other one has asked for.
+
+        A gateway that ranks before it may be silent to this one only, and issue to all others. So
+        another gateway has to confirm that it is silent.
+        """
+        if self._ranking.is_isolated(now_s):
+            return False
+        is_confirmed = True
+        for address in self._ranking.silent_before(server, self._messenger.address):
+            if self._confirmed_until_s.get(address, 0.0) <= now_s:
+                is_confirmed = False
+                self._query_silence(address, now_s)
+        return is_confirmed
+
+    def _query_silence(self, about: str, now_s: float) -> None:
+        if now_s - self._queried_at_s.get(about, float("-inf")) < QUERY_INTERVAL_S:
+            return
+        others = self._ranking.responsive_others()
+        if others:
+            self._queried_at_s[about] = now_s
+            query = SilenceQuery(self._messenger.address, about)
+            self._messenger.send_to(query, random.choice(others))
+
+    def _report_silence(self, query: SilenceQuery, now_s: float) -> None:
+        is_silent: bool | None = None
+        if query.about == self._messenger.address:
+            is_silent = False
+        elif self._ranking.is_silent(query.about):
+            is_silent = True
+            self._check(query.about, CHECK_INTERVAL_S, now_s)
+        elif self._ranking.was_heard_within(query.about, RECENTLY_HEARD_S, now_s):
+            is_silent = False
+        else:
+            self._check(query.about, ANSWER_TIMEOUT_S, now_s)
+        report = SilenceReport(self._messenger.address, query.about, is_silent)
+        self._messenger.send_to(report, query.sender)
+
     def _take_even_share(self, gate: ServerGate, rate_rps: float, now_s: float) -> None:
         gateways = len(self._ranking.members) if self._ranking.is_known else DEFAULT_GATEWAY_COUNT
         share_rps = max(MIN_RATE_RPS, rate_rps) / gateways
@@ -446,6 +497,9 @@
         decision = PermitDecision(False, 0.0, ANSWER_TIMEOUT_S, 1)
         named_issuer = ""
         if issuer == own:
+            for address in self._ranking.silent_before(server, own):
+                # The sender would have asked it, so it is silent to both.
+                self._confirmed_until_s[address] = now_s + CONFIRMATION_S
             if rate_rps is not None:
                 decision = self._issuer.issue(server, rate_rps, request.sender, now_s)
             self._greet(server, now_s)
@@ -483,6 +537,7 @@
 
     def _record_heard(self, address: str, now_s: float) -> None:
         self._unanswered_checks.pop(address, None)
+        self._confirmed_until_s.pop(address, None)
         if self._ranking.record_heard(address, now_s):
             self._log.state("gateway responds again", gateway=address)
 
--- a/src/bronzerudder/peers/messages.py
+++ b/src/bronzerudder/peers/messages.py
@@ -164,8 +164,25 @@
     wants_reply: bool
 
 
+class SilenceQuery(msgspec.Struct, frozen=True, tag="silence-query"):
+    """Asks whether the receiver hears a gateway that does not respond to the sender."""
+
+    sender: str
+    about: str
+
+
+class SilenceReport(msgspec.Struct, frozen=True, tag="silence-report"):
+    """Answers a query; `is_silent` is None while the sender is finding out."""
+
+    sender: str
+    about: str
+    is_silent: bool | None
+
+
 CrashMessage = CrashSeen | Cleared | CrashDigest | CrashEvidence
-ServerLimitMessage = ServerLimits | PermitRequest | PermitAnswer | GatewayCheck
+ServerLimitMessage = (
+    ServerLimits | PermitRequest | PermitAnswer | GatewayCheck | SilenceQuery | SilenceReport
+)
 Message = RankLoad | CrashMessage | ServerLimitMessage
 
 _encoder = msgspec.msgpack.Encoder()
--- a/src/bronzerudder/policy/server_limits/ranking.py
+++ b/src/bronzerudder/policy/server_limits/ranking.py
@@ -100,6 +100,10 @@
                 return address
         return self._own
 
+    def responsive_others(self) -> list[str]:
+        """Return the other gateways that were heard and are not passed over."""
+        return [address for address in self._heard_at_s if address not in self._silent]
+
     def silent_before(self, server: str, address: str) -> list[str]:
         """Return the gateways that are passed over before the issuer at `address`."""
         ranked = self._rank(server)
--- a/tests/gateway/test_limit_keeper.py
+++ b/tests/gateway/test_limit_keeper.py
@@ -20,8 +20,11 @@
     PermitRequest,
     ServerLimit,
     ServerLimits,
+    SilenceQuery,
+    SilenceReport,
 )
 from bronzerudder.peers.messenger import GatewayMessenger
+from bronzerudder.policy.server_limits import GatewayRanking
 from bronzerudder.standin.fleet import Behaviour
 from tests.gateway.harness import GatewayHarness, quiet_log
 
@@ -145,6 +148,61 @@
                 break
         self.assertIn(self.keeper.find_issuer(server), (OWN, asker))
 
+    def silence(self, address):
+        """Let messages to a gateway go unanswered."""
+        others = [other for other in OTHERS if other != address]
+        for _ in range(3):
+            self.keeper.on_message(SilenceQuery(others[0], address))
+            self.now_s += 0.11
+            for other in others:
+                self.keeper.record_peer(other)
+
+    def find_succeeded_server(self):
+        """Return a limited server whose issuer this gateway would succeed, and that issuer."""
+        for number in range(200):
+            server = f"i-{number}"
+            issuer = self.keeper.find_issuer(server)
+            if issuer == OTHERS[0]:
+                ranking = GatewayRanking(OWN)
+                ranking.set_listed((OWN, *OTHERS[1:]), 0.0)
+                if ranking.find_issuer(server) == OWN:
+                    break
+        gate = self.keeper.gate(server, "s")
+        self.keeper.record_answer(server, 2.0, self.now_s - 0.1, "r1")
+        return gate, issuer
+
+    def test_a_successor_issues_to_itself_only_once_the_silence_is_confirmed(self):
+        gate, issuer = self.find_succeeded_server()
+        self.now_s += 2.0
+        for address in OTHERS[1:]:
+            self.keeper.record_peer(address)
+        self.silence(issuer)
+        self.messenger.sent.clear()
+        self.keeper.request_permits([gate], 1)
+        self.assertFalse(gate.admits(self.now_s))
+        asked = [(to, item) for to, item in self.messenger.sent if isinstance(item, SilenceQuery)]
+        self.assertEqual(len(asked), 1)
+        self.assertIn(asked[0][0], OTHERS[1:])
+        self.keeper.on_message(SilenceReport(asked[0][0], issuer, False))
+        self.now_s += 0.2
+        self.keeper.request_permits([gate], 2)
+        self.assertFalse(gate.admits(self.now_s))
+        self.keeper.on_message(SilenceReport(asked[0][0], issuer, True))
+        self.now_s += 1.0
+        self.keeper.request_permits([gate], 4)
+        self.assertTrue(gate.admits(self.now_s))
+
+    def test_a_gateway_reports_whom_it_hears(self):
+        self.keeper.on_message(SilenceQuery(OTHERS[0], OTHERS[1]))
+        self.keeper.on_message(SilenceQuery(OTHERS[0], OWN))
+        self.now_s += 2.0
+        self.keeper.on_message(SilenceQuery(OTHERS[0], OTHERS[1]))
+        self.silence(OTHERS[1])
+        self.messenger.sent.clear()
+        self.keeper.on_message(SilenceQuery(OTHERS[0], OTHERS[1]))
+        (report,) = [item for _, item in self.messenger.sent if isinstance(item, SilenceReport)]
+        self.assertIs(report.is_silent, True)
+
     def test_a_gateway_that_hears_no_other_keeps_to_an_even_share(self):
         _, gate = self.find_server(is_own=True)
         granted = 0
--- a/tests/gateway/test_server_limits.py
+++ b/tests/gateway/test_server_limits.py
@@ -8,6 +8,7 @@
 import unittest
 from typing import NamedTuple
 
+from bronzerudder.policy.subset.rendezvous import rendezvous_hash
 from bronzerudder.standin.fleet import Behaviour
 from tests.gateway.gateway_fleet import GatewayFleet
 from tests.gateway.harness import make_route
@@ -198,16 +199,28 @@
         self.assertEqual(self.find_excess(), [])
         self.assert_served(4.0)
 
-    async def test_an_issuer_that_one_gateway_cannot_reach_keeps_the_bound(self):
-        await self.start(4, 2, [4.0, 4.0])
+    def cut_issuers_off_from(self, rank):
+        """Cut the messages of each issuer to the gateway of that rank for its server."""
         names = [gateway.name for gateway in self.fleet.gateways]
-        for index in (0, 1):
-            issuer = self.issuer_of(index).name
-            other = next(name for name in names if name != issuer)
-            self.fleet.links.cut.add((issuer, other))
-        await self.load([8.0] * 4)
+        for server in self.fleet.backend_servers:
+            ranked = sorted(
+                names, key=lambda name: rendezvous_hash(server.instance_id, name), reverse=True
+            )
+            self.fleet.links.cut.add((ranked[0], ranked[rank]))
+
+    async def test_an_issuer_that_its_successor_does_not_hear_keeps_the_bound(self):
+        await self.start(4, 2, [8.0, 8.0])
+        self.cut_issuers_off_from(1)
+        await self.load([16.0] * 4)
         self.assertEqual(self.find_excess(), [])
-        self.assert_served(6.0)
+        self.assert_served(13.0)
+
+    async def test_an_issuer_that_the_last_gateway_does_not_hear_keeps_the_bound(self):
+        await self.start(4, 2, [8.0, 8.0])
+        self.cut_issuers_off_from(3)
+        await self.load([16.0] * 4)
+        self.assertEqual(self.find_excess(), [])
+        self.assert_served(13.0)
 
     async def test_a_gateway_that_joins_unlisted_does_not_double_a_limit(self):
         await self.start(4, 3, [5.0, 5.0, 5.0])
