Move the liveness of other gateways and the gate of a server to modules of their own

The checks, greetings, queries and confirmations are PeerLiveness; the gate of a server is ServerGate in its own module; what is left keeps limits and permits. No decision changes, but one case: a query about a gateway that is not known gets no answer, as it would have been sent a check at any address that a message names, and kept for good. Found by reading.

--- a/src/bronzerudder/gateway/server_limits.py
+++ b/src/bronzerudder/gateway/server_limits.py
@@ -10,10 +10,12 @@
 import math
 import random
 import time
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Iterable, Sequence
 
 from bronzerudder.gateway.metrics import GatewayMetrics
+from bronzerudder.gateway.peer_liveness import ANSWER_TIMEOUT_S, RECENTLY_HEARD_S, PeerLiveness
 from bronzerudder.gateway.permit_source import PermitSource
+from bronzerudder.gateway.server_gate import ServerGate
 from bronzerudder.observability.event_log import EventLog
 from bronzerudder.peers.messages import (
     GatewayCheck,
@@ -23,7 +25,6 @@
     ServerLimitMessage,
     ServerLimits,
     SilenceQuery,
-    SilenceReport,
 )
 from bronzerudder.peers.messenger import GatewayMessenger
 from bronzerudder.policy.limits.bucket import MAX_WAIT_S, TokenBucket
@@ -36,24 +37,10 @@
     LimitStatement,
     PermitDecision,
     PermitIssuer,
-    PermitOutlook,
-    PermitWallet,
     ServerLimitLedger,
     estimate_wait_s,
 )
 
-ANSWER_TIMEOUT_S = 0.1
-"""Time after which a request for a permit counts as lost; answers take a few milliseconds."""
-CHECK_INTERVAL_S = 1.0
-"""Pause between checks whether a gateway that was passed over responds again."""
-RECENTLY_HEARD_S = 1.0
-"""A gateway that was heard within this time needs no check."""
-GREETED_SUCCESSORS = 2
-"""Gateways that would issue permits next; they must hear of a new issuer before the registry lists
-it."""
-QUERY_INTERVAL_S = 0.1
-CONFIRMATION_S = 5.0
-"""Time for which another gateway's report that an issuer is silent holds."""
 EVEN_SHARE_S = 1.0
 """Time for which a gateway keeps to an even share after it found no issuer."""
 DEFAULT_GATEWAY_COUNT = 8
@@ -68,65 +55,6 @@
 """Keeps a message below 1,300 bytes, which fit in one packet."""
 
 
-class ServerGate(SendGate):
-    """Admits the requests of this gateway to one start of a backend server.
-
-    Parameters
-    ----------
-    server, service : str
-        The start of the backend server, and its service.
-    rate_rps : float or None
-        Its limit for all gateways together, in requests per second.
-
-    Attributes
-    ----------
-    rate_rps : float or None
-        The limit in force.
-    wallet : PermitWallet
-        Permits for the backend server.
-    even_share : TokenBucket or None
-        Issues this gateway's part of the limit while there is no issuer.
-    even_share_until_s : float
-        Monotonic time until which no issuer is asked.
-    issuer : str
-        Gateway that issues the permits; empty if none was asked.
-    on_permit : callable
-        Called when a permit was granted or denied, and when the limit has ended.
-    """
-
-    def __init__(self, server: str, service: str, rate_rps: float | None) -> None:
-        self.server = server
-        self.service = service
-        self.rate_rps = rate_rps
-        self.wallet = PermitWallet()
-        self.even_share: TokenBucket | None = None
-        self.even_share_until_s = 0.0
-        self.issuer = ""
-        self.on_permit: Callable[[], None] = lambda: None
-
-    @property
-    def is_limited(self) -> bool:
-        """Whether a permit is needed."""
-        return self.rate_rps is not None
-
-    def admits(self, now_s: float) -> bool:
-        """Whether a request may be sent now."""
-        return self.rate_rps is None or self.wallet.is_valid(now_s)
-
-    def record_sent(self, now_s: float) -> None:
-        """Use up a permit."""
-        if self.is_limited:
-            self.wallet.use(now_s)
-
-    def outlook(self, now_s: float) -> PermitOutlook:
-        """Return what this gateway may expect of the backend server."""
-        rate_rps = max(MIN_RATE_RPS, self.rate_rps or 0.0)
-        wallet = self.wallet
-        return PermitOutlook(
-            wallet.valid_from_s(now_s), wallet.next_at_s, rate_rps, wallet.gateways
-        )
-
-
 class ServerLimitKeeper(PermitSource):
     """The limits that backend servers have named, and this gateway's permits.
 
@@ -146,16 +74,12 @@
         self._metrics = metrics
         self._ledger = ServerLimitLedger()
         self._ranking = GatewayRanking(messenger.address)
+        self._peers = PeerLiveness(messenger, self._ranking, log, metrics)
         self._issuer = PermitIssuer()
         self._gates: dict[str, ServerGate] = {}
         self._limited: list[str] = []
         self._next_number = 0
         self._asked: dict[int, tuple[ServerGate, str, float]] = {}
-        self._checked_at_s: dict[str, float] = {}
-        self._unanswered_checks: dict[str, float] = {}
-        self._greeted_at_s: dict[str, float] = {}
-        self._confirmed_until_s: dict[str, float] = {}
-        self._queried_at_s: dict[str, float] = {}
         self._announced_at_s: dict[str, float] = {}
         self._to_announce: set[str] = set()
         self._exchanged_at_s = 0.0
@@ -291,33 +215,33 @@
         now_s = time.monotonic()
         self._expire(now_s)
         if isinstance(message, ServerLimits):
-            self._record_heard(message.sender, now_s)
+            self._peers.record_heard(message.sender, now_s)
             for limit in message.limits:
                 self._learn(limit, message.sender, now_s)
         elif isinstance(message, PermitRequest):
-            self._record_heard(message.sender, now_s)
+            self._peers.record_heard(message.sender, now_s)
             self._learn(message.limit, message.sender, now_s)
             self._answer(message, now_s)
         elif isinstance(message, PermitAnswer):
-            self._record_heard(message.sender, now_s)
+            self._peers.record_heard(message.sender, now_s)
             self._learn(message.limit, message.sender, now_s)
             self._on_answer(message, now_s)
         elif isinstance(message, GatewayCheck):
-            self._record_heard(message.sender, now_s)
+            self._peers.record_heard(message.sender, now_s)
             if message.wants_reply:
                 reply = GatewayCheck(self._messenger.address, False)
                 self._messenger.send_to(reply, message.sender)
         elif isinstance(message, SilenceQuery):
-            self._record_heard(message.sender, now_s)
-            self._report_silence(message, now_s)
+            self._peers.record_heard(message.sender, now_s)
+            self._peers.report_silence(message, now_s)
         else:
-            self._record_heard(message.sender, now_s)
-            if message.is_silent and self._ranking.is_silent(message.about):
-                self._confirmed_until_s[message.about] = now_s + CONFIRMATION_S
+            self._peers.record_heard(message.sender, now_s)
+            if message.is_silent:
+                self._peers.confirm_silent([message.about], now_s)
 
     def record_peer(self, address: str) -> None:
         """Record that another gateway was heard."""
-        self._record_heard(address, time.monotonic())
+        self._peers.record_heard(address, time.monotonic())
 
     def maintain(self) -> None:
         """Repeat what may have been lost, and check the gateways that were passed over."""
@@ -406,7 +330,7 @@
             self._take_even_share(gate, rate_rps, now_s)
             return
         issuer = self._ranking.find_issuer(gate.server)
-        self._check_silent(gate.server, issuer, now_s)
+        self._peers.check_silent(gate.server, issuer, now_s)
         if issuer != gate.issuer:
             self._log.state(
                 "permit issuer changed",
@@ -415,12 +339,12 @@
                 issuer=issuer,
             )
             gate.issuer = issuer
-        if issuer == own and not self._may_issue_alone(gate.server, now_s):
+        if issuer == own and not self._peers.may_issue_alone(gate.server, now_s):
             self._take_even_share(gate, rate_rps, now_s)
             return
         if issuer == own:
             decision = self._issuer.issue(gate.server, rate_rps, own, now_s)
-            self._greet(gate.server, now_s)
+            self._peers.greet(gate.server, now_s)
             self._record_decision(gate, decision, now_s)
             return
         self._next_number += 1
@@ -429,44 +353,6 @@
         limit = self._encode(gate.server, now_s)
         self._messenger.send_to(PermitRequest(own, self._next_number, limit), issuer)
 
-    def _may_issue_alone(self, server: str, now_s: float) -> bool:
-        """Whether this gateway may issue permits for itself that no other one has asked for.
-
-        A gateway that ranks before it may be silent to this one only, and issue to all others. So
-        another gateway has to confirm that it is silent.
-        """
-        if self._ranking.is_isolated(now_s):
-            return False
-        is_confirmed = True
-        for address in self._ranking.silent_before(server, self._messenger.address):
-            if self._confirmed_until_s.get(address, 0.0) <= now_s:
-                is_confirmed = False
-                self._query_silence(address, now_s)
-        return is_confirmed
-
-    def _query_silence(self, about: str, now_s: float) -> None:
-        if now_s - self._queried_at_s.get(about, float("-inf")) < QUERY_INTERVAL_S:
-            return
-        others = self._ranking.responsive_others()
-        if others:
-            self._queried_at_s[about] = now_s
-            query = SilenceQuery(self._messenger.address, about)
-            self._messenger.send_to(query, random.choice(others))
-
-    def _report_silence(self, query: SilenceQuery, now_s: float) -> None:
-        is_silent: bool | None = None
-        if query.about == self._messenger.address:
-            is_silent = False
-        elif self._ranking.is_silent(query.about):
-            is_silent = True
-            self._check(query.about, CHECK_INTERVAL_S, now_s)
-        elif self._ranking.was_heard_within(query.about, RECENTLY_HEARD_S, now_s):
-            is_silent = False
-        else:
-            self._check(query.about, ANSWER_TIMEOUT_S, now_s)
-        report = SilenceReport(self._messenger.address, query.about, is_silent)
-        self._messenger.send_to(report, query.sender)
-
     def _take_even_share(self, gate: ServerGate, rate_rps: float, now_s: float) -> None:
         gateways = len(self._ranking.members) if self._ranking.is_known else DEFAULT_GATEWAY_COUNT
         share_rps = max(MIN_RATE_RPS, rate_rps) / gateways
@@ -493,20 +379,19 @@
             # Not listed here yet, or this gateway has heard of the limit's end earlier.
             rate_rps = request.limit.rate_rps
         issuer = self._ranking.find_issuer(server)
-        self._check_silent(server, issuer, now_s)
+        self._peers.check_silent(server, issuer, now_s)
         decision = PermitDecision(False, 0.0, ANSWER_TIMEOUT_S, 1)
         named_issuer = ""
         if issuer == own:
-            for address in self._ranking.silent_before(server, own):
-                # The sender would have asked it, so it is silent to both.
-                self._confirmed_until_s[address] = now_s + CONFIRMATION_S
+            # The sender would have asked those that rank before, so they are silent to both.
+            self._peers.confirm_silent(self._ranking.silent_before(server, own), now_s)
             if rate_rps is not None:
                 decision = self._issuer.issue(server, rate_rps, request.sender, now_s)
-            self._greet(server, now_s)
+            self._peers.greet(server, now_s)
         elif self._ranking.was_heard_within(issuer, RECENTLY_HEARD_S, now_s):
             named_issuer = issuer
         else:
-            self._check(issuer, ANSWER_TIMEOUT_S, now_s)
+            self._peers.check(issuer, ANSWER_TIMEOUT_S, now_s)
         limit = self._encode(server, now_s) if server in self._gates else request.limit
         answer = PermitAnswer(own, request.number, limit, named_issuer, *decision)
         self._messenger.send_to(answer, request.sender)
@@ -522,8 +407,8 @@
             if self._ranking.is_silent(answer.issuer):
                 # The issuer serves others, but does not respond to this gateway.
                 gate.even_share_until_s = now_s + EVEN_SHARE_S
-            elif self._ranking.record_heard(answer.issuer, now_s):
-                self._log.state("gateway responds again", gateway=answer.issuer)
+            else:
+                self._peers.introduce(answer.issuer, now_s)
             gate.on_permit()
             return
         decision = PermitDecision(
@@ -535,51 +420,15 @@
         self._record_decision(gate, decision, now_s)
         gate.on_permit()
 
-    def _record_heard(self, address: str, now_s: float) -> None:
-        self._unanswered_checks.pop(address, None)
-        self._confirmed_until_s.pop(address, None)
-        if self._ranking.record_heard(address, now_s):
-            self._log.state("gateway responds again", gateway=address)
-
     def _expire(self, now_s: float) -> None:
-        """Give up messages that were not answered in time."""
+        """Give up requests for permits that were not answered in time."""
         for number, (gate, issuer, asked_at_s) in list(self._asked.items()):
             if now_s - asked_at_s < ANSWER_TIMEOUT_S:
                 continue
             del self._asked[number]
             gate.wallet.outstanding.pop(number, None)
-            self._record_unanswered(issuer, asked_at_s, now_s)
-        for address, asked_at_s in list(self._unanswered_checks.items()):
-            if now_s - asked_at_s < ANSWER_TIMEOUT_S:
-                continue
-            del self._unanswered_checks[address]
-            self._record_unanswered(address, asked_at_s, now_s)
-
-    def _record_unanswered(self, address: str, asked_at_s: float, now_s: float) -> None:
-        self._metrics.permits.labels("unanswered").inc()
-        if self._ranking.record_unanswered(address, asked_at_s, now_s):
-            self._log.state("gateway does not respond", gateway=address)
-            self._check(address, 0.0, now_s)
-
-    def _check_silent(self, server: str, issuer: str, now_s: float) -> None:
-        """Check whether the gateways that rank before the issuer respond again."""
-        for address in self._ranking.silent_before(server, issuer):
-            self._check(address, CHECK_INTERVAL_S, now_s)
-
-    def _check(self, address: str, interval_s: float, now_s: float) -> None:
-        if now_s - self._checked_at_s.get(address, float("-inf")) < interval_s:
-            return
-        self._checked_at_s[address] = now_s
-        self._unanswered_checks.setdefault(address, now_s)
-        self._messenger.send_to(GatewayCheck(self._messenger.address, True), address)
-
-    def _greet(self, server: str, now_s: float) -> None:
-        """Let the next gateways know of this one, so that they do not issue permits as well."""
-        for address in self._ranking.successors(server, GREETED_SUCCESSORS):
-            if now_s - self._greeted_at_s.get(address, float("-inf")) < CHECK_INTERVAL_S:
-                continue
-            self._greeted_at_s[address] = now_s
-            self._messenger.send_to(GatewayCheck(self._messenger.address, False), address)
+            self._peers.record_unanswered(issuer, asked_at_s, now_s)
+        self._peers.expire(now_s)
 
 
 def _is_valid(limit: ServerLimit) -> bool:
