Send nothing more to a backend server that announces in its answers that it leaves

Callers: a server that is still listed as ready but says in its answers that it leaves went on to get its share of new requests, which end with it. Cause: only the list of backend servers was read; the header Server-Leaving was not. Change: the adapter decodes it from the head of every answer (plain, error, rejection, stream), and the pool remembers it for this start of the server, also if the list calls it ready or loses it and lists it again. Picks, retries and resumptions leave the server out; a request whose connection was still being opened is withheld and sent elsewhere, which costs no retry budget. A rejection that carries it counts neither as a fault nor against the group's gate. Answers to other requests and 421 from another instance are not counted.

--- a/src/bronzerudder/gateway/attempt.py
+++ b/src/bronzerudder/gateway/attempt.py
@@ -143,6 +143,8 @@
     on_head : callable
         Called with the head of the answer to this request, and with the monotonic time at which the
         request was sent.
+    may_send : callable
+        Returns whether the backend server still takes requests once it is connected.
     """
 
     def __init__(
@@ -153,7 +155,9 @@
         progress: ServiceProgress,
         on_event: Callable[[bool], None],
         on_head: Callable[[AnswerHead, float], None],
+        may_send: Callable[[], bool] = lambda: True,
     ) -> None:
+        self._may_send = may_send
         self._on_event = on_event
         self._on_head = on_head
         self._connections = connections
@@ -204,6 +208,9 @@
             return _attempt_failure(exchange)
         self._reused = exchange.reused
         try:
+            if not self._may_send():
+                reason = "the backend server announced that it takes no requests now"
+                return AttemptFailure(FailureKind.WITHHELD, reason)
             return await self._send_and_read(exchange)
         finally:
             # Does nothing once the connection was released.
@@ -225,7 +232,7 @@
         if isinstance(answer, AttemptFailure):
             return answer
         self._answer = answer
-        if answer.request_id == outgoing.request_id:
+        if self._is_own(answer):
             self._on_head(answer, self._sent_at_s)
         fault = self._find_fault(answer)
         if fault is not None:
@@ -255,9 +262,15 @@
                 return _attempt_failure(skipped)
         return AttemptFailure(FailureKind.MALFORMED, "received only answers to other requests")
 
+    def _is_own(self, answer: AnswerHead) -> bool:
+        """Whether an answer can only be the one to this request."""
+        if answer.request_id:
+            return answer.request_id == self._outgoing.request_id
+        return not self._reused and not self._skipped_ids
+
     def _find_fault(self, answer: AnswerHead) -> AttemptFailure | None:
         """Return why the head is not an acceptable answer to this request, or None."""
-        if not answer.request_id and (self._reused or self._skipped_ids):
+        if not answer.request_id and not self._is_own(answer):
             # It may answer an earlier request, and then proves nothing about this one.
             reason = f"status {answer.status} without an id on a connection with other answers"
             return AttemptFailure(FailureKind.MALFORMED, reason)
--- a/src/bronzerudder/gateway/errors.py
+++ b/src/bronzerudder/gateway/errors.py
@@ -43,6 +43,7 @@
     """How an attempt at a backend server failed."""
 
     NOT_SENT = "not-sent"
+    WITHHELD = "withheld"
     NOT_EXECUTED = "not-executed"
     BROKEN = "broken"
     MALFORMED = "malformed"
@@ -56,7 +57,9 @@
     Parameters
     ----------
     kind : FailureKind
-        ``NOT_SENT`` and ``NOT_EXECUTED`` are proof that the request has not run.
+        ``NOT_SENT``, ``WITHHELD`` and ``NOT_EXECUTED`` are proof that the request has not run.
+        ``WITHHELD`` means that the backend server announced, after it was chosen, that it takes no
+        requests now.
     reason : str
         Explanation for people.
     faulty_address : str
@@ -70,4 +73,8 @@
     @property
     def has_not_run(self) -> bool:
         """Whether the request certainly has not run."""
-        return self.kind in (FailureKind.NOT_SENT, FailureKind.NOT_EXECUTED)
+        return self.kind in (
+            FailureKind.NOT_SENT,
+            FailureKind.WITHHELD,
+            FailureKind.NOT_EXECUTED,
+        )
--- a/src/bronzerudder/gateway/forwarding.py
+++ b/src/bronzerudder/gateway/forwarding.py
@@ -266,13 +266,20 @@
                 self._record_group_progress()
 
         def on_head(answer: AnswerHead, asked_at_s: float) -> None:
+            self._record_announcements(candidate, incarnation, answer)
             self._record_limit(incarnation, answer, asked_at_s)
 
         limit = self._context.services.limits.describe(incarnation)
         if limit:
             self._context.metrics.limited_attempts.labels(service).inc()
         attempt = BackendAttempt(
-            self._context.connections, outgoing, self._relay, progress, on_event, on_head
+            self._context.connections,
+            outgoing,
+            self._relay,
+            progress,
+            on_event,
+            on_head,
+            lambda: not candidate.leaving,
         )
         sent_at_s = time.monotonic()
         # Counted before the send, so that a cancelled attempt counts as possibly run.
@@ -288,7 +295,7 @@
             span.end(status=0 if attempt.answer is None else attempt.answer.status)
         if isinstance(result, AttemptFailure) and result.has_not_run:
             self._possible_runs -= 1
-            self._rejections += 1
+            self._rejections += result.kind is not FailureKind.WITHHELD
         self._log_attempt(candidate, attempt, result, time.monotonic() - sent_at_s, limit)
         return result
 
@@ -326,11 +333,21 @@
             return STREAM_IDLE_TIMEOUT_S
         return PLAIN_TIMEOUT_FACTOR * route.objective_s
 
+    def _record_announcements(
+        self, candidate: Candidate, incarnation: str, answer: AnswerHead
+    ) -> None:
+        """Record what an answer announces about the backend server that gave it."""
+        if answer.status == STATUS_MISDIRECTED:
+            # Another instance has answered.
+            return
+        if answer.leaving:
+            self._context.services.record_leaving(candidate.name, incarnation)
+
     def _record_limit(self, incarnation: str, answer: AnswerHead, asked_at_s: float) -> None:
         """Record the rate limit that an answer names, or that it names none any more."""
         limits = self._context.services.limits
-        if answer.status == STATUS_MISDIRECTED:
-            # Another instance has answered.
+        if answer.status == STATUS_MISDIRECTED or not answer.request_id:
+            # Another instance has answered, or the server did not read the request.
             return
         if answer.limit.malformed:
             limits.record_malformed(incarnation, answer.limit.malformed, answer.request_id)
@@ -365,6 +382,8 @@
                 return
             self._record_rejection(candidate, answer)
             return
+        if result.kind is FailureKind.WITHHELD:
+            return
         blamed = self._pool.find_address(result.faulty_address) or candidate.name
         if blamed != candidate.name:
             services.report_failure(blamed, result.reason, certain=True)
@@ -401,8 +420,8 @@
         if load is not None and load.running + load.waiting >= load.slots:
             # Full, not faulty; its load is recorded already.
             return
-        if answer.limit.rate_rps is not None:
-            # It limits its rate, and is not faulty.
+        if answer.limit.rate_rps is not None or answer.leaving:
+            # It limits its rate or is about to end, and is not faulty.
             return
         if not self._pool.in_lockstep:
             self._context.services.report_failure(candidate.name, f"status {answer.status}", True)
@@ -431,7 +450,7 @@
                 return "no attempts are left"
         elif self._rejections >= MAX_REJECTIONS:
             return "rejected too often"
-        if failure.kind is not FailureKind.NOT_SENT:
+        if failure.kind not in (FailureKind.NOT_SENT, FailureKind.WITHHELD):
             allowed = self._pool.budget.allow(self.attempts, self._admitted.deadline_at_s, now_s)
             if isinstance(allowed, RetryDenial):
                 self._context.metrics.retries_denied.labels(allowed.kind.value).inc()
--- a/src/bronzerudder/gateway/services.py
+++ b/src/bronzerudder/gateway/services.py
@@ -18,6 +18,8 @@
 from bronzerudder.policy.retry import WindowBudget
 from bronzerudder.policy.routing import Candidate, FreeSlotRouting, OutlierBreaker
 
+MAX_LEAVING_STARTS = 4096
+"""Starts of backend servers that are remembered as leaving; more than end within minutes."""
 DEFAULT_GATEWAY_COUNT = 8
 """Gateways that share the retry budget, assumed while their number is not known."""
 
@@ -52,6 +54,7 @@
         self._addresses: dict[str, str] = {}
         self._incarnations: dict[str, str] = {}
         self._by_address: dict[str, str] = {}
+        self._leaving_starts: dict[str, None] = {}
         self._in_lockstep = False
         self.gate = GroupGate()
         self.queue = SlotQueue(
@@ -123,7 +126,7 @@
             candidate = Candidate(server.instance_id, server.failure_domain, OutlierBreaker())
             self._candidates[server.instance_id] = candidate
         candidate.slots = server.slots
-        candidate.leaving = server.leaving
+        candidate.leaving = server.leaving or server.incarnation in self._leaving_starts
         candidate.connected = True
         self._addresses[server.instance_id] = server.address
         if self.incarnation_of(server.instance_id) != server.incarnation:
@@ -134,12 +137,33 @@
         candidate.gate = gate
         self.queue.assign_slots()
 
+    def record_leaving(self, instance_id: str, incarnation: str) -> bool:
+        """Record that a start of a backend server leaves; return whether it was not known yet.
+
+        The list may go on to call it ready, or lose it and list it again.
+        """
+        if incarnation in self._leaving_starts:
+            return False
+        self._leaving_starts[incarnation] = None
+        if len(self._leaving_starts) > MAX_LEAVING_STARTS:
+            del self._leaving_starts[next(iter(self._leaving_starts))]
+        candidate = self._candidates.get(instance_id)
+        if candidate is None or self._incarnations[instance_id] != incarnation:
+            return False
+        was_leaving = candidate.leaving
+        candidate.leaving = True
+        return not was_leaving
+
     def drop(self, instance_id: str) -> None:
         """Remove a backend server; requests that run there continue."""
         candidate = self._candidates.pop(instance_id, None)
         if candidate is not None:
             candidate.leaving = True
-        self._limits.forget(self._incarnations.pop(instance_id, instance_id))
+        incarnation = self._incarnations.pop(instance_id, instance_id)
+        self._limits.forget(incarnation)
+        if incarnation == instance_id:
+            # Without a start time, the next start under this id could not be told from this one.
+            self._leaving_starts.pop(incarnation, None)
         address = self._addresses.pop(instance_id, None)
         if address is not None and self._by_address.get(address) == instance_id:
             del self._by_address[address]
@@ -253,6 +277,14 @@
             pool.candidates[instance_id].slowdown = message.pace
             pool.candidates[instance_id].agent_seen_at_s = time.monotonic()
 
+    def record_leaving(self, instance_id: str, incarnation: str) -> None:
+        """Send nothing more to a start of a backend server, which has announced that it leaves."""
+        pool = self.find_pool(instance_id)
+        if pool is not None and pool.record_leaving(instance_id, incarnation):
+            self._log.state(
+                "backend server announces that it leaves", instance=incarnation, service=pool.name
+            )
+
     def exclude(self, instance_id: str, reason: str) -> None:
         """Exclude a backend server until its entry in the directory changes."""
         pool = self.find_pool(instance_id)
--- a/src/bronzerudder/gateway/slot_queue.py
+++ b/src/bronzerudder/gateway/slot_queue.py
@@ -373,9 +373,15 @@
                 waiter.resolve(refusal)
         for waiter in [item for item in self._waiters if item.request.refuse_at_s <= now_s]:
             self._waiters.remove(waiter)
-            waiter.resolve(
-                self._overload_refusal(now_s, waiter.request, "no slot became free in time")
-            )
+            reason = self._describe_unavailable() or "no slot became free in time"
+            waiter.resolve(self._overload_refusal(now_s, waiter.request, reason))
+
+    def _describe_unavailable(self) -> str:
+        """Return why no backend server takes requests, or an empty string if some may."""
+        candidates = self._all_candidates()
+        if candidates and all(candidate.leaving for candidate in candidates):
+            return f"all {len(candidates)} backend servers are leaving"
+        return ""
 
     def _overload_refusal(self, now_s: float, request: SlotRequest, reason: str) -> Refusal:
         wait_s = max(MIN_RETRY_AFTER_S, self.estimated_wait_s(len(self._waiters)))
--- a/src/bronzerudder/platform/requests.py
+++ b/src/bronzerudder/platform/requests.py
@@ -109,6 +109,8 @@
         Whether the body has a length or chunks; otherwise it ends with its connection.
     limit : RateLimit
         Rate at which the server accepts requests.
+    leaving : bool
+        Whether the server announces that it will end soon.
     """
 
     status: int
@@ -121,6 +123,7 @@
     faulty_address: str
     delimited: bool
     limit: RateLimit = RateLimit()
+    leaving: bool = False
 
 
 def decode_request(request: Request) -> RequestHead:
@@ -199,7 +202,8 @@
         _decode_load(_text(found.get(wire.LOAD))),
         _text(found.get(wire.FAULTY_ADDRESS)),
         head.is_delimited,
-        _decode_limit([value for name, value in head.headers if name == wire.LIMIT]),
+        _decode_limit(_values(head, wire.LIMIT)),
+        b"1" in _values(head, wire.LEAVING),
     )
 
 
@@ -219,6 +223,11 @@
     return frozenset(name.strip().lower() for name in value.split(b","))
 
 
+def _values(head: ResponseHead, name: bytes) -> list[bytes]:
+    """Return all values of a header that may be repeated."""
+    return [value.strip() for found, value in head.headers if found == name]
+
+
 def _decode_load(value: str) -> ServerLoad | None:
     parts = value.split(",")
     if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
--- a/src/bronzerudder/platform/wire.py
+++ b/src/bronzerudder/platform/wire.py
@@ -23,6 +23,8 @@
 LOAD = b"server-load"
 # Requests per second that the server accepts from all gateways together; absent without a limit.
 LIMIT = b"server-limit"
+# "1" in all answers of a server that will end soon and wants no new requests.
+LEAVING = b"server-leaving"
 NOT_EXECUTED = b"not-executed"
 # "prompt tokens,maximum answer tokens" that a request announces, not the tokens that were used.
 TOKENS = b"token-usage"
--- a/src/bronzerudder/standin/fleet/backend_server.py
+++ b/src/bronzerudder/standin/fleet/backend_server.py
@@ -117,6 +117,8 @@
         The rate that it names as its limit, and the requests that reached it.
     answer_delay_s : float
         Time that it takes for a plain answer.
+    leaving : bool
+        Whether it announces in all its answers that it leaves.
     """
 
     def __init__(self, instance_id: str) -> None:
@@ -136,6 +138,7 @@
         self._base_id = instance_id
         self.limit = NamedLimit()
         self.answer_delay_s = 0.0
+        self.leaving = False
 
     async def handle(self, request: Request, writer: ResponseWriter) -> None:
         """Serve one request."""
@@ -145,6 +148,8 @@
         request_id = (request.header(wire.REQUEST_ID) or b"").decode()
         self.limit.record_arrival(request_id)
         headers = [(wire.LOAD, b"1,0,6"), *self.limit.headers(request_id)]
+        if self.leaving:
+            headers.append((wire.LEAVING, b"1"))
         if expected != self.instance_id.encode():
             await writer.respond(wire.STATUS_NOT_THIS_INSTANCE, headers, b"")
             return
