Keep to the pause that a backend server asks for with its rejection

Callers: a server that answered 503 with Retry-After went on to get requests, each of which was rejected and cost a retry; its breaker opened and closed by times of its own. Callers that no server could take waited in vain. Cause: a server's Retry-After was not read, and any 503 counted as a fault of the server. Change: the adapter decodes it: decimal seconds, of repeated values the longest, at most 60 s; what is malformed, longer or differs is logged. Until its end this start of the server is left out, also if it is listed again; the next start is not. The pause is no fault, closes no gate, and a retry that no other server could take spends no budget. If all servers ask for pauses, callers are refused at once with the time that is left, or wait if it is short enough.

--- a/src/bronzerudder/gateway/forwarding.py
+++ b/src/bronzerudder/gateway/forwarding.py
@@ -279,7 +279,7 @@
             progress,
             on_event,
             on_head,
-            lambda: not candidate.leaving,
+            lambda: candidate.wants_requests(time.monotonic()),
         )
         sent_at_s = time.monotonic()
         # Counted before the send, so that a cancelled attempt counts as possibly run.
@@ -342,6 +342,11 @@
             return
         if answer.leaving:
             self._context.services.record_leaving(candidate.name, incarnation)
+        pause = answer.pause
+        if pause.pause_s > 0.0 or pause.malformed:
+            self._context.services.record_pause(
+                candidate.name, incarnation, pause.pause_s, pause.malformed
+            )
 
     def _record_limit(self, incarnation: str, answer: AnswerHead, asked_at_s: float) -> None:
         """Record the rate limit that an answer names, or that it names none any more."""
@@ -420,8 +425,8 @@
         if load is not None and load.running + load.waiting >= load.slots:
             # Full, not faulty; its load is recorded already.
             return
-        if answer.limit.rate_rps is not None or answer.leaving:
-            # It limits its rate or is about to end, and is not faulty.
+        if answer.limit.rate_rps is not None or answer.leaving or answer.pause.pause_s > 0.0:
+            # It limits its rate, is about to end or asks for a pause, and is not faulty.
             return
         if not self._pool.in_lockstep:
             self._context.services.report_failure(candidate.name, f"status {answer.status}", True)
@@ -450,6 +455,8 @@
                 return "no attempts are left"
         elif self._rejections >= MAX_REJECTIONS:
             return "rejected too often"
+        if not self._pool.queue.can_serve_again(self._make_slot_request()):
+            return "no other backend server takes requests in time"
         if failure.kind not in (FailureKind.NOT_SENT, FailureKind.WITHHELD):
             allowed = self._pool.budget.allow(self.attempts, self._admitted.deadline_at_s, now_s)
             if isinstance(allowed, RetryDenial):
--- a/src/bronzerudder/gateway/services.py
+++ b/src/bronzerudder/gateway/services.py
@@ -55,6 +55,7 @@
         self._incarnations: dict[str, str] = {}
         self._by_address: dict[str, str] = {}
         self._leaving_starts: dict[str, None] = {}
+        self._paused_until_s: dict[str, float] = {}
         self._in_lockstep = False
         self.gate = GroupGate()
         self.queue = SlotQueue(
@@ -127,6 +128,7 @@
             self._candidates[server.instance_id] = candidate
         candidate.slots = server.slots
         candidate.leaving = server.leaving or server.incarnation in self._leaving_starts
+        candidate.paused_until_s = self._paused_until_s.get(server.incarnation, 0.0)
         candidate.connected = True
         self._addresses[server.instance_id] = server.address
         if self.incarnation_of(server.instance_id) != server.incarnation:
@@ -154,6 +156,18 @@
         candidate.leaving = True
         return not was_leaving
 
+    def record_pause(self, instance_id: str, incarnation: str, pause_s: float) -> None:
+        """Send nothing to a start of a backend server for a time, in seconds."""
+        now_s = time.monotonic()
+        for start, until_s in list(self._paused_until_s.items()):
+            if until_s <= now_s:
+                del self._paused_until_s[start]
+        until_s = max(self._paused_until_s.get(incarnation, 0.0), now_s + pause_s)
+        self._paused_until_s[incarnation] = until_s
+        candidate = self._candidates.get(instance_id)
+        if candidate is not None and self._incarnations[instance_id] == incarnation:
+            candidate.paused_until_s = until_s
+
     def drop(self, instance_id: str) -> None:
         """Remove a backend server; requests that run there continue."""
         candidate = self._candidates.pop(instance_id, None)
@@ -164,6 +178,7 @@
         if incarnation == instance_id:
             # Without a start time, the next start under this id could not be told from this one.
             self._leaving_starts.pop(incarnation, None)
+            self._paused_until_s.pop(incarnation, None)
         address = self._addresses.pop(instance_id, None)
         if address is not None and self._by_address.get(address) == instance_id:
             del self._by_address[address]
@@ -285,6 +300,29 @@
                 "backend server announces that it leaves", instance=incarnation, service=pool.name
             )
 
+    def record_pause(
+        self, instance_id: str, incarnation: str, pause_s: float, malformed: str
+    ) -> None:
+        """Send nothing to a start of a backend server for the time that it has asked for.
+
+        Parameters
+        ----------
+        malformed : str
+            Values of the answer that are no valid time; they are only logged.
+        """
+        pool = self.find_pool(instance_id)
+        if pool is None:
+            return
+        if pause_s > 0.0:
+            pool.record_pause(instance_id, incarnation, pause_s)
+        self._log.state(
+            "backend server asks for a pause",
+            instance=incarnation,
+            service=pool.name,
+            pause_s=round(pause_s, 3),
+            malformed=malformed,
+        )
+
     def exclude(self, instance_id: str, reason: str) -> None:
         """Exclude a backend server until its entry in the directory changes."""
         pool = self.find_pool(instance_id)
--- a/src/bronzerudder/gateway/slot_queue.py
+++ b/src/bronzerudder/gateway/slot_queue.py
@@ -146,6 +146,10 @@
         """
         now_s = time.monotonic()
         slots, used = self._count_slots(now_s)
+        if not slots:
+            pauses_s = self._find_pauses_s(now_s)
+            if pauses_s:
+                return min(pauses_s)
         wait_s = self._estimate_slot_wait_s(ahead, slots, used)
         gates = self._find_limited_gates(now_s, RoutedRequest())
         if not gates or self._permits is None:
@@ -189,7 +193,7 @@
         """
         slots = used = 0.0
         for candidate in self._all_candidates():
-            if candidate.leaving or not candidate.connected or candidate.gate.is_limited:
+            if not candidate.wants_requests(now_s) or candidate.gate.is_limited:
                 continue
             slots += candidate.slots
             used += min(float(candidate.slots), slots_in_use(candidate, now_s))
@@ -347,9 +351,8 @@
                 RefusalKind.NO_BACKEND_SERVER, no_candidate.reason, no_candidate.retry_after_s
             )
         if now_s + no_candidate.retry_after_s > request.refuse_at_s:
-            return Refusal(
-                RefusalKind.NO_BACKEND_SERVER, no_candidate.reason, no_candidate.retry_after_s
-            )
+            reason = self._describe_unavailable(now_s) or no_candidate.reason
+            return Refusal(RefusalKind.NO_BACKEND_SERVER, reason, no_candidate.retry_after_s)
         return None
 
     def _count_ahead(self, request: SlotRequest, now_s: float) -> int:
@@ -373,15 +376,38 @@
                 waiter.resolve(refusal)
         for waiter in [item for item in self._waiters if item.request.refuse_at_s <= now_s]:
             self._waiters.remove(waiter)
-            reason = self._describe_unavailable() or "no slot became free in time"
+            reason = self._describe_unavailable(now_s) or "no slot became free in time"
             waiter.resolve(self._overload_refusal(now_s, waiter.request, reason))
 
-    def _describe_unavailable(self) -> str:
-        """Return why no backend server takes requests, or an empty string if some may."""
+    def _describe_unavailable(self, now_s: float) -> str:
+        """Return why no backend server wants requests, or an empty string if some do."""
         candidates = self._all_candidates()
-        if candidates and all(candidate.leaving for candidate in candidates):
+        if not candidates or any(candidate.wants_requests(now_s) for candidate in candidates):
+            return ""
+        if all(candidate.leaving for candidate in candidates):
             return f"all {len(candidates)} backend servers are leaving"
-        return ""
+        pauses = len(self._find_pauses_s(now_s))
+        return f"{pauses} of {len(candidates)} backend servers ask for a pause" if pauses else ""
+
+    def _find_pauses_s(self, now_s: float) -> list[float]:
+        """Return the remaining pauses of the backend servers that ask for one, in seconds."""
+        pauses_s = []
+        for candidate in self._all_candidates():
+            if candidate.leaving or not candidate.connected or candidate.wants_requests(now_s):
+                continue
+            pauses_s.append(candidate.paused_until_s - now_s)
+        return pauses_s
+
+    def can_serve_again(self, request: SlotRequest) -> bool:
+        """Whether another backend server may take the request before it must be given up."""
+        for candidate in self._all_candidates():
+            if candidate.leaving or not candidate.connected:
+                continue
+            if candidate.name in request.routed.excluded:
+                continue
+            if candidate.paused_until_s <= request.refuse_at_s:
+                return True
+        return False
 
     def _overload_refusal(self, now_s: float, request: SlotRequest, reason: str) -> Refusal:
         wait_s = max(MIN_RETRY_AFTER_S, self.estimated_wait_s(len(self._waiters)))
--- a/src/bronzerudder/platform/requests.py
+++ b/src/bronzerudder/platform/requests.py
@@ -18,8 +18,11 @@
 """The platform's ids are 64-bit numbers in hexadecimal; longer ones count as malformed."""
 MAX_QUOTED_LENGTH = 64
 """Characters of a malformed value that are kept for the log."""
-_LIMIT = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
-"""A decimal number; a rate above 10^9 requests per second is no limit of a server."""
+_DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
+"""A decimal number below 10^9, which no rate per second and no pause in seconds reaches."""
+MAX_PAUSE_S = 60.0
+"""A server that wants longer pauses is asked again after this time. By then it has usually started
+again or left, and a wrong value must not keep it idle for good."""
 
 
 class RequestHead(NamedTuple):
@@ -83,6 +86,22 @@
     malformed: str = ""
 
 
+class RequestedPause(NamedTuple):
+    """Time for which a backend server wants no further requests from this gateway.
+
+    Parameters
+    ----------
+    pause_s : float
+        In seconds, at most `MAX_PAUSE_S`; 0 for none.
+    malformed : str
+        Start of the values if any is no valid time, is too long or differs from another one; empty
+        otherwise. The longest valid one counts.
+    """
+
+    pause_s: float = 0.0
+    malformed: str = ""
+
+
 class AnswerHead(NamedTuple):
     """Content of the head of a backend server's answer.
 
@@ -111,6 +130,8 @@
         Rate at which the server accepts requests.
     leaving : bool
         Whether the server announces that it will end soon.
+    pause : RequestedPause
+        Time for which the server wants no further requests.
     """
 
     status: int
@@ -124,6 +145,7 @@
     delimited: bool
     limit: RateLimit = RateLimit()
     leaving: bool = False
+    pause: RequestedPause = RequestedPause()
 
 
 def decode_request(request: Request) -> RequestHead:
@@ -204,6 +226,7 @@
         head.is_delimited,
         _decode_limit(_values(head, wire.LIMIT)),
         b"1" in _values(head, wire.LEAVING),
+        _decode_pause(head),
     )
 
 
@@ -241,12 +264,26 @@
         return RateLimit()
     texts = {_text(value) for value in values}
     text = texts.pop()
-    if texts or _LIMIT.fullmatch(text) is None:
+    if texts or _DECIMAL.fullmatch(text) is None:
         quoted = _text(b", ".join(values))[:MAX_QUOTED_LENGTH]
         return RateLimit(malformed=quoted or "empty")
     return RateLimit(float(text))
 
 
+def _decode_pause(head: ResponseHead) -> RequestedPause:
+    values = _values(head, wire.RETRY_AFTER)
+    if head.status != wire.STATUS_REJECTED or not values:
+        return RequestedPause()
+    texts = {_text(value) for value in values}
+    pauses_s = [float(text) for text in texts if _DECIMAL.fullmatch(text) is not None]
+    longest_s = max(pauses_s, default=0.0)
+    pause_s = min(longest_s, MAX_PAUSE_S)
+    if len(texts) == len(pauses_s) == 1 and longest_s <= MAX_PAUSE_S:
+        return RequestedPause(pause_s)
+    quoted = _text(b", ".join(values))[:MAX_QUOTED_LENGTH]
+    return RequestedPause(pause_s, quoted or "empty")
+
+
 def _decode_shared_parts(value: str) -> tuple[str, ...]:
     entries = value.split(",", MAX_SHARED_PARTS + 1)[:-1]
     ids = (entry.partition(":")[0].strip().lower() for entry in entries[:MAX_SHARED_PARTS])
--- a/src/bronzerudder/platform/wire.py
+++ b/src/bronzerudder/platform/wire.py
@@ -25,6 +25,8 @@
 LIMIT = b"server-limit"
 # "1" in all answers of a server that will end soon and wants no new requests.
 LEAVING = b"server-leaving"
+# With status 503: seconds, with fractions, for which the server wants nothing from this gateway.
+RETRY_AFTER = b"retry-after"
 NOT_EXECUTED = b"not-executed"
 # "prompt tokens,maximum answer tokens" that a request announces, not the tokens that were used.
 TOKENS = b"token-usage"
@@ -42,6 +44,7 @@
 MAX_PRIORITY = 9
 """Least urgent value of the priority header."""
 
+STATUS_REJECTED = 503
 STATUS_NOT_THIS_INSTANCE = 421
 """The request named another instance than the one that received it, and was not run."""
 
--- a/src/bronzerudder/policy/routing/candidate.py
+++ b/src/bronzerudder/policy/routing/candidate.py
@@ -111,6 +111,8 @@
         Monotonic time of the last load report from its agent; None without an agent.
     gate : SendGate
         Limits the rate of requests.
+    paused_until_s : float
+        Monotonic time until which the backend server wants no requests.
     """
 
     def __init__(
@@ -125,6 +127,7 @@
         self.slowdown = 1.0
         self.agent_seen_at_s: float | None = None
         self.gate: SendGate = OPEN_GATE
+        self.paused_until_s = 0.0
         self.report = LoadReport()
         self._own_requests = 0
         self._own_tokens = 0
@@ -163,14 +166,21 @@
         """Monotonic time of the last report, in seconds."""
         return self._reported_at_s
 
+    def wants_requests(self, now_s: float) -> bool:
+        """Whether the backend server is listed, stays, and has not asked for a pause."""
+        return self.connected and not self.leaving and now_s >= self.paused_until_s
+
     def is_available(self, now_s: float) -> bool:
         """Whether new work may be sent."""
-        if self.leaving or not self.connected or not self.report.backend_up:
+        if not self.wants_requests(now_s) or not self.report.backend_up:
             return False
         return self.breaker.allows(now_s)
 
     def retry_after_s(self, now_s: float) -> float:
         """Seconds after which the backend server might be available again."""
+        pause_s = self.paused_until_s - now_s
+        if pause_s > 0.0 and not self.leaving and self.connected:
+            return max(pause_s, self.breaker.retry_after_s(now_s))
         return max(UNAVAILABLE_RETRY_AFTER_S, self.breaker.retry_after_s(now_s))
 
     def begin(self, tokens: int, prompt_tokens: int = 0) -> Assignment:
--- a/src/bronzerudder/policy/routing/free_slots.py
+++ b/src/bronzerudder/policy/routing/free_slots.py
@@ -58,7 +58,7 @@
         """Pick a candidate with a free slot."""
         available = select_available(candidates, request, now_s)
         if isinstance(available, NoCandidate):
-            blocked = _find_breaker_blocked(candidates, request)
+            blocked = _find_breaker_blocked(candidates, request, now_s)
             if not blocked:
                 return available
             # Breakers open on all candidates point to faulty requests, not to faulty servers.
@@ -96,13 +96,13 @@
 
 
 def _find_breaker_blocked(
-    candidates: Sequence[Candidate], request: RoutedRequest
+    candidates: Sequence[Candidate], request: RoutedRequest, now_s: float
 ) -> list[Candidate]:
     """Return the candidates that only an open breaker keeps from taking the request."""
     return [
         candidate
         for candidate in candidates
-        if candidate.connected and not candidate.leaving and candidate.name not in request.excluded
+        if candidate.wants_requests(now_s) and candidate.name not in request.excluded
     ]
 
 
--- a/src/bronzerudder/standin/fleet/backend_server.py
+++ b/src/bronzerudder/standin/fleet/backend_server.py
@@ -119,6 +119,8 @@
         Time that it takes for a plain answer.
     leaving : bool
         Whether it announces in all its answers that it leaves.
+    pauses : list of bytes
+        Values of the header with which it asks for a pause when it sheds a request.
     """
 
     def __init__(self, instance_id: str) -> None:
@@ -139,6 +141,7 @@
         self.limit = NamedLimit()
         self.answer_delay_s = 0.0
         self.leaving = False
+        self.pauses: list[bytes] = []
 
     async def handle(self, request: Request, writer: ResponseWriter) -> None:
         """Serve one request."""
@@ -156,6 +159,7 @@
         behaviour = self.script.pop(0) if self.script else self.usual
         if behaviour is Behaviour.SHED:
             shed = [*headers, (wire.REQUEST_ID, request_id.encode()), (wire.NOT_EXECUTED, b"1")]
+            shed.extend((wire.RETRY_AFTER, value) for value in self.pauses)
             await writer.respond(503, shed, b"")
             return
         self.runs.append(request)
