Lead each group of ranks by its own ranks only

Callers: with two groups of ranks in one service no map was ever changed, so steps were as slow as the most loaded rank, and most streams were late. Cause: a leader polled all ranks of the service and took any rank's state in by its address. Ranks of the other group with the same number stood in for its own, so that a change was sent to ranks of both groups and never got prepared. Change: a leader ignores states of ranks of other groups, and does not poll such a rank again for 30 s. An agent whose rank has joined another group leads the old one no longer. Result: two of four tests of test_leader fail without the check, all pass with it, for one, two and four groups.

--- a/src/bronzerudder/expert_maps/agent.py
+++ b/src/bronzerudder/expert_maps/agent.py
@@ -117,6 +117,7 @@
         self._record: LeaderRecord | None = None
         self._leader: Leader | None = None
         self._group_leader: GroupLeader | None = None
+        self._leading_scope = anyio.CancelScope()
         self._failed_reports = 0
         self._has_waited_for_first_rank = False
         self._reported_at_s = 0.0
@@ -185,14 +186,23 @@
             if isinstance(state, RankFailure):
                 continue
             self._report_load(state)
-            if self._record is None:
-                self._record = LeaderRecord(self._store, state.group)
+            self._join_group(state.group)
             now_s = time.monotonic()
             due = now_s - self._reported_at_s >= REPORT_INTERVAL_S
             if not due and not self._has_changed(state):
                 continue
             await self._send_report(state, due)
 
+    def _join_group(self, group: str) -> None:
+        """Follow the leader of the rank's group, and stop leading another one."""
+        if self._record is not None and self._record.group == group:
+            return
+        self._log.state("in group", group=group)
+        self._record = LeaderRecord(self._store, group)
+        self._leader = None
+        self._reported = None
+        self._leading_scope.cancel()
+
     def _has_changed(self, state: RankState) -> bool:
         last = self._reported
         if last is None:
@@ -319,6 +329,7 @@
         self._leader = claimed
         self._failed_reports = 0
         group_leader = GroupLeader(
+            self._record.group,
             self._relay,
             self._rank_address,
             self._list_ranks,
@@ -330,11 +341,13 @@
             self._counts,
         )
         self._group_leader = group_leader
-        self._tasks.start_soon(self._lead, group_leader)
+        self._leading_scope = anyio.CancelScope()
+        self._tasks.start_soon(self._lead, group_leader, self._leading_scope)
 
-    async def _lead(self, group_leader: GroupLeader) -> None:
+    async def _lead(self, group_leader: GroupLeader, scope: anyio.CancelScope) -> None:
         try:
-            await group_leader.run()
+            with scope:
+                await group_leader.run()
         except Exception:
             # The agent keeps running; this or another agent claims the group again.
             logging.exception("leading the group failed")
--- a/src/bronzerudder/expert_maps/leader.py
+++ b/src/bronzerudder/expert_maps/leader.py
@@ -54,6 +54,9 @@
 """A rank is polled directly only after two reports are missing, as a direct query has a cost."""
 POLL_INTERVAL_S = 0.5
 LIST_INTERVAL_S = 5.0
+OTHER_GROUP_LIFETIME_S = 30.0
+"""Time for which a rank that belongs to another group is not polled; it may join this group later,
+as after a replacement at its address."""
 VERSIONS_PER_TERM = 100_000
 MAX_FAILURE_PAUSE_S = 4.0
 
@@ -68,6 +71,8 @@
 
     Parameters
     ----------
+    group : str
+        Name of the group; other groups of the service have leaders of their own.
     ranks : RankCalls
         Queries ranks and sends them orders.
     own_address : str
@@ -90,6 +95,7 @@
 
     def __init__(
         self,
+        group: str,
         ranks: RankCalls,
         own_address: str,
         list_ranks: RankLister,
@@ -100,6 +106,7 @@
         log: EventLog,
         counts: AgentCounts,
     ) -> None:
+        self._group = group
         self._counts = counts
         self._shape = shape
         self._record = record
@@ -113,6 +120,7 @@
         self._listed_at_s = 0.0
         self._changer = MapChanger(ranks, own_address, self._prepared_by, self._log_event)
         self._received: dict[str, _ReceivedState] = {}
+        self._in_other_group_at_s: dict[str, float] = {}
         self._rank_experts: dict[str, RankExperts] = {}
         self._scenarios = ScenarioWindow(shape.sets * shape.experts)
         self._versions = 0
@@ -141,6 +149,10 @@
         """Handle a report of an agent."""
         now_s = time.monotonic()
         state = report.state
+        if state.group != self._group:
+            self._received.pop(state.address, None)
+            self._in_other_group_at_s[state.address] = now_s
+            return
         self._received[state.address] = _ReceivedState(state, now_s)
         if report.places is not None:
             self._rank_experts[state.address] = report.places
@@ -183,9 +195,11 @@
         self._polled_at_s = now_s
         if not self._listed_ranks or now_s - self._listed_at_s > LIST_INTERVAL_S:
             await self._refresh_rank_list()
-        missing_addresses = [
-            address for address in self._listed_ranks if not self._is_fresh(address)
-        ]
+        missing_addresses = []
+        for address in self._listed_ranks:
+            seen_at_s = self._in_other_group_at_s.get(address, -OTHER_GROUP_LIFETIME_S)
+            if not self._is_fresh(address) and now_s - seen_at_s >= OTHER_GROUP_LIFETIME_S:
+                missing_addresses.append(address)
         async with anyio.create_task_group() as tasks:
             for address in missing_addresses:
                 tasks.start_soon(self._poll, address)
--- a/src/bronzerudder/expert_maps/leadership.py
+++ b/src/bronzerudder/expert_maps/leadership.py
@@ -70,6 +70,11 @@
         self._store = store
         self._group = group
 
+    @property
+    def group(self) -> str:
+        """Name of the group."""
+        return self._group
+
     async def read(self) -> Leader | StoreError:
         """Read the current leader."""
         stored = await self._store.get(LEADER_KIND, self._group)
--- a/src/bronzerudder/standin/fleet/group.py
+++ b/src/bronzerudder/standin/fleet/group.py
@@ -58,9 +58,12 @@
         Addresses of its ranks.
     born_ms : int
         Unix time of their start, in milliseconds.
+    name : str
+        Its name.
     """
 
-    def __init__(self, addresses: list[str], born_ms: int = 1) -> None:
+    def __init__(self, addresses: list[str], born_ms: int = 1, name: str = "g") -> None:
+        self.name = name
         self.ranks = [LockstepRank(number, address) for number, address in enumerate(addresses)]
         self.step = 0
         self.epoch = 1
@@ -72,7 +75,7 @@
         armed = None if rank.armed is None else ArmedMap(rank.armed[0].version, rank.armed[1])
         return RankState(
             rank.address,
-            "g",
+            self.name,
             self.epoch,
             rank.number,
             len(self.ranks),
--- a/tests/expert_maps/simulated_group.py
+++ b/tests/expert_maps/simulated_group.py
@@ -52,6 +52,8 @@
         Draws all faults and delays.
     late, lost : float
         Fractions of orders that are executed late without an answer, and of lost answers.
+    name : str
+        Its name, with which the addresses of its ranks begin.
 
     Attributes
     ----------
@@ -61,8 +63,8 @@
         Total time during which a held step kept the group waiting.
     """
 
-    def __init__(self, size, generator, late=0.0, lost=0.0):
-        super().__init__([f"rank-{number}" for number in range(size)])
+    def __init__(self, size, generator, late=0.0, lost=0.0, name="rank"):
+        super().__init__([f"{name}-{number}" for number in range(size)], name=name)
         self.generator = generator
         self.late = late
         self.lost = lost
--- /dev/null
+++ b/tests/expert_maps/test_leader.py
@@ -0,0 +1,195 @@
+"""Tests of leaders of several groups of ranks that serve one service."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from unittest import mock
+
+import anyio
+
+from bronzerudder.expert_maps import change, leader
+from bronzerudder.expert_maps.api import RankCalls, RankExperts, RankFailure
+from bronzerudder.expert_maps.counts import AgentCounts, CounterName
+from bronzerudder.expert_maps.leader import GroupLeader
+from bronzerudder.expert_maps.leadership import NO_LEADER, Leader
+from bronzerudder.expert_maps.messages import RankReport
+from bronzerudder.expert_maps.scenarios import Scenario, pack_levels
+from bronzerudder.expert_maps.shape import ExpertShape, MapBounds
+from tests.expert_maps.simulated_group import (
+    SimulatedGroup,
+    SimulatedOrders,
+    VirtualTime,
+    run_virtual,
+    seeded,
+)
+
+RANKS = 4
+EXPERTS = 8
+SHAPE = ExpertShape(1, EXPERTS, MapBounds(4, 2), 0.01)
+INITIAL = [[[rank, rank + RANKS]] for rank in range(RANKS)]
+REPORT_INTERVAL_S = 0.4
+DURATION_S = 20.0
+DEMAND = [900, 10, 10, 10, 700, 10, 10, 10]
+"""Choices of each expert; the hot ones are both on the first rank."""
+
+
+class GroupCalls(RankCalls):
+    """Calls to the ranks of several simulated groups, by the start of their addresses."""
+
+    def __init__(self, orders):
+        self._orders = orders
+        self.polled = []
+        self.layouts = {}
+
+    def _of(self, address):
+        return self._orders[address.partition("-")[0]]
+
+    async def prepare(self, rank, version, layout):
+        self.layouts[rank.group, version] = layout
+        return await self._of(rank.address).prepare(rank, version, layout)
+
+    async def arm(self, rank, version, step):
+        return await self._of(rank.address).arm(rank, version, step)
+
+    async def disarm(self, rank, version):
+        return await self._of(rank.address).disarm(rank, version)
+
+    async def hold(self, rank, step):
+        return await self._of(rank.address).hold(rank, step)
+
+    async def release(self, rank, step):
+        return await self._of(rank.address).release(rank, step)
+
+    async def state(self, address):
+        self.polled.append(address)
+        return await self._of(address).state(address)
+
+    async def counts(self, address):
+        return RankFailure("not used by leaders")
+
+    async def experts(self, address):
+        return RankFailure("not known")
+
+
+class StandingRecord:
+    """A record that names the same leader for good."""
+
+    def __init__(self, recorded):
+        self._recorded = recorded
+
+    async def read(self):
+        return self._recorded
+
+    async def mark_settled(self, recorded):
+        return recorded
+
+
+class SeveralGroupsTest(unittest.TestCase):
+    def setUp(self):
+        for module in (leader, change):
+            patcher = mock.patch.object(module, "time", VirtualTime)
+            patcher.start()
+            self.addCleanup(patcher.stop)
+        # Virtual time would pass while a thread plans.
+        patcher = mock.patch("anyio.to_thread.run_sync", run_directly)
+        patcher.start()
+        self.addCleanup(patcher.stop)
+
+    def lead(self, names, misdirected=False):
+        """Lead each group for some time; return the groups, counters and calls by name."""
+        groups = {name: SimulatedGroup(RANKS, seeded(3), name=name) for name in names}
+        counts = {name: AgentCounts() for name in names}
+        calls = {}
+        addresses = tuple(rank.address for group in groups.values() for rank in group.ranks)
+
+        async def list_ranks():
+            return addresses
+
+        async def simulate():
+            async with anyio.create_task_group() as tasks:
+                leaders = {}
+                for name, group in groups.items():
+                    tasks.start_soon(group.run)
+                    own = f"{name}-0"
+                    orders = {
+                        other: SimulatedOrders(groups[other], tasks, own=own) for other in names
+                    }
+                    calls[name] = GroupCalls(orders)
+                    recorded = Leader("a:1", 1, 1, own, True)
+                    leaders[name] = GroupLeader(
+                        name,
+                        calls[name],
+                        own,
+                        list_ranks,
+                        SHAPE,
+                        StandingRecord(recorded),
+                        recorded,
+                        NO_LEADER,
+                        mock.Mock(),
+                        counts[name],
+                    )
+                    tasks.start_soon(leaders[name].run)
+                receivers = {name: [item] for name, item in leaders.items()}
+                if misdirected:
+                    receivers = {name: list(leaders.values()) for name in names}
+                for name, group in groups.items():
+                    tasks.start_soon(report, group, receivers[name], calls)
+                await anyio.sleep(DURATION_S)
+                tasks.cancel_scope.cancel()
+
+        run_virtual(simulate)
+        return groups, counts, calls
+
+    def assert_changed(self, groups, counts):
+        for name, group in groups.items():
+            self.assertEqual(group.mixed_steps, [])
+            results = counts[name].by_result(CounterName.MAP_CHANGES)
+            self.assertGreater(results.get("changed", 0), 0, results)
+            self.assertEqual(set(results), {"changed"})
+            self.assertEqual({rank.map.version > 0 for rank in group.ranks}, {True})
+
+    def test_each_of_two_groups_changes_its_own_map(self):
+        groups, counts, calls = self.lead(("first", "second"))
+        self.assert_changed(groups, counts)
+        for name in groups:
+            self.assertEqual({group for group, _ in calls[name].layouts}, {name})
+
+    def test_reports_of_another_group_are_not_taken_for_those_of_its_ranks(self):
+        self.assert_changed(*self.lead(("first", "second"), misdirected=True)[:2])
+
+    def test_one_and_four_groups_change_their_maps(self):
+        for names in (("only",), ("first", "second", "third", "fourth")):
+            with self.subTest(groups=len(names)):
+                self.assert_changed(*self.lead(names)[:2])
+
+    def test_the_ranks_of_another_group_are_polled_once_at_most(self):
+        _, _, calls = self.lead(("first", "second"))
+        for name, other in (("first", "second"), ("second", "first")):
+            polled = [address for address in calls[name].polled if address.startswith(other)]
+            self.assertLessEqual(len(polled), RANKS)
+
+
+async def run_directly(function):
+    return function()
+
+
+async def report(group, leaders, calls):
+    """Report all ranks of a group to leaders until cancelled."""
+    total = sum(DEMAND)
+    while True:
+        await asyncio.sleep(REPORT_INTERVAL_S)
+        for rank in group.ranks:
+            state = group.state(rank)
+            experts = RankExperts(state.map_version, experts_of(group, rank, calls))
+            scenario = Scenario(total, pack_levels(DEMAND))
+            for item in leaders:
+                item.handle_report(RankReport(state, scenario, experts))
+
+
+def experts_of(group, rank, calls):
+    version = rank.map.version
+    if not version:
+        return INITIAL[rank.number]
+    layout = calls[group.name].layouts[group.name, version]
+    return [held[rank.number] for held in layout]
