Size each change of map by what it saves per second that it takes

Callers: demand shifts every few seconds, and a change that loads up to four experts per set and rank took about four seconds, so it came into force for demand that had moved on; meanwhile steps were 15 % longer. Change: the leader estimates how long a change takes from the configured size and bandwidth and from its own changes, and takes the loads that shorten the steps most per second of the change; the rest follows in the next one. The timeout for loads follows the estimate. Tests: test_change_size; at slow loads small changes in a row beat one large one in the same time.

--- a/src/bronzerudder/expert_maps/change.py
+++ b/src/bronzerudder/expert_maps/change.py
@@ -54,7 +54,7 @@
 PREPARE_TIMEOUT_S = 1.2
 """Time for all ranks to accept the order to load, over narrow links and with some orders lost."""
 LOAD_TIMEOUT_S = 4.0
-"""Time for all ranks to finish loading; a few experts take a fraction of a second."""
+"""Time for all ranks to finish loading, unless their loads are known to take longer."""
 LOAD_CHECK_INTERVAL_S = 0.05
 HOLD_TIMEOUT_S = 1.0
 ARM_TIMEOUT_S = 20.0
@@ -101,6 +101,8 @@
         Layout in use, which is prepared again as the fallback.
     steps_per_s : float
         Rate at which the group makes steps.
+    load_timeout_s : float
+        Time for all ranks to finish loading.
     """
 
     version: int
@@ -108,6 +110,7 @@
     layout: Layout
     previous: Layout
     steps_per_s: float
+    load_timeout_s: float = LOAD_TIMEOUT_S
 
 
 class FailedLeader(NamedTuple):
@@ -165,7 +168,7 @@
         if not await self._prepare_all(ranks, version, plan.layout):
             return ChangeResult.NOT_PREPARED
         prepared_s = time.monotonic()
-        if not await self._await_loads(ranks, version):
+        if not await self._await_loads(ranks, version, plan.load_timeout_s):
             return ChangeResult.NOT_PREPARED
         loaded_s = time.monotonic()
         holder = self._choose_holder(ranks, version)
@@ -288,9 +291,11 @@
 
         return await _all_succeed(prepare, missing)
 
-    async def _await_loads(self, ranks: Sequence[RankState], version: int) -> bool:
+    async def _await_loads(
+        self, ranks: Sequence[RankState], version: int, timeout_s: float
+    ) -> bool:
         wanted = {rank.address for rank in ranks}
-        with anyio.move_on_after(LOAD_TIMEOUT_S):
+        with anyio.move_on_after(timeout_s):
             while True:
                 if wanted <= self._prepared_by(version):
                     return True
--- a/src/bronzerudder/expert_maps/leader.py
+++ b/src/bronzerudder/expert_maps/leader.py
@@ -17,7 +17,13 @@
 import anyio
 
 from bronzerudder.expert_maps.api import Layout, RankCalls, RankExperts, RankFailure, RankState
-from bronzerudder.expert_maps.change import ChangePlan, ChangeResult, FailedLeader, MapChanger
+from bronzerudder.expert_maps.change import (
+    LOAD_TIMEOUT_S,
+    ChangePlan,
+    ChangeResult,
+    FailedLeader,
+    MapChanger,
+)
 from bronzerudder.expert_maps.counts import AgentCounts, CounterName
 from bronzerudder.expert_maps.leadership import Leader, LeaderRecord
 from bronzerudder.expert_maps.messages import RankReport
@@ -59,6 +65,8 @@
 as after a replacement at its address."""
 VERSIONS_PER_TERM = 100_000
 MAX_FAILURE_PAUSE_S = 4.0
+LOAD_TIMEOUT_FACTOR = 3.0
+"""Loads may take this multiple of their estimated time, as other traffic shares the links."""
 
 
 class _ReceivedState(NamedTuple):
@@ -123,6 +131,11 @@
         self._in_other_group_at_s: dict[str, float] = {}
         self._rank_experts: dict[str, RankExperts] = {}
         self._scenarios = ScenarioWindow(shape.sets * shape.experts)
+        # Imported late to save memory, as only the leader needs the module.
+        from bronzerudder.expert_maps.change_size import LoadTimes
+
+        self._load_times = LoadTimes(shape.load_s)
+        self._planned_loads = 0
         self._versions = 0
         self._held_since_s: float | None = None
         self._next_change_at_s = 0.0
@@ -276,7 +289,9 @@
             return None
         if now_s < self._replan_at_s and self._skew < REPLAN_SKEW_RATIO * self._rejected_skew:
             return None
-        planned = await planner.plan_layout(layout, scenarios, slowdowns, self._shape.bounds)
+        planned = await planner.plan_layout(
+            layout, scenarios, slowdowns, self._shape.bounds, self._load_times
+        )
         if (1.0 - planned.skew_after / planned.skew) * step_s < MIN_GAIN_S:
             self._replan_at_s = now_s + REPLAN_DELAY_S
             self._rejected_skew = planned.skew
@@ -296,12 +311,23 @@
             skew_after=round(planned.skew_after, 3),
             step_s=round(step_s, 4),
             scenarios=scenario_count,
+            loads=planned.loads,
+            expected_s=round(self._load_times.duration_s(planned.loads), 3),
             slowest_pace=max(state.pace for state in ranks),
             planning_s=round(time.monotonic() - now_s, 3),
             oldest_post_s=round(self._oldest_report_s(ranks), 2),
         )
         fallback = self._next_version()
-        return ChangePlan(version, fallback, planned.layout, layout, self._steps_per_s)
+        self._planned_loads = planned.loads
+        loading_s = LOAD_TIMEOUT_FACTOR * planned.loads * self._load_times.load_s
+        return ChangePlan(
+            version,
+            fallback,
+            planned.layout,
+            layout,
+            self._steps_per_s,
+            max(LOAD_TIMEOUT_S, loading_s),
+        )
 
     def _layout(self, ranks: list[RankState]) -> Layout | None:
         """Layout in use, or None while it is not known for all ranks."""
@@ -334,6 +360,7 @@
         )
         if result is ChangeResult.CHANGED:
             self._failures = 0
+            self._load_times.record(self._planned_loads, now_s - started_s)
             self._next_change_at_s = now_s + CHANGE_PAUSE_S
             await self._mark_settled()
             return
--- a/src/bronzerudder/expert_maps/planner.py
+++ b/src/bronzerudder/expert_maps/planner.py
@@ -10,6 +10,13 @@
 import numpy as np
 
 from bronzerudder.expert_maps.api import Layout
+from bronzerudder.expert_maps.change_size import (
+    LoadTimes,
+    SetImprovement,
+    SizedChange,
+    choose_sets,
+    count_loads,
+)
 from bronzerudder.expert_maps.scenarios import LEVEL_BITS, MAX_LEVEL, Scenario
 from bronzerudder.expert_maps.search import StepLoads, improve_set, measure
 from bronzerudder.expert_maps.shape import MapBounds
@@ -19,11 +26,22 @@
 
 
 class PlannedLayout(NamedTuple):
-    """A layout, and the skew before and after: largest over mean load of a step."""
+    """A layout, and what it changes.
+
+    Parameters
+    ----------
+    layout : list
+        Experts by set and rank.
+    skew, skew_after : float
+        Largest over mean load of a step, before and after.
+    loads : int
+        Experts that the busiest rank must load.
+    """
 
     layout: Layout
     skew: float
     skew_after: float
+    loads: int
 
 
 def slice_loads(slices: list[list[Scenario]], sets: int) -> np.ndarray:
@@ -57,20 +75,61 @@
 
 
 async def plan_layout(
-    layout: Layout, scenarios: np.ndarray, slowdowns: np.ndarray, bounds: MapBounds
+    layout: Layout,
+    scenarios: np.ndarray,
+    slowdowns: np.ndarray,
+    bounds: MapBounds,
+    times: LoadTimes,
 ) -> PlannedLayout:
-    """Improve each set in a worker thread, so that agents' reports are answered meanwhile."""
-    improved = []
-    for held, loads in zip(layout, scenarios, strict=True):
-        improve = functools.partial(improve_set, held, loads, slowdowns, bounds)
-        improved.append(await anyio.to_thread.run_sync(improve))
+    """Plan the change that shortens the steps most per second that it takes.
+
+    Sets are improved in a worker thread, so that agents' reports are answered meanwhile.
+
+    Parameters
+    ----------
+    scenarios : numpy.ndarray
+        Shape ``(sets, scenarios, experts)``: load of each expert.
+    slowdowns : numpy.ndarray
+        Shape ``(ranks,)``: time that a rank takes for a load of one.
+    times : LoadTimes
+        How long changes take.
+    """
+    best: SizedChange | None = None
+    loads_per_change = 1
+    while loads_per_change <= bounds.loads_per_change:
+        sized_bounds = bounds._replace(loads_per_change=loads_per_change)
+        improvements = []
+        for index, held in enumerate(layout):
+            improve = functools.partial(
+                _improve, index, held, scenarios[index], slowdowns, sized_bounds
+            )
+            improvements.append(await anyio.to_thread.run_sync(improve))
+        sized = choose_sets(layout, improvements, times)
+        if sized is None or (best is not None and sized.rate <= best.rate):
+            break
+        best = sized
+        loads_per_change *= 2
+    skew = layout_skew(layout, scenarios, slowdowns)
+    if best is None:
+        return PlannedLayout(layout, skew, skew, 0)
     return PlannedLayout(
-        improved,
-        layout_skew(layout, scenarios, slowdowns),
-        layout_skew(improved, scenarios, slowdowns),
+        best.layout, skew, layout_skew(best.layout, scenarios, slowdowns), best.loads
     )
 
 
+def _improve(
+    index: int,
+    held: list[list[int]],
+    scenarios: np.ndarray,
+    slowdowns: np.ndarray,
+    bounds: MapBounds,
+) -> SetImprovement:
+    placement = improve_set(held, scenarios, slowdowns, bounds)
+    before = measure(held, scenarios, slowdowns).largest
+    after = measure(placement, scenarios, slowdowns).largest
+    return SetImprovement(index, placement, before - after, count_loads(held, placement))
+
+
 def _skew(loads: list[StepLoads]) -> float:
     mean = sum(load.mean for load in loads)
     return sum(load.largest for load in loads) / mean if mean > 0 else 1.0
--- a/src/bronzerudder/expert_maps/shape.py
+++ b/src/bronzerudder/expert_maps/shape.py
@@ -23,9 +23,12 @@
         Limits of a rank.
     step_target_s : float
         Step time below which streamed events are on time with a margin; no change is needed then.
+    load_s : float
+        Time to load one expert by the configured size and bandwidth; 0 if not known.
     """
 
     sets: int
     experts: int
     bounds: MapBounds
     step_target_s: float
+    load_s: float = 0.0
--- a/src/bronzerudder/gateway/tables.py
+++ b/src/bronzerudder/gateway/tables.py
@@ -87,6 +87,8 @@
     sets, experts, slots_per_rank, loads_per_change : int
         Sets of layers, experts per set, experts of a set that a rank holds, and experts of a set
         that a rank may load for one change of the map.
+    expert_load_s : float
+        Time to load the weights of one expert; 0 if not known.
     """
 
     step_s: float
@@ -98,7 +100,7 @@
     experts: int
     slots_per_rank: int
     loads_per_change: int
-    expert_megabytes: float
+    expert_load_s: float
 
 
 class Service(NamedTuple):
--- a/src/bronzerudder/platform/configuration.py
+++ b/src/bronzerudder/platform/configuration.py
@@ -22,6 +22,7 @@
 from bronzerudder.platform.errors import StoreError, StoreErrorKind
 
 MS_PER_S = 1000.0
+BITS_PER_BYTE = 8
 
 _REQUEST_KINDS = {
     "idempotent": RequestKind.IDEMPOTENT,
@@ -82,6 +83,8 @@
     spare: int = 0
     # Size of the weights of one expert, in megabytes.
     expert_mb: float = 0.0
+    # Bandwidth over which a rank loads experts, in megabits per second.
+    link_mbps: float = 0.0
 
 
 class _Service(msgspec.Struct):
@@ -201,11 +204,17 @@
         engine.experts,
         engine.placements,
         engine.spare,
-        engine.expert_mb,
+        _load_s(engine),
     )
     return Service(service.name, service.max_conns, parameters)
 
 
+def _load_s(engine: _Engine) -> float:
+    if engine.link_mbps <= 0.0:
+        return 0.0
+    return BITS_PER_BYTE * max(0.0, engine.expert_mb) / engine.link_mbps
+
+
 def _workspaces(documents: list[_Workspace] | None) -> dict[str, Workspace] | None:
     if documents is None:
         return None
--- a/src/bronzerudder/processes/rank_agent.py
+++ b/src/bronzerudder/processes/rank_agent.py
@@ -166,7 +166,7 @@
         bounds = MapBounds(engine.slots_per_rank, engine.loads_per_change)
         gaps = [route.gap_s for route in configuration.routes.values() if route.gap_s > 0]
         step_target_s = STEP_TARGET_FRACTION * min(gaps, default=DEFAULT_GAP_S)
-        return ExpertShape(engine.sets, engine.experts, bounds, step_target_s)
+        return ExpertShape(engine.sets, engine.experts, bounds, step_target_s, engine.expert_load_s)
 
     async def _list_ranks(self) -> tuple[str, ...]:
         """Read the addresses of the backend servers of the service."""
