Keep each group of ranks apart at the gateways

Callers: while one group of ranks re-formed, requests were held back from the other groups of its service, or sent into the closed one as soon as a rank of another reported to be open; a stream of a stalled group was given up because another group advanced. Cause: gate, progress of streams and crash judgement were kept per service, and load reports did not name the group. Change: load reports name the group. Gate, progress and the judgement whether a broken connection is a crash belong to the group of the rank; a server whose agent names no group stands alone once others have named theirs, and gets nothing in its first second, in which its agent may still name one. Without any named group all ranks count as one, as before. Free slots are estimated over the groups that accept requests. The line changed in test_server_limits reads the same gate at its new place.

--- a/src/bronzerudder/gateway/attempt.py
+++ b/src/bronzerudder/gateway/attempt.py
@@ -31,7 +31,7 @@
 MAX_LATE_ANSWERS = 2
 """Late answers to earlier requests that are skipped on one connection."""
 PROGRESS_WINDOW_S = 0.3
-"""A service counts as making progress if any of its streams had an event in this time."""
+"""A group counts as making progress if any of its streams had an event in this time."""
 STATUS_OK = 200
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 """Statuses from which a caller concludes that its request has not run."""
@@ -94,8 +94,8 @@
 """Callers abandon a stream after 2 s without an event; the rest is left for a retry."""
 
 
-class ServiceProgress:
-    """Tracks whether the streams of a service advance, as ranks in lock-step do together."""
+class StreamProgress:
+    """Tracks whether the streams of a group of ranks advance, which they do together."""
 
     def __init__(self) -> None:
         self._last_event_at_s = 0.0
@@ -136,8 +136,8 @@
         The request to send.
     relay : StreamRelay or None
         Relays the events of a stream; None for plain requests.
-    progress : ServiceProgress
-        Progress of the service's streams.
+    progress : StreamProgress
+        Progress of the streams of the backend server's group.
     on_event : callable
         Called when events of a stream arrive, with whether they are the first.
     on_head : callable
@@ -152,7 +152,7 @@
         connections: ClientPool,
         outgoing: OutgoingRequest,
         relay: StreamRelay | None,
-        progress: ServiceProgress,
+        progress: StreamProgress,
         on_event: Callable[[bool], None],
         on_head: Callable[[AnswerHead, float], None],
         may_send: Callable[[], bool] = lambda: True,
@@ -392,7 +392,7 @@
         """Read with the idle timeout.
 
         A stall of the whole group of ranks is not this backend server's fault. So a stream times
-        out only once other streams of the service have advanced for as long as the timeout.
+        out only once other streams of the group have advanced for as long as the timeout.
         """
         idle_timeout_s = self._outgoing.idle_timeout_s
         if idle_timeout_s is None:
--- a/src/bronzerudder/gateway/forwarding.py
+++ b/src/bronzerudder/gateway/forwarding.py
@@ -9,7 +9,6 @@
     BackendAttempt,
     CompleteAnswer,
     OutgoingRequest,
-    ServiceProgress,
     StreamDelivered,
 )
 from bronzerudder.gateway.client_timeout import ON_TIME_FRACTION, latest_start_s
@@ -99,7 +98,6 @@
 
     services: ServiceTable
     connections: ClientPool
-    progress: dict[str, ServiceProgress]
     crashes: CrashWatch
     metrics: GatewayMetrics
     log: EventLog
@@ -197,7 +195,7 @@
             try:
                 verdict = self._context.crashes.find_refusal(self._admitted.subjects)
                 if verdict is not None:
-                    self._pool.gate.record_not_sent()
+                    self._pool.record_not_sent(assignment.candidate.name)
                     return self._final_result(quarantine_refusal(verdict))
                 result = await self._attempt(assignment)
             finally:
@@ -251,7 +249,7 @@
         candidate = assignment.candidate
         self._last_instance = candidate.name
         service = self._pool.name
-        progress = self._context.progress.setdefault(service, ServiceProgress())
+        progress = self._pool.groups.group_of(candidate.name).progress
         span = self._context.spans.begin(
             "attempt", self._admitted.traceparent, instance=candidate.name, service=service
         )
@@ -263,7 +261,7 @@
             assignment.count_answer_token()
             crashes.record_event(running)
             if is_first:
-                self._record_group_progress()
+                self._record_group_progress(candidate)
 
         def on_head(answer: AnswerHead, asked_at_s: float) -> None:
             self._record_announcements(candidate, incarnation, answer)
@@ -290,7 +288,7 @@
                 self._record_result(candidate, attempt, result)
                 if _has_run(attempt, result):
                     crashes.record_success(running)
-                await self._check_for_crash(incarnation, attempt, result)
+                await self._check_for_crash(candidate, incarnation, attempt, result)
         finally:
             span.end(status=0 if attempt.answer is None else attempt.answer.status)
         if isinstance(result, AttemptFailure) and result.has_not_run:
@@ -379,7 +377,7 @@
                 )
                 return
             services.report_success(candidate.name)
-            self._record_group_progress()
+            self._record_group_progress(candidate)
             return
         if result.kind is FailureKind.NOT_EXECUTED and answer is not None:
             if answer.status == STATUS_MISDIRECTED:
@@ -398,6 +396,7 @@
 
     async def _check_for_crash(
         self,
+        candidate: Candidate,
         incarnation: str,
         attempt: BackendAttempt,
         result: CompleteAnswer | StreamDelivered | AttemptFailure,
@@ -409,15 +408,20 @@
                 return
             if result.kind not in (FailureKind.BROKEN, FailureKind.UNRESPONSIVE):
                 return
-            must_refuse = self._pool.in_lockstep or result.kind is FailureKind.UNRESPONSIVE
+            is_rank = self._pool.groups.is_rank(candidate.name)
+            must_refuse = is_rank or result.kind is FailureKind.UNRESPONSIVE
         elif not isinstance(result, StreamDelivered) or attempt.has_event:
             return
         # A stream without an event may end with its connection, and so look complete.
         await self._context.crashes.on_connection_broken(incarnation, attempt.address, must_refuse)
 
-    def _record_group_progress(self) -> None:
-        if self._pool.record_progress():
-            self._context.log.state("group runs again", service=self._pool.name)
+    def _record_group_progress(self, candidate: Candidate) -> None:
+        if self._pool.record_progress(candidate.name):
+            self._context.log.state(
+                "group runs again",
+                service=self._pool.name,
+                group=self._pool.groups.name_of(candidate.name),
+            )
 
     def _record_rejection(self, candidate: Candidate, answer: AnswerHead) -> None:
         """Handle a rejection by a server that is full or faulty, or whose group is not running."""
@@ -428,13 +432,15 @@
         if answer.limit.rate_rps is not None or answer.leaving or answer.pause.pause_s > 0.0:
             # It limits its rate, is about to end or asks for a pause, and is not faulty.
             return
-        if not self._pool.in_lockstep:
+        if not self._pool.groups.is_rank(candidate.name):
             self._context.services.report_failure(candidate.name, f"status {answer.status}", True)
             return
-        if self._pool.gate.record_rejection(time.monotonic()):
+        group = self._pool.groups.group_of(candidate.name)
+        if group.gate.record_rejection(time.monotonic()):
             self._context.log.state(
                 "group does not run",
                 service=self._pool.name,
+                group=self._pool.groups.name_of(candidate.name),
                 instance=candidate.name,
                 blamed=answer.faulty_address,
             )
--- a/src/bronzerudder/gateway/services.py
+++ b/src/bronzerudder/gateway/services.py
@@ -8,7 +8,7 @@
 
 from anyio.abc import TaskGroup
 
-from bronzerudder.gateway.group_gate import GroupGate
+from bronzerudder.gateway.rank_groups import RankGroups
 from bronzerudder.gateway.server_limits import ServerLimitKeeper
 from bronzerudder.gateway.slot_queue import SlotQueue
 from bronzerudder.gateway.tables import BackendServer, Service
@@ -43,7 +43,7 @@
 
 
 class ServicePool:
-    """Candidates, slot queue, group gate and retry budget of one service at this gateway."""
+    """Candidates, groups, slot queue and retry budget of one service at this gateway."""
 
     def __init__(
         self, name: str, retry: RetryBudgetLimits, gateways: int, limits: ServerLimitKeeper
@@ -56,13 +56,12 @@
         self._by_address: dict[str, str] = {}
         self._leaving_starts: dict[str, None] = {}
         self._paused_until_s: dict[str, float] = {}
-        self._in_lockstep = False
-        self.gate = GroupGate()
+        self.groups = RankGroups()
         self.queue = SlotQueue(
             FreeSlotRouting(random.Random()),
             self._usable_candidates,
             lambda: tuple(self._candidates.values()),
-            self.gate.record_sent,
+            self._on_assigned,
             limits,
         )
         self.budget = WindowBudget(retry.share, retry.extra / gateways, retry.window_s)
@@ -81,31 +80,34 @@
         """Recompute this gateway's share of the retry budget."""
         self.budget.set_limits(retry.share, retry.extra / gateways, retry.window_s)
 
-    @property
-    def in_lockstep(self) -> bool:
-        """Whether the backend servers are ranks of a group, which run or stop together."""
-        return self._in_lockstep
-
-    def set_in_lockstep(self, in_lockstep: bool) -> None:
-        """Set whether the backend servers are ranks of a group."""
-        self._in_lockstep = in_lockstep
-
-    def on_group_state(self, is_open: bool) -> None:
-        """Handle an agent's report of whether the group runs."""
-        if self.gate.on_agent_report(is_open, time.monotonic()):
+    def on_group_state(self, instance_id: str, group: str, is_open: bool) -> None:
+        """Handle the report of a rank's agent of whether its group runs."""
+        if self.groups.on_agent_report(instance_id, group, is_open):
             self.queue.assign_slots()
 
-    def record_progress(self) -> bool:
-        """Record that a rank answered; return whether the group had been rejecting requests."""
-        if not self.gate.record_progress():
+    def record_progress(self, instance_id: str) -> bool:
+        """Record that a rank answered; return whether its group had been rejecting requests."""
+        if not self.groups.group_of(instance_id).gate.record_progress():
             return False
         self.queue.assign_slots()
         return True
 
+    def record_not_sent(self, instance_id: str) -> None:
+        """Record that the request that was given a slot at a rank was not sent."""
+        self.groups.group_of(instance_id).gate.record_not_sent()
+
+    def _on_assigned(self, candidate: Candidate, now_s: float) -> None:
+        self.groups.group_of(candidate.name).gate.record_sent(now_s)
+
     def _usable_candidates(self) -> tuple[Candidate, ...]:
-        if self._in_lockstep and not self.gate.admits(time.monotonic()):
-            return ()
-        return tuple(self._candidates.values())
+        if not self.groups.in_lockstep:
+            return tuple(self._candidates.values())
+        now_s = time.monotonic()
+        return tuple(
+            candidate
+            for candidate in self._candidates.values()
+            if self.groups.admits(candidate.name, now_s)
+        )
 
     def address_of(self, instance_id: str) -> str:
         """Address of a candidate."""
@@ -126,6 +128,7 @@
         if candidate is None:
             candidate = Candidate(server.instance_id, server.failure_domain, OutlierBreaker())
             self._candidates[server.instance_id] = candidate
+            self.groups.add(server.instance_id)
         candidate.slots = server.slots
         candidate.leaving = server.leaving or server.incarnation in self._leaving_starts
         candidate.paused_until_s = self._paused_until_s.get(server.incarnation, 0.0)
@@ -175,6 +178,7 @@
             candidate.leaving = True
         incarnation = self._incarnations.pop(instance_id, instance_id)
         self._limits.forget(incarnation)
+        self.groups.drop(instance_id)
         if incarnation == instance_id:
             # Without a start time, the next start under this id could not be told from this one.
             self._leaving_starts.pop(incarnation, None)
@@ -242,7 +246,7 @@
         """Apply the services of a new configuration."""
         for name, service in services.items():
             engine = service.engine
-            self.pool(name).set_in_lockstep(engine is not None and engine.sets > 0)
+            self.pool(name).groups.set_in_lockstep(engine is not None and engine.sets > 0)
 
     def set_gateways(self, gateways: int) -> None:
         """Divide the retry budgets among this number of gateways; 0 if it is not known."""
@@ -287,7 +291,7 @@
             instance_id = pool.find_address(message.address)
             if instance_id is None:
                 continue
-            pool.on_group_state(message.is_open)
+            pool.on_group_state(instance_id, message.group, message.is_open)
             pool.observe_load(instance_id, message.requests)
             pool.candidates[instance_id].slowdown = message.pace
             pool.candidates[instance_id].agent_seen_at_s = time.monotonic()
--- a/src/bronzerudder/gateway/slot_queue.py
+++ b/src/bronzerudder/gateway/slot_queue.py
@@ -103,7 +103,7 @@
     all_candidates : callable
         Returns all backend servers of the service.
     on_assigned : callable
-        Called with the monotonic time at which a request was given a slot.
+        Called with the backend server at which a request was given a slot, and the monotonic time.
     permits : PermitSource or None
         Permits for backend servers that limit their rate; None if none does.
     """
@@ -113,7 +113,7 @@
         routing: RoutingPolicy,
         candidates: Callable[[], Sequence[Candidate]],
         all_candidates: Callable[[], Sequence[Candidate]],
-        on_assigned: Callable[[float], None] = lambda now_s: None,
+        on_assigned: Callable[[Candidate, float], None] = lambda candidate, now_s: None,
         permits: PermitSource | None = None,
     ) -> None:
         self._permits = permits
@@ -189,10 +189,11 @@
     def _count_slots(self, now_s: float) -> tuple[float, float]:
         """Count all slots, and those in use, of the backend servers that are not leaving.
 
-        Those that limit their rate are left out, as a free slot there may not be used.
+        Those that limit their rate are left out, as a free slot there may not be used. So are those
+        that accept no requests at present, as when their group re-forms, if others do.
         """
         slots = used = 0.0
-        for candidate in self._all_candidates():
+        for candidate in self._candidates() or self._all_candidates():
             if not candidate.wants_requests(now_s) or candidate.gate.is_limited:
                 continue
             slots += candidate.slots
@@ -330,7 +331,7 @@
         if isinstance(picked, NoCandidate):
             return picked
         self._running[request.workspace] = self._running.get(request.workspace, 0) + 1
-        self._on_assigned(now_s)
+        self._on_assigned(picked, now_s)
         picked.gate.record_sent(now_s)
         routed = request.routed
         return picked.begin(routed.estimated_tokens, routed.prompt_tokens)
--- a/src/bronzerudder/peers/messages.py
+++ b/src/bronzerudder/peers/messages.py
@@ -18,12 +18,15 @@
         Whether its group is running.
     pace : float
         Ratio of the time that its work takes to the usual time; above 1 is slower.
+    group : str
+        Name of its group; empty from agents of earlier versions.
     """
 
     address: str
     requests: int
     is_open: bool
     pace: float = 1.0
+    group: str = ""
 
 
 class CrashSeen(msgspec.Struct, frozen=True, tag="crash"):
--- a/src/bronzerudder/processes/gateway.py
+++ b/src/bronzerudder/processes/gateway.py
@@ -151,7 +151,6 @@
         context = GatewayContext(
             self._services,
             self._connections,
-            {},
             self._crashes,
             self._metrics,
             self._log,
--- a/src/bronzerudder/processes/rank_agent.py
+++ b/src/bronzerudder/processes/rank_agent.py
@@ -117,7 +117,7 @@
 
     def _report_load(self, state: RankState) -> None:
         """Send the load of the rank to the gateways when it changes, and periodically."""
-        load = RankLoad(state.address, state.requests, state.is_open, state.pace)
+        load = RankLoad(state.address, state.requests, state.is_open, state.pace, state.group)
         now_s = time.monotonic()
         changed = load != self._reported_load
         if not changed and now_s - self._reported_at_s < LOAD_INTERVAL_S:
--- a/tests/gateway/gateway_fleet.py
+++ b/tests/gateway/gateway_fleet.py
@@ -118,7 +118,7 @@
         for instance_id, address in self._addresses.items():
             gateway.list_server(instance_id, address)
         gateway.configuration.apply_value(make_configuration(2, routes=self._routes))
-        gateway.services.pool("s").set_in_lockstep(self._in_lockstep)
+        gateway.services.pool("s").groups.set_in_lockstep(self._in_lockstep)
         self.gateways.append(gateway)
         gateway.limits.set_gateways([item.name for item in self.gateways])
         if is_listed:
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -132,7 +132,7 @@
             self.add(server)
         self.crashes = CrashWatch(self.name, self.messenger, self.log, self._queue_tasks)
         shared = GatewayContext(
-            self.services, self.connections, {}, self.crashes, self.metrics, self.log, NoSpans()
+            self.services, self.connections, self.crashes, self.metrics, self.log, NoSpans()
         )
         started = anyio.Event()
         started.set()
--- a/tests/gateway/test_crash_watch.py
+++ b/tests/gateway/test_crash_watch.py
@@ -38,7 +38,7 @@
         await self.fleet.start()
         self.addAsyncCleanup(self.fleet.stop)
         self.gateway = self.fleet.gateways[0]
-        self.gateway.services.pool("s").set_in_lockstep(True)
+        self.gateway.services.pool("s").groups.set_in_lockstep(True)
 
     async def send_sound(self, count):
         answers = await asyncio.gather(
--- a/tests/gateway/test_server_limits.py
+++ b/tests/gateway/test_server_limits.py
@@ -280,7 +280,9 @@
         limited.usual = Behaviour.SHED
         await loading
         self.assertGreater(len(limited.limit.arrivals), 3)
-        self.assertFalse(self.fleet.gateways[0].services.pool("s").gate.closed)
+        self.assertFalse(
+            self.fleet.gateways[0].services.pool("s").groups.group_of("i-0").gate.closed
+        )
         self.assertTrue(all(item.status == 200 for item in self.answers))
 
 
--- a/tests/gateway/test_server_pauses.py
+++ b/tests/gateway/test_server_pauses.py
@@ -63,7 +63,7 @@
         self.assertEqual(breaker.failures, 0)
 
     async def test_a_pause_of_one_rank_does_not_close_the_gate_of_its_group(self):
-        self.gateway.services.pool("s").set_in_lockstep(True)
+        self.gateway.services.pool("s").groups.set_in_lockstep(True)
         self.reject(self.pausing, LONG_PAUSE)
         answers = await self.send_many()
         self.assertEqual({status for status, _, _ in answers}, {200})
