Use fewer slots of a group of ranks while the pauses of its streams are too long

Hypothesis: with fewer requests at once the steps are shorter, those that run are on time, and those that wait are ordered by who can still be. Change: each gateway bounds the share of a group's slots that may be used, by the pauses that it relays relative to the route's longest one: multiplicative decrease, additive increase, at least 0.4. Nothing depends on the kind of model.

--- a/src/bronzerudder/gateway/forwarding.py
+++ b/src/bronzerudder/gateway/forwarding.py
@@ -249,7 +249,7 @@
         candidate = assignment.candidate
         self._last_instance = candidate.name
         service = self._pool.name
-        progress = self._pool.groups.group_of(candidate.name).progress
+        group = self._pool.groups.group_of(candidate.name)
         span = self._context.spans.begin(
             "attempt", self._admitted.traceparent, instance=candidate.name, service=service
         )
@@ -257,7 +257,15 @@
         incarnation = self._pool.incarnation_of(candidate.name)
         crashes = self._context.crashes
 
+        last_event_at_s = 0.0
+
         def on_event(is_first: bool) -> None:
+            nonlocal last_event_at_s
+            now_s = time.monotonic()
+            if not is_first and self._admitted.route.gap_s > 0.0:
+                pause_s = now_s - last_event_at_s
+                group.bound.record_pause(pause_s / self._admitted.route.gap_s, now_s)
+            last_event_at_s = now_s
             assignment.count_answer_token()
             crashes.record_event(running)
             if is_first:
@@ -274,7 +282,7 @@
             self._context.connections,
             outgoing,
             self._relay,
-            progress,
+            group.progress,
             on_event,
             on_head,
             lambda: candidate.wants_requests(time.monotonic()),
--- a/src/bronzerudder/gateway/rank_groups.py
+++ b/src/bronzerudder/gateway/rank_groups.py
@@ -11,6 +11,7 @@
 
 from bronzerudder.gateway.attempt import StreamProgress
 from bronzerudder.gateway.group_gate import GroupGate
+from bronzerudder.policy.concurrency import PauseBound
 
 UNNAMED_GROUP = ""
 AGENT_GRACE_S = 1.0
@@ -19,11 +20,12 @@
 
 
 class RankGroup:
-    """One group: whether it accepts requests, and whether its streams advance."""
+    """One group: whether it accepts requests, whether its streams advance, and how fast."""
 
     def __init__(self) -> None:
         self.gate = GroupGate()
         self.progress = StreamProgress()
+        self.bound = PauseBound()
 
 
 class RankGroups:
--- a/src/bronzerudder/gateway/services.py
+++ b/src/bronzerudder/gateway/services.py
@@ -103,11 +103,13 @@
         if not self.groups.in_lockstep:
             return tuple(self._candidates.values())
         now_s = time.monotonic()
-        return tuple(
-            candidate
-            for candidate in self._candidates.values()
-            if self.groups.admits(candidate.name, now_s)
-        )
+        usable = []
+        for candidate in self._candidates.values():
+            if not self.groups.admits(candidate.name, now_s):
+                continue
+            candidate.slot_share = self.groups.group_of(candidate.name).bound.share(now_s)
+            usable.append(candidate)
+        return tuple(usable)
 
     def address_of(self, instance_id: str) -> str:
         """Address of a candidate."""
--- a/src/bronzerudder/gateway/slot_queue.py
+++ b/src/bronzerudder/gateway/slot_queue.py
@@ -196,8 +196,8 @@
         for candidate in self._candidates() or self._all_candidates():
             if not candidate.wants_requests(now_s) or candidate.gate.is_limited:
                 continue
-            slots += candidate.slots
-            used += min(float(candidate.slots), slots_in_use(candidate, now_s))
+            slots += candidate.usable_slots
+            used += min(candidate.usable_slots, slots_in_use(candidate, now_s))
         return slots, used
 
     def release(self, request: SlotRequest, assignment: Assignment) -> None:
--- a/src/bronzerudder/policy/routing/candidate.py
+++ b/src/bronzerudder/policy/routing/candidate.py
@@ -111,6 +111,8 @@
         Monotonic time of the last load report from its agent; None without an agent.
     gate : SendGate
         Limits the rate of requests.
+    slot_share : float
+        Share of the slots that may be used, in (0, 1].
     paused_until_s : float
         Monotonic time until which the backend server wants no requests.
     """
@@ -128,6 +130,7 @@
         self.agent_seen_at_s: float | None = None
         self.gate: SendGate = OPEN_GATE
         self.paused_until_s = 0.0
+        self.slot_share = 1.0
         self.report = LoadReport()
         self._own_requests = 0
         self._own_tokens = 0
@@ -136,6 +139,11 @@
         self._others_requests = 0
         self._reported_at_s = 0.0
 
+    @property
+    def usable_slots(self) -> float:
+        """Slots that may be used at present; 0 when their number is not known."""
+        return max(min(1.0, self.slots), self.slots * self.slot_share)
+
     @property
     def own_requests(self) -> int:
         """Requests sent by this entry and not yet finished."""
--- a/src/bronzerudder/policy/routing/free_slots.py
+++ b/src/bronzerudder/policy/routing/free_slots.py
@@ -132,7 +132,7 @@
 
 
 def _is_free(candidate: Candidate, used: float) -> bool:
-    return not candidate.slots or used <= candidate.slots - 1
+    return not candidate.slots or used <= candidate.usable_slots - 1
 
 
 def has_free_slot(candidate: Candidate, now_s: float) -> bool:
--- /dev/null
+++ b/tests/policy/concurrency/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of bounds on how many requests run at once."""
