--- a/src/bronzerudder/expert_maps/leader.py
+++ b/src/bronzerudder/expert_maps/leader.py
@@ -27,6 +27,7 @@
 from bronzerudder.expert_maps.counts import AgentCounts, CounterName
 from bronzerudder.expert_maps.leadership import Leader, LeaderRecord
 from bronzerudder.expert_maps.messages import RankReport
+from bronzerudder.expert_maps.scenarios import ScenarioWindow
 from bronzerudder.expert_maps.shape import ExpertShape
 from bronzerudder.observability.event_log import EventLog
 from bronzerudder.platform.errors import StoreError
@@ -129,11 +130,10 @@
         self._received: dict[str, _ReceivedState] = {}
         self._in_other_group_at_s: dict[str, float] = {}
         self._rank_experts: dict[str, RankExperts] = {}
-        # Imported late to save memory, as only the leader needs these modules.
+        self._scenarios = ScenarioWindow(shape.sets * shape.experts)
+        # Imported late to save memory, as only the leader needs the module.
         from bronzerudder.expert_maps.change_size import LoadTimes
-        from bronzerudder.expert_maps.demand import DemandHistory
 
-        self._demand = DemandHistory(shape.sets, shape.experts)
         self._load_times = LoadTimes(shape.load_s)
         self._planned_loads = 0
         self._versions = 0
@@ -170,7 +170,7 @@
         if report.places is not None:
             self._rank_experts[state.address] = report.places
         if report.scenario is not None:
-            self._demand.add(report.scenario, now_s)
+            self._scenarios.add(report.scenario, now_s)
         if state.address == self._own_address:
             self._update_step_rate(state.step, now_s)
 
@@ -274,15 +274,15 @@
             return None
         if any(state.armed is not None for state in ranks):
             return None
+        slices = self._scenarios.slices(now_s)
         layout = self._layout(ranks)
-        self._demand.choose_window(now_s, self._load_times.duration_s(self._planned_loads))
-        scenario_count = self._demand.count_scenarios(now_s)
+        scenario_count = sum(len(held) for held in slices)
         if layout is None or scenario_count < min(MIN_SCENARIOS, len(ranks)):
             return None
         # Imported late to save memory, as only the leader needs it.
         from bronzerudder.expert_maps import planner
 
-        scenarios = self._demand.loads(now_s)
+        scenarios = planner.slice_loads(slices, self._shape.sets)
         slowdowns = planner.relative_slowdowns([state.pace for state in ranks])
         self._skew = planner.layout_skew(layout, scenarios, slowdowns)
         if (1.0 - 1.0 / self._skew) * step_s < MIN_GAIN_S:
@@ -311,7 +311,6 @@
             skew_after=round(planned.skew_after, 3),
             step_s=round(step_s, 4),
             scenarios=scenario_count,
-            window_s=self._demand.window_s,
             loads=planned.loads,
             expected_s=round(self._load_times.duration_s(planned.loads), 3),
             slowest_pace=max(state.pace for state in ranks),
--- a/src/bronzerudder/expert_maps/planner.py
+++ b/src/bronzerudder/expert_maps/planner.py
@@ -17,6 +17,7 @@
     choose_sets,
     count_loads,
 )
+from bronzerudder.expert_maps.scenarios import LEVEL_BITS, MAX_LEVEL, Scenario
 from bronzerudder.expert_maps.search import StepLoads, improve_set, measure
 from bronzerudder.expert_maps.shape import MapBounds
 
@@ -43,6 +44,24 @@
     loads: int
 
 
+def slice_loads(slices: list[list[Scenario]], sets: int) -> np.ndarray:
+    """Return the load of each expert in shape ``(sets, slices, experts)``."""
+    rows = [np.sum([_unpack(scenario) for scenario in held], axis=0) for held in slices]
+    table = np.stack(rows)
+    size = table.shape[1] // sets * sets
+    return table[:, :size].reshape(len(rows), sets, -1).transpose(1, 0, 2)
+
+
+def _unpack(scenario: Scenario) -> np.ndarray:
+    """Return the number of choices of each expert, as approximated by its level."""
+    packed = np.frombuffer(scenario.levels, dtype=np.uint8)
+    levels = np.empty(2 * len(packed))
+    levels[::2] = packed >> LEVEL_BITS
+    levels[1::2] = packed & MAX_LEVEL
+    squared = levels * levels
+    return squared * (scenario.weight / squared.sum())
+
+
 def relative_slowdowns(slowdowns: list[float]) -> np.ndarray:
     """Return the time that each rank takes per unit of load, relative to the fastest rank."""
     table = np.asarray(slowdowns, dtype=np.float64)
--- a/src/bronzerudder/expert_maps/scenarios.py
+++ b/src/bronzerudder/expert_maps/scenarios.py
@@ -2,12 +2,20 @@
 
 from __future__ import annotations
 
+import collections
 import math
+from typing import NamedTuple
 
 import msgspec
 
 from bronzerudder.expert_maps.api import RankCounts
 
+WINDOW_S = 1.2
+"""Demand shifts within seconds; choices from before the last shift mislead the planner."""
+SLICE_S = 0.2
+"""A few steps; the choices of all ranks in one slice approximate the load of a step."""
+MIN_SLICE_FRACTION = 0.25
+"""Slices with less than this fraction of the largest slice's choices are too noisy to plan by."""
 MAX_LEVEL = 15
 """Highest level of an expert. Two levels fit in a byte, as the links of ranks are narrow."""
 LEVEL_BITS = 4
@@ -57,3 +65,42 @@
         levels.append(0)
     pairs = zip(levels[::2], levels[1::2], strict=True)
     return bytes(first << LEVEL_BITS | second for first, second in pairs)
+
+
+class _TimedScenario(NamedTuple):
+    at_s: float
+    scenario: Scenario
+
+
+class ScenarioWindow:
+    """Scenarios of all ranks of a group.
+
+    Parameters
+    ----------
+    size : int
+        Number of experts in all sets; scenarios of another size are ignored.
+    """
+
+    def __init__(self, size: int) -> None:
+        self._packed_size = (size + 1) // 2
+        self._scenarios: collections.deque[_TimedScenario] = collections.deque()
+
+    def add(self, scenario: Scenario, now_s: float) -> None:
+        """Add a scenario; `now_s` is a monotonic time in seconds."""
+        if len(scenario.levels) == self._packed_size:
+            self._scenarios.append(_TimedScenario(now_s, scenario))
+
+    def slices(self, now_s: float) -> list[list[Scenario]]:
+        """Return the scenarios of the window, grouped by the slice in which they arrived.
+
+        The load of a step is the sum over all ranks, so it is approximated by a slice rather than
+        by the scenario of one rank.
+        """
+        while self._scenarios and self._scenarios[0].at_s < now_s - WINDOW_S:
+            self._scenarios.popleft()
+        by_slice: dict[int, list[Scenario]] = {}
+        for held in self._scenarios:
+            by_slice.setdefault(int((now_s - held.at_s) / SLICE_S), []).append(held.scenario)
+        weights = {number: sum(item.weight for item in held) for number, held in by_slice.items()}
+        min_weight = MIN_SLICE_FRACTION * max(weights.values(), default=0)
+        return [by_slice[number] for number in sorted(by_slice) if weights[number] >= min_weight]
--- a/tests/expert_maps/test_scenarios.py
+++ b/tests/expert_maps/test_scenarios.py
@@ -5,7 +5,13 @@
 import unittest
 
 from bronzerudder.expert_maps.api import RankCounts
-from bronzerudder.expert_maps.scenarios import ScenarioSampler, pack_levels
+from bronzerudder.expert_maps.scenarios import (
+    WINDOW_S,
+    Scenario,
+    ScenarioSampler,
+    ScenarioWindow,
+    pack_levels,
+)
 
 
 class ScenarioTakerTest(unittest.TestCase):
@@ -30,5 +36,32 @@
         self.assertIsNone(sampler.sample(RankCounts(1, [5, 5])))
 
 
+class ScenarioWindowTest(unittest.TestCase):
+    def setUp(self):
+        self.window = ScenarioWindow(2)
+
+    def weights(self, now_s):
+        return [[item.weight for item in held] for held in self.window.slices(now_s)]
+
+    def test_scenarios_are_returned_by_slice_the_newest_first(self):
+        for at_s, weight in ((0.05, 3), (0.1, 4), (0.25, 5)):
+            self.window.add(Scenario(weight, b"a"), at_s)
+        self.assertEqual(self.weights(0.3), [[4, 5], [3]])
+
+    def test_old_scenarios_are_dropped(self):
+        self.window.add(Scenario(5, b"a"), 0.0)
+        self.window.add(Scenario(1, b"a"), WINDOW_S + 0.1)
+        self.assertEqual(self.weights(WINDOW_S + 0.1), [[1]])
+
+    def test_slices_with_few_choices_are_left_out(self):
+        self.window.add(Scenario(100, b"a"), 0.0)
+        self.window.add(Scenario(1, b"a"), 0.5)
+        self.assertEqual(self.weights(0.5), [[100]])
+
+    def test_scenarios_of_another_shape_are_passed_over(self):
+        self.window.add(Scenario(5, b"abc"), 0.0)
+        self.assertEqual(self.window.slices(0.0), [])
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/expert_maps/test_search.py
+++ b/tests/expert_maps/test_search.py
@@ -6,7 +6,8 @@
 
 import numpy as np
 
-from bronzerudder.expert_maps.planner import layout_skew, relative_slowdowns
+from bronzerudder.expert_maps.planner import layout_skew, relative_slowdowns, slice_loads
+from bronzerudder.expert_maps.scenarios import Scenario, pack_levels
 from bronzerudder.expert_maps.search import improve_set, measure
 from bronzerudder.expert_maps.shape import MapBounds
 
@@ -62,6 +63,14 @@
         slow = measure(after, scenarios, slowdowns).largest
         self.assertLess(slow, 0.6 * measure(plain, scenarios, slowdowns).largest)
 
+    def test_slices_add_up_and_are_split_by_set(self):
+        one = Scenario(30, pack_levels([0, 1, 4, 25]))
+        other = Scenario(60, pack_levels([0, 0, 0, 9]))
+        table = slice_loads([[one, other], [one]], 2)
+        self.assertEqual(table.shape, (2, 2, 2))
+        self.assertEqual(table[:, 1].round().tolist(), [[0, 1], [4, 25]])
+        self.assertEqual(table[:, 0].round().tolist(), [[0, 1], [4, 85]])
+
     def test_a_large_group_is_evened_out_by_what_it_chose_in_a_second(self):
         skews = []
         for seed in range(8):
