--- a/src/bronzerudder/expert_maps/change_size.py
+++ b/src/bronzerudder/expert_maps/change_size.py
@@ -25,8 +25,8 @@
 LOADING_SLOWDOWN = 0.15
 """Fraction by which steps are longer while experts are loaded."""
 PAYBACK_S = 1.0
-"""Time within which shorter steps must make up for the slower ones during the loads; later demand may
-have shifted again."""
+"""Time within which shorter steps must make up for the slower ones during the loads; demand may
+have shifted again after it."""
 MIN_SAVED_FRACTION = 0.02
 """Smaller gains are within the noise of the loads."""
 RECORD_DECAY = 0.8
