Deny a retry early only if the servers left ask for pauses

Callers: a request whose other servers were all leaving was denied its retry, where it used to wait for the server that takes their place. Cause: the check before the retry budget counted leaving servers like paused ones. Change: only pauses beyond the caller's patience deny it; the rest is decided by the queue as before. The 14 tests of test_server_pauses and 10 of test_leaving_servers pass.

--- a/src/bronzerudder/gateway/forwarding.py
+++ b/src/bronzerudder/gateway/forwarding.py
@@ -469,8 +469,8 @@
                 return "no attempts are left"
         elif self._rejections >= MAX_REJECTIONS:
             return "rejected too often"
-        if not self._pool.queue.can_serve_again(self._make_slot_request()):
-            return "no other backend server takes requests in time"
+        if self._pool.queue.is_paused_too_long(self._make_slot_request()):
+            return "the backend servers left ask for longer pauses"
         if failure.kind not in (FailureKind.NOT_SENT, FailureKind.WITHHELD):
             allowed = self._pool.budget.allow(self.attempts, self._admitted.deadline_at_s, now_s)
             if isinstance(allowed, RetryDenial):
--- a/src/bronzerudder/gateway/slot_queue.py
+++ b/src/bronzerudder/gateway/slot_queue.py
@@ -399,16 +399,15 @@
             pauses_s.append(candidate.paused_until_s - now_s)
         return pauses_s
 
-    def can_serve_again(self, request: SlotRequest) -> bool:
-        """Whether another backend server may take the request before it must be given up."""
+    def is_paused_too_long(self, request: SlotRequest) -> bool:
+        """Whether all backend servers left for a request ask for pauses that it cannot wait for."""
+        pauses_until_s = []
         for candidate in self._all_candidates():
             if candidate.leaving or not candidate.connected:
                 continue
-            if candidate.name in request.routed.excluded:
-                continue
-            if candidate.paused_until_s <= request.refuse_at_s:
-                return True
-        return False
+            if candidate.name not in request.routed.excluded:
+                pauses_until_s.append(candidate.paused_until_s)
+        return bool(pauses_until_s) and min(pauses_until_s) > request.refuse_at_s
 
     def _overload_refusal(self, now_s: float, request: SlotRequest, reason: str) -> Refusal:
         wait_s = max(MIN_RETRY_AFTER_S, self.estimated_wait_s(len(self._waiters)))
