--- a/src/bronzerudder/expert_maps/change_size.py
+++ b/src/bronzerudder/expert_maps/change_size.py
@@ -22,13 +22,6 @@
 EXPECTED_LOADS = 10
 EXPECTATION_WEIGHT = 0.01
 """Weight of the expectation, in measured changes. It decides while all changes were of one size."""
-LOADING_SLOWDOWN = 0.15
-"""Fraction by which steps are longer while experts are loaded."""
-PAYBACK_S = 1.0
-"""Time within which shorter steps must make up for the slower ones during the loads; demand may
-have shifted again after it."""
-MIN_SAVED_FRACTION = 0.02
-"""Smaller gains are within the noise of the loads."""
 RECORD_DECAY = 0.8
 """Factor by which a measured change counts less after each later one."""
 
@@ -63,11 +56,6 @@
         """Return the time of a change whose busiest rank loads this number of experts."""
         return self._overhead_s + loads * self._load_s
 
-    def pays_back(self, loads: int, saved_fraction: float) -> bool:
-        """Whether a change that shortens steps by a fraction is worth its loads."""
-        cost_s = LOADING_SLOWDOWN * loads * self._load_s
-        return saved_fraction >= max(MIN_SAVED_FRACTION, cost_s / PAYBACK_S)
-
     def record(self, loads: int, took_s: float) -> None:
         """Record a change whose busiest rank loaded this number of experts."""
         decayed = [(weight * RECORD_DECAY, *rest) for weight, *rest in self._measured]
--- a/src/bronzerudder/expert_maps/leader.py
+++ b/src/bronzerudder/expert_maps/leader.py
@@ -39,8 +39,8 @@
 """Agents report more than twice a second; a rank with two reports missing may be stalled, and a
 change would wait for it."""
 MIN_GAIN_S = 0.012
-"""Time that an even map must save in each step for a change to be planned; streamed events that are
-on time gain nothing from faster steps."""
+"""Time that a change must save in each step. Loading experts is expensive and slows steps by 15 %
+for some tenths of a second; streamed events that are on time gain nothing from faster steps."""
 INITIAL_MAP_VERSION = 0
 """Version that a group starts with. It places experts round-robin, so the first change always pays
 and is planned even if steps are within their target."""
@@ -292,7 +292,7 @@
         planned = await planner.plan_layout(
             layout, scenarios, slowdowns, self._shape.bounds, self._load_times
         )
-        if not self._load_times.pays_back(planned.loads, 1.0 - planned.skew_after / planned.skew):
+        if (1.0 - planned.skew_after / planned.skew) * step_s < MIN_GAIN_S:
             self._replan_at_s = now_s + REPLAN_DELAY_S
             self._rejected_skew = planned.skew
             self._log_event(
