Keep no state of a group for a backend server that is gone

A request that ended on a backend server after it was dropped from the list made a group of its own for it, which was never removed: a gateway before servers that are replaced would grow without bound. Shown by test_a_server_that_is_gone_leaves_nothing_behind, which failed with 100 of them left.

--- a/src/bronzerudder/gateway/rank_groups.py
+++ b/src/bronzerudder/gateway/rank_groups.py
@@ -79,6 +79,9 @@
         if self.is_rank(instance_id) or not self._in_lockstep:
             # Backend servers that are no ranks share how long their streams usually take.
             return self._groups.setdefault(self.name_of(instance_id), RankGroup())
+        if instance_id not in self._listed_at_s:
+            # Requests may still run on a server that is not listed any more.
+            return RankGroup()
         return self._single.setdefault(instance_id, RankGroup())
 
     def admits(self, instance_id: str, now_s: float) -> bool:
--- a/tests/gateway/test_rank_groups.py
+++ b/tests/gateway/test_rank_groups.py
@@ -53,8 +53,20 @@
         self.assertIs(self.groups.group_of("i-0"), self.groups.group_of("i-1"))
         self.assertTrue(self.groups.is_rank("i-0"))
 
+    def test_a_server_that_is_gone_leaves_nothing_behind(self):
+        self.add(("i-0", "g"), ("i-1", "h"))
+        for number in range(100):
+            self.groups.add(f"gone-{number}")
+            self.groups.drop(f"gone-{number}")
+            self.groups.group_of(f"gone-{number}").gate.record_progress()
+        self.groups.drop("i-1")
+        self.assertEqual((len(self.groups._groups), len(self.groups._single)), (0, 0))
+        self.groups.group_of("i-0")
+        self.assertEqual(len(self.groups._groups), 1)
+
     def test_a_server_in_no_group_stands_alone(self):
         self.add(("i-0", "g"))
+        self.groups.add("i-2")
         self.assertFalse(self.groups.is_rank("i-2"))
         self.groups.group_of("i-2").gate.record_rejection(time.monotonic())
         self.assertTrue(self.groups.admits("i-0", time.monotonic()))
