--- a/bench/worth_by_second.py
+++ b/bench/worth_by_second.py
@@ -10,7 +10,7 @@
 from typing import NamedTuple
 
 TABLE_HEAD = "from second"
-COLUMNS = 9
+COLUMNS = 10
 
 
 class Row(NamedTuple):
@@ -35,7 +35,7 @@
             continue
         if len(words) != COLUMNS:
             break
-        rows.append(Row(int(words[0]), int(words[1]), int(words[2]), float(words[6])))
+        rows.append(Row(int(words[0]), int(words[1]), int(words[2]), float(words[7])))
     return rows
 
 
