--- a/src/bronzerudder/expert_maps/change_size.py
+++ b/src/bronzerudder/expert_maps/change_size.py
@@ -19,11 +19,15 @@
 EXPECTED_OVERHEAD_S = 0.5
 """Time of the orders of a change, expected before any was measured."""
 MIN_OVERHEAD_S = 0.05
+"""No exchange of orders with all ranks is faster, whatever the fitted line says."""
 EXPECTED_LOADS = 10
+"""Size of the expected change, in experts of the busiest rank."""
 EXPECTATION_WEIGHT = 0.01
 """Weight of the expectation, in measured changes. It decides while all changes were of one size."""
 RECORD_DECAY = 0.8
 """Factor by which a measured change counts less after each later one."""
+MAX_MEASURED = 50
+"""Measured changes that are kept; older ones have no weight left."""
 
 
 class LoadTimes:
@@ -59,7 +63,7 @@
     def record(self, loads: int, took_s: float) -> None:
         """Record a change whose busiest rank loaded this number of experts."""
         decayed = [(weight * RECORD_DECAY, *rest) for weight, *rest in self._measured]
-        self._measured = [*decayed, (1.0, float(loads), took_s)][-50:]
+        self._measured = [*decayed, (1.0, float(loads), took_s)][-MAX_MEASURED:]
         points = np.array([*self._expected, *self._measured])
         weights, numbers, times_s = points.T
         mean_number = np.average(numbers, weights=weights)
--- a/src/bronzerudder/policy/concurrency/pause_bound.py
+++ b/src/bronzerudder/policy/concurrency/pause_bound.py
@@ -10,6 +10,8 @@
 from __future__ import annotations
 
 INTERVAL_S = 0.5
+"""Between adaptations, in seconds: a few steps, and less than an answer takes, so that a group that
+slows down is noticed while most of its requests can still be on time."""
 STALE_S = 2.0
 """Pauses from before so long a silence say nothing about the load now."""
 MIN_PAUSES = 8
@@ -18,8 +20,11 @@
 SHORT_PAUSE_RATIO = 0.8
 """Pauses relative to the longest one that is on time, above and below which the bound changes."""
 QUANTILE = 0.9
+"""Pauses of single streams, as behind a long prompt, do not decide."""
 DECREASE_FACTOR = 0.88
+"""Small, as its effect comes late: requests that run already are not taken back."""
 INCREASE = 0.05
+"""Share added in an interval; smaller than the decrease, as late streams cost more."""
 MIN_SHARE = 0.4
 """A group that is slow for another reason than its load must still serve."""
 
