--- a/src/bronzerudder/expert_maps/change_size.py
+++ b/src/bronzerudder/expert_maps/change_size.py
@@ -19,7 +19,7 @@
 EXPECTED_OVERHEAD_S = 0.5
 """Time of the orders of a change, expected before any was measured."""
 MIN_OVERHEAD_S = 0.05
-"""No exchange of orders with all ranks is faster, whatever the fitted line says."""
+"""Lower bound, in case few measured changes fit a line with a negative overhead."""
 EXPECTED_LOADS = 10
 """Size of the expected change, in experts of the busiest rank."""
 EXPECTATION_WEIGHT = 0.01
--- a/src/bronzerudder/platform/requests.py
+++ b/src/bronzerudder/platform/requests.py
@@ -21,8 +21,8 @@
 _DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
 """A decimal number below 10^9, which no rate per second and no pause in seconds reaches."""
 MAX_PAUSE_S = 60.0
-"""A server that wants longer pauses is asked again after this time. By then it has usually started
-again or left, and a wrong value must not keep it idle for good."""
+"""A server that wants a longer pause is asked again after this time, in seconds, so that a wrong
+value does not keep it idle for good."""
 
 
 class RequestHead(NamedTuple):
--- a/src/bronzerudder/policy/concurrency/pause_bound.py
+++ b/src/bronzerudder/policy/concurrency/pause_bound.py
@@ -24,7 +24,7 @@
 DECREASE_FACTOR = 0.88
 """Small, as its effect comes late: requests that run already are not taken back."""
 INCREASE = 0.05
-"""Share added in an interval; smaller than the decrease, as late streams cost more."""
+"""Share added in an interval; smaller than the decrease, so that the bound rises with care."""
 MIN_SHARE = 0.4
 """A group that is slow for another reason than its load must still serve."""
 
