--- a/bench/worth_by_second.py
+++ b/bench/worth_by_second.py
@@ -1,6 +1,7 @@
 """Draws the worth by second of plays of one day, from what ``fleetbench run`` has printed.
 
-Usage: ``python -m bench.worth_by_second FIGURE TITLE LABEL=FILE...``. FILE holds the output of a play.
+Usage: ``python -m bench.worth_by_second FIGURE TITLE LABEL=FILE...``; FILE holds the output of a
+play.
 """
 
 from __future__ import annotations
