--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -10,7 +10,7 @@
 from standins.http import Connection, Request, Server
 from standins.store import HEARTBEAT_S, SERVERS, Store
 
-TOKENS_PER_EVENT = 5
+READ_TOKENS_PER_S = 61_200.0
 
 
 class Run(NamedTuple):
@@ -42,8 +42,10 @@
     events, event_gap_s : int, float
         Events of a stream, and the time between them.
     kv_total : int
-        Tokens that fit in its memory. Beyond them the newest stream is preempted, and goes on once
-        there is room.
+        Tokens that fit in its memory. Beyond them the newest stream is preempted. Once there is
+        room, it is read again and goes on.
+    tokens_per_event : int
+        Tokens that an event holds.
     """
 
     def __init__(
@@ -55,6 +57,7 @@
         events: int = 28,
         event_gap_s: float = 0.04,
         kv_total: int = 186_000,
+        tokens_per_event: int = 5,
     ) -> None:
         self.instance_id = instance_id
         self.arrivals: list[Run] = []
@@ -68,6 +71,7 @@
         self._events = events
         self._event_gap_s = event_gap_s
         self._kv_total = kv_total
+        self._tokens_per_event = tokens_per_event
         self._running = 0
         self._streams: list[_Stream] = []
         self._born_ms = int(time.time() * 1000)
@@ -139,10 +143,10 @@
         self._streams.append(stream)
         try:
             await connection.start(200, {**headers, "Content-Type": "text/event-stream"})
-            await asyncio.sleep(0.05)
+            await asyncio.sleep(stream.tokens / READ_TOKENS_PER_S)
             for number in range(first, self._events + 1):
                 await asyncio.sleep(self._event_gap_s)
-                stream.tokens += TOKENS_PER_EVENT
+                stream.tokens += self._tokens_per_event
                 await self._wait_for_memory(stream)
                 await connection.chunk(b"id: %d\ndata: %d\n\n" % (number, number))
             await connection.finish()
@@ -161,6 +165,7 @@
                 used = sum(item.tokens for item in self._streams if item.preempted_at_s is None)
                 if used + stream.tokens <= self._kv_total:
                     break
+            await asyncio.sleep(stream.tokens / READ_TOKENS_PER_S)
         finally:
             ended_s = time.monotonic()
             self.preemptions.append((stream.request_id, stream.preempted_at_s, ended_s))
