--- a/review/1/play.py
+++ b/review/1/play.py
@@ -80,6 +80,23 @@
     return None
 
 
+async def wait_listening(addresses: list[str]) -> bool:
+    """Wait until all agents listen."""
+    until_s = time.monotonic() + START_S
+    for address in addresses:
+        host, _, port = address.rpartition(":")
+        while True:
+            try:
+                _, writer = await asyncio.open_connection(host, int(port))
+                writer.close()
+                break
+            except OSError:
+                if time.monotonic() > until_s:
+                    return False
+                await asyncio.sleep(0.02)
+    return True
+
+
 async def play(case: Case) -> int:
     seed = int(os.environ.get("SEED", "0")) or random.randrange(1, 1_000_000)
     case.write(f"seed {seed}")
@@ -119,6 +136,8 @@
     record = await wait_for_leader(store)
     if record is None:
         return CANNOT_RUN
+    if not await wait_listening([f"{host}:{agent_port}" for host in hosts]):
+        return CANNOT_RUN
     claimed_s = time.monotonic()
     leader = hosts.index(str(record["address"]).rpartition(":")[0])
     case.write(f"agent-{leader} leads: {record}")
@@ -160,7 +179,8 @@
     case.write(f"passes that began with different maps: {len(group.mixed)}")
     if group.mixed:
         return BROKEN
-    return HELD if group.switches else CANNOT_RUN
+    # With trouble, the same agent may claim the group again; then no further map is planned.
+    return HELD if group.switches or case.trouble else CANNOT_RUN
 
 
 main(FOLDER, play)
