--- a/review/1/play.py
+++ b/review/1/play.py
@@ -22,7 +22,10 @@
 LEADER_KIND = "bronzerudder-leaders"
 SHAPE = Shape(ranks=8, sets=6, experts=64, placements=11, spare=4, step_s=0.08)
 FREEZE_S = 4.0
-DRILL_AFTER_S = 2.5
+"""At most; it ends 2.4 s after the leader's first orders, which come 1.1 s after its claim."""
+DRILL_AFTER_S = 1.4
+WAKE_AFTER_S = 2.4
+"""Both are counted from the leader's first order to a rank."""
 COPY_AGE_S = 4.0
 AWAY_S = 0.5
 PLAY_S = 30.0
@@ -143,8 +146,12 @@
     case.write(f"agent-{leader} leads: {record}")
     if case.trouble:
         frozen = (leader + 1) % SHAPE.ranks
-        case.write(f"the machine of agent-{frozen} freezes for {FREEZE_S} s")
+        case.write(f"the machine of agent-{frozen} freezes")
         agents[frozen].send_signal(signal.SIGSTOP)
+        frozen_s = time.monotonic()
+        while not group.order_log and time.monotonic() < frozen_s + FREEZE_S - WAKE_AFTER_S:
+            await asyncio.sleep(0.01)
+        ordered_s = time.monotonic()
         await asyncio.sleep(DRILL_AFTER_S)
         taken = max(
             (item for item in copies if item.at_s <= time.monotonic() - COPY_AGE_S),
@@ -157,9 +164,9 @@
         case.write("the store is back; the operator and the workers write again")
         store.put("config", "main", configuration())
         group.register(store, SERVICE)
-        await asyncio.sleep(FREEZE_S - DRILL_AFTER_S - AWAY_S)
+        await asyncio.sleep(max(0.0, ordered_s + WAKE_AFTER_S - time.monotonic()))
         agents[frozen].send_signal(signal.SIGCONT)
-        case.write(f"agent-{frozen} runs again")
+        case.write(f"agent-{frozen} runs again after {time.monotonic() - frozen_s:.1f} s")
         again = await wait_for_leader(store)
         case.write(f"the record of the leader is written again: {again}")
     while time.monotonic() < claimed_s + PLAY_S and not group.mixed:
