--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -103,6 +103,12 @@
             await asyncio.sleep(HEARTBEAT_S)
             self.register()
 
+    def leave(self) -> None:
+        """Leave without reporting that it drains: its entry is removed, and it serves on."""
+        self.leaving = True
+        self._listed = False
+        self._store.remove(SERVERS, self.instance_id)
+
     async def _handle(self, request: Request, connection: Connection) -> None:
         request_id = request.headers.get("attempt-id", "")
         headers = {
