--- a/review/1/play.py
+++ b/review/1/play.py
@@ -28,7 +28,9 @@
 """Both are counted from the leader's first order to a rank."""
 COPY_AGE_S = 4.0
 AWAY_S = 0.5
-PLAY_S = 30.0
+PLAY_S = 20.0
+ROUNDS = 3
+"""The same agent may claim the group again; then no further map is planned in that round."""
 START_S = 20.0
 
 
@@ -101,6 +103,17 @@
 
 
 async def play(case: Case) -> int:
+    verdict = CANNOT_RUN
+    for number in range(ROUNDS):
+        case.write(f"round {number + 1}")
+        verdict = await play_round(case, number + 1)
+        if verdict != HELD:
+            break
+    return verdict
+
+
+async def play_round(case: Case, round_number: int) -> int:
+    """Start a group, let trouble befall it, and watch its passes."""
     seed = int(os.environ.get("SEED", "0")) or random.randrange(1, 1_000_000)
     case.write(f"seed {seed}")
     network = random.randrange(2, 250)
@@ -125,9 +138,10 @@
 
     tasks.append(asyncio.ensure_future(take_copies()))
     agents = []
+    names = [f"agent-{number}-{round_number}" for number in range(SHAPE.ranks)]
     for number, host in enumerate(hosts):
         settings = {
-            "agent_id": f"agent-{number}",
+            "agent_id": names[number],
             "failure_domain": "zone-a",
             "rank_address": group.ranks[number].server.address,
             "service": SERVICE,
@@ -135,7 +149,7 @@
             "metrics_address": f"{host}:{metrics_port}",
             "store_address": store.server.address,
         }
-        agents.append(case.start("rank-agent", f"agent-{number}", settings))
+        agents.append(case.start("rank-agent", names[number], settings))
     record = await wait_for_leader(store)
     if record is None:
         return CANNOT_RUN
@@ -169,24 +183,30 @@
         case.write(f"agent-{frozen} runs again after {time.monotonic() - frozen_s:.1f} s")
         again = await wait_for_leader(store)
         case.write(f"the record of the leader is written again: {again}")
+        if again == record:
+            case.write("the same agent has claimed the group again")
     while time.monotonic() < claimed_s + PLAY_S and not group.mixed:
         await asyncio.sleep(0.1)
     await asyncio.sleep(1.0)
     for at_s, _, text in group.order_log:
         case.write(f"at {at_s - case.started_s:.3f} {text}")
-    for number in range(SHAPE.ranks):
-        for line in case.log_lines(f"agent-{number}", "leading", "map change", "Traceback"):
-            case.write(f"log of agent-{number}: {line[:260]}")
+    for name in names:
+        for line in case.log_lines(name, "leading", "map change", "Traceback"):
+            case.write(f"log of {name}: {line[:260]}")
+    for agent in agents:
+        agent.kill()
     for task in tasks:
         task.cancel()
+    store.server.stop()
+    for rank in group.ranks:
+        rank.server.stop()
     case.write(f"passes: {group.step}, switches: {sorted(set(group.switches))}")
     for item in group.mixed[:3]:
-        names = [f"{held.version}#{hash(held.content) & 0xFFFFFF:06x}" for held in item.maps]
-        case.write(f"pass {item.step} began with the maps {names}")
+        maps = [f"{held.version}#{hash(held.content) & 0xFFFFFF:06x}" for held in item.maps]
+        case.write(f"pass {item.step} began with the maps {maps}")
     case.write(f"passes that began with different maps: {len(group.mixed)}")
     if group.mixed:
         return BROKEN
-    # With trouble, the same agent may claim the group again; then no further map is planned.
     return HELD if group.switches or case.trouble else CANNOT_RUN
 
 
