Give each leader of a group a term that no other claim has

Cause: LeaderRecord.claim took the next term from the record alone. The copy had lost a claim, so the next leader counted on from an older term and had the same term as the lost one. Map versions begin with the term, and MapChanger relies on each version having one content: a rank that refused the second map reported the version as prepared, and the leader armed it.

Ruled out: a rank that takes a version twice (it answers 409), orders carried out late (none in the record of the case), two contents from one leader (its versions are counted in the process).

Change: a term exceeds all terms that the claimant has seen, on the record and in its ranks' versions, by a random number up to 2^24. A leader that finds a higher version at a rank, or whose map is refused without another reason, stops, and its agent claims the group with a higher term.

Why this works: the protocol needs that no two leaders give a version to two maps and that all versions of one leader are higher than those of the other. Both now hold without the store. Ranks enforce the order, so neither a lost record nor a leader that is suspended matters for safety.

--- a/src/bronzerudder/expert_maps/agent.py
+++ b/src/bronzerudder/expert_maps/agent.py
@@ -125,6 +125,7 @@
         self._sampler = ScenarioSampler()
         self._reported: RankState | None = None
         self._experts_reported_for: tuple[str, int, int] | None = None
+        self._newest_version = 0
 
     @property
     def group_leader(self) -> GroupLeader | None:
@@ -187,6 +188,7 @@
                 continue
             self._report_load(state)
             self._join_group(state.group)
+            self._newest_version = max(self._newest_version, state.newest_version)
             now_s = time.monotonic()
             due = now_s - self._reported_at_s >= REPORT_INTERVAL_S
             if not due and not self._has_changed(state):
@@ -201,6 +203,7 @@
         self._record = LeaderRecord(self._store, group)
         self._leader = None
         self._reported = None
+        self._newest_version = 0
         self._leading_scope.cancel()
 
     def _has_changed(self, state: RankState) -> bool:
@@ -322,7 +325,9 @@
         if isinstance(shape, StoreError):
             self._log.state("shape of the expert maps not read", reason=shape.reason)
             return
-        claimed = await self._record.claim(previous, self._own_address, self._rank_address)
+        claimed = await self._record.claim(
+            previous, self._own_address, self._rank_address, self._newest_version
+        )
         if isinstance(claimed, StoreError):
             self._log.state("claim failed", reason=claimed.reason)
             return
@@ -352,6 +357,7 @@
             # The agent keeps running; this or another agent claims the group again.
             logging.exception("leading the group failed")
         finally:
+            self._newest_version = max(self._newest_version, group_leader.newest_version)
             if self._group_leader is group_leader:
                 self._group_leader = None
                 self._leader = None
--- a/src/bronzerudder/expert_maps/api.py
+++ b/src/bronzerudder/expert_maps/api.py
@@ -68,6 +68,12 @@
     requests: int
     pace: float = 1.0
 
+    @property
+    def newest_version(self) -> int:
+        """Highest version that it shows; a map that is still being loaded does not appear."""
+        armed_version = 0 if self.armed is None else self.armed.version
+        return max(self.map_version, self.prepared_version or 0, armed_version)
+
 
 class RankCounts(msgspec.Struct, frozen=True):
     """How often a rank's requests chose each expert since its start, by set and expert."""
--- a/src/bronzerudder/expert_maps/change.py
+++ b/src/bronzerudder/expert_maps/change.py
@@ -22,8 +22,13 @@
 are armed alike, it completes the change (case 1). Otherwise it aborts it (case 2): it prepares a
 higher version on the ranks that are not armed, so that the failed leader can't complete the change
 any more, and only then disarms the others and prepares it there too. Versions begin with the
-leader's term and are unique, so an order of an earlier leader can't be mistaken for one of the
-current leader.
+leader's term, which belongs to one claim only (see `leadership`), so an order of another leader
+can't be mistaken for one of the current leader.
+
+Two leaders at a time, as after a loss of claims by the store: all versions of one are higher than
+those of the other. A rank that has accepted a preparation of the higher leader refuses all of the
+lower one, so the lower one can neither complete a change nor settle one. It finds itself outdated
+and stops.
 
 Failure of the leader's whole instance: it makes the rank next to it unreachable too. That rank is
 therefore armed last, once all others have accepted. As long as any other rank can be kept from
@@ -158,6 +163,12 @@
         self._prepared_by = prepared_by
         self._log_event = log_event
         self._unanswered = 0
+        self._was_outdated = False
+
+    @property
+    def was_outdated(self) -> bool:
+        """Whether a rank refused a map because it has had a higher version."""
+        return self._was_outdated
 
     async def change(self, ranks: Sequence[RankState], plan: ChangePlan) -> ChangeResult:
         """Switch all ranks to another map, or abort the change."""
@@ -287,7 +298,13 @@
             # An unanswered order may have been executed, and its retry refused as a duplicate.
             await anyio.sleep(REPORT_LAG_S)
             state = await self._orders.state(rank.address)
-            return isinstance(state, RankState) and state.prepared_version == version
+            if isinstance(state, RankFailure):
+                return False
+            if state.prepared_version == version:
+                return True
+            if result is OrderResult.REFUSED and state.epoch == rank.epoch and state.armed is None:
+                self._was_outdated = True
+            return False
 
         return await _all_succeed(prepare, missing)
 
--- a/src/bronzerudder/expert_maps/leader.py
+++ b/src/bronzerudder/expert_maps/leader.py
@@ -60,10 +60,11 @@
 """A rank is polled directly only after two reports are missing, as a direct query has a cost."""
 POLL_INTERVAL_S = 0.5
 LIST_INTERVAL_S = 5.0
+SPARE_VERSIONS = 16
+"""A leader claims the group again before fewer versions are left in its term."""
 OTHER_GROUP_LIFETIME_S = 30.0
 """Time for which a rank that belongs to another group is not polled; it may join this group later,
 as after a replacement at its address."""
-VERSIONS_PER_TERM = 100_000
 MAX_FAILURE_PAUSE_S = 4.0
 LOAD_TIMEOUT_FACTOR = 3.0
 """Loads may take this multiple of their estimated time, as other traffic shares the links."""
@@ -136,7 +137,8 @@
 
         self._load_times = LoadTimes(shape.load_s)
         self._planned_loads = 0
-        self._versions = 0
+        self._unused_versions = iter(leader.versions)
+        self._newest_version = leader.versions.start
         self._held_since_s: float | None = None
         self._next_change_at_s = 0.0
         self._failures = 0
@@ -153,6 +155,11 @@
         """Term of this leader."""
         return self._leader.term
 
+    @property
+    def newest_version(self) -> int:
+        """Highest version of a map that it has used itself or seen at a rank."""
+        return self._newest_version
+
     @property
     def current_skew(self) -> float:
         """Largest over mean load of the ranks when last measured."""
@@ -167,6 +174,7 @@
             self._in_other_group_at_s[state.address] = now_s
             return
         self._received[state.address] = _ReceivedState(state, now_s)
+        self._newest_version = max(self._newest_version, state.newest_version)
         if report.places is not None:
             self._rank_experts[state.address] = report.places
         if report.scenario is not None:
@@ -175,7 +183,7 @@
             self._update_step_rate(state.step, now_s)
 
     async def run(self) -> None:
-        """Lead the group until another agent has claimed it."""
+        """Lead the group until another agent has claimed it, or a higher term is needed."""
         self._log_event("leading", term=self._leader.term)
         # Agents that still report to the previous leader need a moment to find this one, so no rank
         # is polled before `POLL_AFTER_S`.
@@ -184,6 +192,8 @@
         while True:
             await anyio.sleep(CHECK_INTERVAL_S)
             await self._poll_missing()
+            if self._needs_higher_term():
+                return
             ranks = self._complete_group()
             if ranks is None:
                 await self._settle_without_previous_leader()
@@ -395,7 +405,7 @@
     async def _still_leads(self) -> bool:
         """Whether no other agent has claimed the group; assumed if the store is unreachable.
 
-        Safety does not depend on it: ranks refuse orders of an earlier leader by their version.
+        Safety does not depend on it: of two leaders, ranks obey the one with the higher term.
         """
         recorded = await self._record.read()
         if isinstance(recorded, StoreError):
@@ -425,9 +435,7 @@
         used = self._experts_of_missing_rank(layout)
         for held, experts in zip(layout, used, strict=True):
             held.insert(missing, experts)
-        term = self._previous.term
-        versions = range(term * VERSIONS_PER_TERM, (term + 1) * VERSIONS_PER_TERM)
-        failed_leader = FailedLeader(versions, self._previous.settled)
+        failed_leader = FailedLeader(self._previous.versions, self._previous.settled)
         settled = await self._changer.settle(ranks, self._next_version(), layout, failed_leader)
         self._held_since_s = None
         self._log_event(
@@ -444,8 +452,24 @@
         return missing
 
     def _next_version(self) -> int:
-        self._versions += 1
-        return self._leader.term * VERSIONS_PER_TERM + self._versions
+        version = next(self._unused_versions)
+        self._newest_version = max(self._newest_version, version)
+        return version
+
+    def _needs_higher_term(self) -> bool:
+        """Whether ranks refuse the versions of this leader, or too few are left."""
+        limit = self._leader.versions.stop
+        is_refused = self._changer.was_outdated
+        if self._newest_version < limit - SPARE_VERSIONS and not is_refused:
+            return False
+        self._log_event(
+            "higher term needed",
+            term=self._leader.term,
+            newest_version=self._newest_version,
+            version_limit=limit,
+            refused=is_refused,
+        )
+        return True
 
     def _prepared_by(self, version: int) -> set[str]:
         return {
--- a/src/bronzerudder/expert_maps/leadership.py
+++ b/src/bronzerudder/expert_maps/leadership.py
@@ -1,9 +1,18 @@
 """Leader election by a conditional write on the platform's store.
 
-A claim writes the next term over the record that the agent has read. If another agent has claimed
-the group in between, the write fails, so no two leaders have the same term. A leader that was
-replaced may still send orders for a moment; that is harmless, as ranks refuse them by their version
-(see `change`).
+A claim writes a new term over the record that the agent has read. If another agent has claimed the
+group in between, the write fails, so there is one leader on record.
+
+The versions of a leader's maps begin with its term. The protocol in `change` relies on two
+properties of them: no two leaders give a version to different maps, and of two leaders, all
+versions of one are higher. The record alone can't ensure that, as a store that was restored from an
+older copy has lost claims: the next leader would count on from an older term, while orders of the
+lost one may still be on their way. A term therefore exceeds all terms that the claimant has seen,
+on the record and in the versions of its ranks, by a random number, and belongs to one claim only.
+
+A leader that was replaced may still send orders for a moment, and after a loss of claims it may
+have the higher term. Either is harmless: a rank that has accepted a map of one leader refuses the
+maps of all leaders with lower terms (see `change`).
 
 The record also says whether the leader has settled all changes of earlier leaders. Its successor
 relies on this if the rank next to the failed leader is unreachable.
@@ -11,6 +20,7 @@
 
 from __future__ import annotations
 
+import random
 from typing import NamedTuple
 
 import msgspec
@@ -19,6 +29,13 @@
 from bronzerudder.platform.errors import StoreError, StoreErrorKind
 
 LEADER_KIND = "bronzerudder-leaders"
+VERSIONS_PER_TERM = 4096
+"""A change takes two; a leader that has used up its versions claims the group again."""
+MAX_VERSION = 2**53 - 1
+"""Largest integer that every JSON decoder reads exactly."""
+MAX_TERM = MAX_VERSION // VERSIONS_PER_TERM - 1
+MAX_TERM_INCREMENT = 2**24
+"""Probability of one term for two claims is its inverse; leaves some 250,000 claims per group."""
 
 
 class _Document(msgspec.Struct):
@@ -36,7 +53,7 @@
     address : str
         ``host:port`` that receives reports; empty if there is no leader.
     term : int
-        Rises with every claim; no two leaders have the same.
+        Belongs to this claim only, also if the store has lost claims.
     version : int
         Version of the record on the store.
     rank_address : str
@@ -51,6 +68,11 @@
     rank_address: str = ""
     settled: bool = False
 
+    @property
+    def versions(self) -> range:
+        """Versions that it may give to maps."""
+        return range(self.term * VERSIONS_PER_TERM, (self.term + 1) * VERSIONS_PER_TERM)
+
 
 NO_LEADER = Leader("", 0, ABSENT_VERSION)
 
@@ -82,13 +104,29 @@
             return NO_LEADER if stored.kind is StoreErrorKind.NOT_FOUND else stored
         return _decode(stored)
 
-    async def claim(self, previous: Leader, address: str, rank_address: str) -> Leader | StoreError:
+    async def claim(
+        self, previous: Leader, address: str, rank_address: str, newest_version: int = 0
+    ) -> Leader | StoreError:
         """Become the leader, provided that the record is still `previous`.
 
         If the store's response is lost, the record is read to find out whether the claim succeeded:
-        the term and the address together identify a claim.
+        the term identifies a claim.
+
+        Parameters
+        ----------
+        previous : Leader
+            The record as it was read.
+        address : str
+            ``host:port`` of the claimant that receives reports.
+        rank_address : str
+            The rank next to it.
+        newest_version : int
+            Highest version of a map that the claimant has seen at a rank or used itself.
         """
-        term = previous.term + 1
+        term = _draw_term(max(previous.term, newest_version // VERSIONS_PER_TERM))
+        if term > MAX_TERM:
+            reason = f"no term left above version {newest_version} and term {previous.term}"
+            return StoreError(StoreErrorKind.INVALID, reason)
         settled = previous == NO_LEADER
         value = msgspec.json.encode(_Document(address, term, rank_address, settled))
         written = await self._store.put(LEADER_KIND, self._group, value, previous.version)
@@ -114,6 +152,11 @@
         return leader._replace(version=written, settled=True)
 
 
+def _draw_term(highest_term: int) -> int:
+    """Draw a term above another one, which no other claim draws."""
+    return highest_term + random.randint(1, MAX_TERM_INCREMENT)
+
+
 def _decode(stored: StoredObject) -> Leader | StoreError:
     try:
         document = msgspec.json.decode(stored.value, type=_Document)
--- a/src/bronzerudder/platform/wire.py
+++ b/src/bronzerudder/platform/wire.py
@@ -40,6 +40,8 @@
 # Address, not id, of the backend server at fault.
 FAULTY_ADDRESS = b"at-server"
 API_KEY = b"x-api-key"
+# In all answers of the store: rises when it was restored from a copy and lost acknowledged writes.
+STORE_ERA = b"store-era"
 
 MAX_PRIORITY = 9
 """Least urgent value of the priority header."""
