State the leader's term in reports of ranks

Cause: the leader found its record gone, stopped, and claimed the group again at the same address. The other agents went on reporting to that address, the new leader accepted the reports, and so no agent noticed the change of leader. Agents send the experts of their rank once for each leader and map, so the new leader never learned the map in use and planned nothing. It is no matter of equal terms: with unique ones the agents still believed in the older term.

Change: a report names the term it is meant for. A leader of another term answers as one that does not lead; the agent then reads the record and sends everything that a new leader needs. Reports without a term, as from agents of an earlier version, are accepted as before.

--- a/src/bronzerudder/expert_maps/agent.py
+++ b/src/bronzerudder/expert_maps/agent.py
@@ -154,8 +154,9 @@
         if report is None:
             await writer.respond(400, [], b"not a rank report\n")
             return
-        if self._group_leader is None:
-            await writer.respond(NOT_LEADER, [], b"not leading\n")
+        if self._group_leader is None or report.term not in (0, self._group_leader.term):
+            # The sender reads the record, and sends all that a new leader needs.
+            await writer.respond(NOT_LEADER, [], b"not leading in this term\n")
             return
         self._group_leader.handle_report(report)
         await writer.respond(ACCEPTED, [], b"")
@@ -231,7 +232,7 @@
         rank_experts = await self._read_experts(state)
         if due:
             self._reported_at_s = time.monotonic()
-        report = RankReport(state, scenario, rank_experts)
+        report = RankReport(state, scenario, rank_experts, self.term)
         delivered = await self._deliver(report)
         self._counts.increment(CounterName.REPORTS, "delivered" if delivered else "failed")
         if delivered:
--- a/src/bronzerudder/expert_maps/messages.py
+++ b/src/bronzerudder/expert_maps/messages.py
@@ -33,11 +33,14 @@
         Experts that its requests chose since the last report with a scenario.
     places : RankExperts or None
         Experts that it holds; sent when the map or the leader has changed.
+    term : int
+        Term of the leader that it is meant for; 0 if not stated.
     """
 
     state: RankState
     scenario: Scenario | None = None
     places: RankExperts | None = None
+    term: int = 0
 
 
 class PackedLayout(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/processes/test_store_drills.py
+++ b/tests/processes/test_store_drills.py
@@ -80,6 +80,24 @@
         await self.wait_for_map_above(0)
         await self.assert_changes_after_shift()
 
+    async def test_the_group_changes_its_map_after_the_same_agent_claimed_it_again(self):
+        await self.wait_for_map_above(0)
+        leader = self.leading_agent()
+        others = [agent for number, agent in enumerate(self.agents) if number != leader]
+        self.fleet.store.restore(self.before_claims)
+        del self.fleet.store.calls[:]
+        for rank in self.fleet.ranks:
+            rank.shift_demand(3)
+        # The leader stops when it reads the record; the others must not learn of it.
+        await self.wait_until(self.record_was_read)
+        for agent in others:
+            agent.pause()
+        await self.wait_until(self.recorded)
+        self.assertEqual(self.leading_agent(), leader)
+        for agent in others:
+            agent.resume()
+        await self.assert_changes_after_shift()
+
 
 if __name__ == "__main__":
     unittest.main()
