Check the leader's record while agents do not report to the leader

What callers saw: the group kept its map for good after a leader was suspended while another agent claimed the group and the store was restored from a copy.

Cause: a leader reads its record only before it changes the map. One that was replaced gets no reports but those of its own rank, which are too few to plan a change, so it never read the record and went on leading. It kept the reports of its rank from its successor, whose changes all ended as not prepared because that rank never showed the map as loaded.

Change: while agents of listed ranks do not report, the leader reads the record at most once a second, and stops if it names another leader. A group whose agents all report makes no further calls to the store.

It now requires a change after the faults at each seed.

The explorer is shown to find the fault it was made for: with terms that only count up from the record, it loads two maps under one version and runs a step on both (seeds 34, 135, 149, 229).

--- a/src/bronzerudder/expert_maps/leader.py
+++ b/src/bronzerudder/expert_maps/leader.py
@@ -60,6 +60,9 @@
 """A rank is polled directly only after two reports are missing, as a direct query has a cost."""
 POLL_INTERVAL_S = 0.5
 LIST_INTERVAL_S = 5.0
+RECORD_CHECK_INTERVAL_S = 1.0
+"""Between checks of the record while agents do not report. They may report to another leader, which
+can't change the map without the reports of the rank next to this one."""
 SPARE_VERSIONS = 16
 """A leader claims the group again before fewer versions are left in its term."""
 OTHER_GROUP_LIFETIME_S = 30.0
@@ -127,6 +130,7 @@
         self._listed_ranks: tuple[str, ...] = ()
         self._polled_at_s = 0.0
         self._listed_at_s = 0.0
+        self._record_checked_at_s = 0.0
         self._changer = MapChanger(ranks, own_address, self._prepared_by, self._log_event)
         self._received: dict[str, _ReceivedState] = {}
         self._in_other_group_at_s: dict[str, float] = {}
@@ -191,9 +195,11 @@
         await self._refresh_rank_list()
         while True:
             await anyio.sleep(CHECK_INTERVAL_S)
-            await self._poll_missing()
+            all_report = await self._poll_missing()
             if self._needs_higher_term():
                 return
+            if not all_report and not await self._recheck_record():
+                return
             ranks = self._complete_group()
             if ranks is None:
                 await self._settle_without_previous_leader()
@@ -210,11 +216,14 @@
                 return
             await self._change(ranks, plan)
 
-    async def _poll_missing(self) -> None:
-        """Poll ranks whose agents do not report: they may be stalled, cut off or not started."""
+    async def _poll_missing(self) -> bool:
+        """Poll ranks whose agents do not report; return False if there are any.
+
+        These agents may be stalled, cut off or not started, or follow another leader.
+        """
         now_s = time.monotonic()
         if now_s - self._polled_at_s < POLL_INTERVAL_S or not self._received:
-            return
+            return True
         self._polled_at_s = now_s
         if not self._listed_ranks or now_s - self._listed_at_s > LIST_INTERVAL_S:
             await self._refresh_rank_list()
@@ -226,6 +235,15 @@
         async with anyio.create_task_group() as tasks:
             for address in missing_addresses:
                 tasks.start_soon(self._poll, address)
+        return not missing_addresses
+
+    async def _recheck_record(self) -> bool:
+        """Whether this process still leads, by a check of the record unless one was just made."""
+        now_s = time.monotonic()
+        if now_s - self._record_checked_at_s < RECORD_CHECK_INTERVAL_S:
+            return True
+        self._record_checked_at_s = now_s
+        return await self._still_leads()
 
     async def _refresh_rank_list(self) -> None:
         self._listed_at_s = time.monotonic()
--- a/tests/expert_maps/test_restored_store.py
+++ b/tests/expert_maps/test_restored_store.py
@@ -1,16 +1,19 @@
 """Explores leadership and changes of the map while the store is restored from older copies.
 
 Each seed draws when the store is restored and how much it loses, which agents are suspended
-meanwhile, and which orders are late. No step may use two maps, and no version may have two
-contents.
+meanwhile, and which orders are late. No step may use two maps, no version may have two contents,
+and after the faults the group must change its map again.
 """
 
 from __future__ import annotations
 
 import unittest
+from unittest import mock
 
 import anyio
 
+from bronzerudder.expert_maps import leadership
+from bronzerudder.expert_maps.leadership import LeaderRecord
 from tests.expert_maps.simulated_agents import AgentGroup, virtual_time
 from tests.expert_maps.simulated_group import run_virtual
 
@@ -18,6 +21,8 @@
 SEEDS = 40
 DRILLS = 2
 SUSPENSIONS = 5
+MUTATION_SEEDS = (34, 135, 149, 229)
+"""Seeds that run a step on two maps, or load two maps under one version, if terms repeat."""
 FAULTS_S = 14.0
 RECOVERY_S = 16.0
 """Orders without an answer may be executed up to 12 s later."""
@@ -89,11 +94,12 @@
         return agents.group, changed
 
     def assert_kept(self, seed, **faults):
-        group, _ = self.explore(seed, **faults)
+        group, changed = self.explore(seed, **faults)
         self.assertEqual(group.mixed_steps, [], f"seed {seed}")
         self.assertEqual(ambiguous_versions(group), [], f"seed {seed}")
+        self.assertTrue(changed, f"seed {seed}: no change after the faults")
 
-    def test_restored_copies_never_mix_maps(self):
+    def test_restored_copies_never_mix_maps_and_later_changes_are_made(self):
         for seed in range(SEEDS):
             self.assert_kept(seed)
 
@@ -101,6 +107,24 @@
         for seed in range(SEEDS):
             self.assert_kept(seed, late=0.2, lost=0.1)
 
+    def test_terms_that_only_count_up_from_the_record_are_found_out(self):
+        claim = LeaderRecord.claim
+
+        async def claim_by_record(self, previous, address, rank_address, newest_version=0):
+            del newest_version
+            return await claim(self, previous, address, rank_address)
+
+        def draw_next(highest_term):
+            return highest_term + 1
+
+        with (
+            mock.patch.object(leadership, "_draw_term", draw_next),
+            mock.patch.object(LeaderRecord, "claim", claim_by_record),
+        ):
+            groups = [self.explore(seed)[0] for seed in MUTATION_SEEDS]
+        self.assertTrue(any(ambiguous_versions(group) for group in groups))
+        self.assertTrue(any(group.mixed_steps for group in groups))
+
 
 def ambiguous_versions(group):
     """Return the versions that ranks have loaded with different contents."""
