Settle without an unreachable rank only by what other ranks show

Cause: a claim without a record before it was recorded as settled, on the grounds that there had been no leader. After the store was restored from a copy, there had been: agent 0 had armed three ranks and was suspended; agent 2 claimed an empty record, and was suspended too; agent 1 trusted agent 2's record, disarmed the ranks that it reached and released the step, while the rank next to agent 2 was still armed. The record of a leader further back has the same effect.

Change: no claim is recorded as settled. The record of settlement counts only if a reachable rank has loaded a map of the failed leader and none of a later one, since every rank must have loaded the map of a leader before that leader arms any. The conclusion is kept for a repeated settlement, which would find its evidence replaced, and holds that appeared after the first look are left to their leader.

Price: if the whole instance of a group's first leader fails during its first change, a held step waits for that instance.

--- a/src/bronzerudder/expert_maps/change.py
+++ b/src/bronzerudder/expert_maps/change.py
@@ -33,10 +33,12 @@
 Failure of the leader's whole instance: it makes the rank next to it unreachable too. That rank is
 therefore armed last, once all others have accepted. As long as any other rank can be kept from
 arming, the leader's rank is not armed for that change and never will be, so a successor can settle
-without it. It could still be armed by an earlier leader whose change was never settled. That is
-ruled out if the failed leader recorded on the store that everything earlier was settled, or if
-another rank is armed for a map of the failed leader, as every rank must have accepted that
-preparation before any was armed.
+without it. It could still be armed by another leader: an earlier one whose change was never
+settled, or a later one whose claim the store has lost. Both are ruled out if another rank is armed
+for a map of the failed leader, as every rank must have accepted that preparation before any was
+armed. Otherwise two facts together rule them out: the failed leader recorded on the store that
+everything earlier was settled, and another rank has loaded a map of the failed leader and none of
+a later one, which every rank must have loaded before any was armed.
 """
 
 from __future__ import annotations
@@ -47,6 +49,7 @@
 from typing import NamedTuple
 
 import anyio
+import msgspec
 
 from bronzerudder.expert_maps.api import (
     Layout,
@@ -164,6 +167,7 @@
         self._log_event = log_event
         self._unanswered = 0
         self._was_outdated = False
+        self._ruled_out: tuple[int, FailedLeader] | None = None
 
     @property
     def was_outdated(self) -> bool:
@@ -174,6 +178,7 @@
         """Switch all ranks to another map, or abort the change."""
         version = plan.version
         self._unanswered = 0
+        self._ruled_out = None
         self._orders.set_ranks(ranks, self._own_address)
         started_s = time.monotonic()
         if not await self._prepare_all(ranks, version, plan.layout):
@@ -242,9 +247,11 @@
         states = await self._read_states(ranks)
         if states is None:
             return False
-        if failed_leader is not None and _may_be_armed_by_earlier(states, failed_leader):
-            self._log_event("the unreachable rank may be armed by an earlier leader")
-            return False
+        if failed_leader is not None:
+            if not self._rules_out_others(states, failed_leader):
+                self._log_event("the unreachable rank may be armed by another leader")
+                return False
+            states = _without_new_holds(states, ranks)
         armings = {state.armed for state in states}
         if len(armings) == 1 and None not in armings:
             if failed_leader is not None:
@@ -256,6 +263,19 @@
             return False
         return await self._release_all(states)
 
+    def _rules_out_others(self, states: Sequence[RankState], failed_leader: FailedLeader) -> bool:
+        """Whether the unreachable rank can't be armed by a leader other than the failed one.
+
+        The result is kept until this leader changes the map, as settling replaces the evidence.
+        """
+        evidence = (states[0].epoch, failed_leader)
+        if evidence == self._ruled_out:
+            return True
+        if not _shows_change_of(states, failed_leader):
+            return False
+        self._ruled_out = evidence
+        return True
+
     async def _abort(self, states: Sequence[RankState], version: int, layout: Layout) -> bool:
         """Make an unfinished change impossible to complete, and disarm its ranks."""
         free = [state for state in states if state.armed is None]
@@ -408,14 +428,30 @@
             await anyio.sleep(RETRY_INTERVAL_S)
 
 
-def _may_be_armed_by_earlier(states: Sequence[RankState], failed_leader: FailedLeader) -> bool:
-    """Whether the unreachable rank may be armed by a leader before the failed one."""
-    if failed_leader.settled:
-        return False
-    return not any(
-        state.armed is not None and state.armed.version in failed_leader.versions
+def _shows_change_of(states: Sequence[RankState], failed_leader: FailedLeader) -> bool:
+    """Whether a rank proves that no leader but the failed one can have armed the missing rank."""
+    versions = failed_leader.versions
+    for state in states:
+        if state.armed is not None and state.armed.version in versions:
+            return True
+        if failed_leader.settled and state.prepared_version in versions:
+            return True
+    return False
+
+
+def _without_new_holds(
+    states: Sequence[RankState], earlier: Sequence[RankState]
+) -> list[RankState]:
+    """Hide holds that were not there earlier: another leader may have made them since."""
+    held = {(state.address, state.held_step) for state in earlier}
+    return [
+        (
+            state
+            if (state.address, state.held_step) in held
+            else msgspec.structs.replace(state, held_step=None)
+        )
         for state in states
-    )
+    ]
 
 
 async def _all_succeed(
--- a/src/bronzerudder/expert_maps/leadership.py
+++ b/src/bronzerudder/expert_maps/leadership.py
@@ -127,11 +127,11 @@
         if term > MAX_TERM:
             reason = f"no term left above version {newest_version} and term {previous.term}"
             return StoreError(StoreErrorKind.INVALID, reason)
-        settled = previous == NO_LEADER
-        value = msgspec.json.encode(_Document(address, term, rank_address, settled))
+        # Without a record there may still have been a leader, which a restored store has forgotten.
+        value = msgspec.json.encode(_Document(address, term, rank_address))
         written = await self._store.put(LEADER_KIND, self._group, value, previous.version)
         if not isinstance(written, StoreError):
-            return Leader(address, term, written, rank_address, settled)
+            return Leader(address, term, written, rank_address)
         if written.kind is not StoreErrorKind.OUTCOME_UNKNOWN:
             return written
         recorded = await self.read()
--- a/tests/expert_maps/test_change.py
+++ b/tests/expert_maps/test_change.py
@@ -13,7 +13,7 @@
 import anyio
 
 from bronzerudder.expert_maps import change
-from bronzerudder.expert_maps.api import RankFailure
+from bronzerudder.expert_maps.api import OrderResult, RankFailure
 from bronzerudder.expert_maps.change import ChangePlan, ChangeResult, FailedLeader, MapChanger
 from bronzerudder.standin.fleet.group import LoadedMap
 from tests.expert_maps.simulated_group import (
@@ -218,6 +218,70 @@
         self.assertEqual(group.mixed_steps, [])
         self.assertGreater(group.step, step)
 
+    def settle_without_first(self, group, orders_type, attempts):
+        """Settle after the leader next to the first rank failed; return the results."""
+        group.blocked_until_s["rank-0"] = 10.0
+        failed_leader = make_failed_leader(1, settled=True)
+
+        async def simulate():
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(group.run)
+                await anyio.sleep(0.5)
+                orders = orders_type(group, tasks, own="rank-3")
+                changer = self.changer(orders, group, "rank-3")
+                results = []
+                for number in range(attempts):
+                    reachable = [group.state(rank) for rank in group.ranks[1:]]
+                    version = 3001 + number
+                    results.append(await changer.settle(reachable, version, [[[0]]], failed_leader))
+                await anyio.sleep(10.0)
+                tasks.cancel_scope.cancel()
+            return results
+
+        return run_virtual(simulate)
+
+    def test_a_silent_rank_that_a_forgotten_later_leader_armed_keeps_the_step_held(self):
+        group = SimulatedGroup(SIZE, seeded(0))
+        step = 30
+        for rank in group.ranks:
+            rank.highest_version, rank.prepared = 2001, LoadedMap(2001, "new")
+        group.ranks[0].armed = (LoadedMap(2001, "new"), step)
+        group.ranks[2].held = step
+        self.assertEqual(self.settle_without_first(group, SimulatedOrders, 1), [False])
+        self.assertEqual((group.mixed_steps, group.ranks[2].held), ([], step))
+
+    def test_a_settlement_without_the_silent_rank_can_be_repeated(self):
+        group = SimulatedGroup(SIZE, seeded(0))
+        for rank in group.ranks:
+            rank.highest_version, rank.prepared = 1001, LoadedMap(1001, "new")
+        group.ranks[2].held = 30
+
+        class RefusingOrders(SimulatedOrders):
+            refused = False
+
+            async def release(self, rank, step):
+                if not self.refused:
+                    self.refused = True
+                    return OrderResult.REFUSED
+                return await super().release(rank, step)
+
+        results = self.settle_without_first(group, RefusingOrders, 2)
+        self.assertEqual(results, [False, True])
+        self.assertEqual(group.mixed_steps, [])
+
+    def test_a_hold_that_another_leader_made_meanwhile_is_not_released(self):
+        group = SimulatedGroup(SIZE, seeded(0))
+        for rank in group.ranks:
+            rank.highest_version, rank.prepared = 1001, LoadedMap(1001, "new")
+        group.ranks[2].held = 20
+
+        class LateHoldOrders(SimulatedOrders):
+            def set_ranks(self, ranks, own_address):
+                group.ranks[1].held = 25
+
+        self.assertEqual(self.settle_without_first(group, LateHoldOrders, 1), [True])
+        self.assertEqual([rank.held for rank in group.ranks], [None, 25, None, None])
+
     def test_a_change_that_does_not_wait_for_all_ranks_is_found_out(self):
         async def arm_some(self, ranks, version, step):
             for rank in ranks[:1]:
