Read the objects of a page beside one that can't be decoded

Gateways that ran before learned of no further change.

Cause: RemoteObjectStore decoded a page of a listing, and the changes of a watch, as a whole. msgspec checks also those values that it passes on as they are, so one text that no decoder reads made the page an error, which was reported as an outage of the store and tried again without end. Nesting raised RecursionError, which nothing caught.

Ruled out: an entry that is refused by its own decoder hides no other (a null or an unknown state was ignored alone before); the store being away (it answers, 200).

Change: a page that can't be decoded is split at its own commas and decoded object by object. Values go to the reader of the kind as they are stored, so each kind decides what an unreadable one means. Names that can't be decoded are listed under a name of their own, without a value. A page that can be decoded takes the same path as before.

--- a/src/bronzerudder/platform/object_api.py
+++ b/src/bronzerudder/platform/object_api.py
@@ -3,6 +3,9 @@
 It offers conditional writes, paged listings and watches. Every call has a timeout. A write whose
 answer was lost is reported as ``OUTCOME_UNKNOWN``, never as failed, because the store may have
 applied it.
+
+Values are returned as they were stored. A value that is not valid JSON is left to the reader of its
+kind, and never makes other objects unreadable.
 """
 
 from __future__ import annotations
@@ -24,6 +27,13 @@
     ObjectStore,
     StoredObject,
 )
+from bronzerudder.platform.decoding import (
+    Unreadable,
+    decode_json,
+    read_escaped,
+    split_array,
+    split_object,
+)
 from bronzerudder.platform.errors import StoreError, StoreErrorKind
 
 CALL_TIMEOUT_S = 1.0
@@ -36,6 +46,9 @@
 """Time that a watch may overrun its own timeout before the connection is considered dead."""
 MS_PER_S = 1000.0
 HISTORY_TRUNCATED = "watch history truncated"
+NO_VALUE = b"null"
+UNREADABLE_NAME_PREFIX = "unreadable name "
+"""Begins the name under which an object is listed whose own name can't be decoded."""
 
 SUCCESS_STATUSES = (200, 201, 202, 204)
 CLIENT_ERROR_STATUSES = range(400, 500)
@@ -71,6 +84,12 @@
     has_more: bool = False
 
 
+class _ListingEnd(msgspec.Struct):
+    # Members of a page without its items.
+    at: int
+    has_more: bool = False
+
+
 class _Event(msgspec.Struct):
     object: _Object
     deleted: bool = False
@@ -112,7 +131,7 @@
         answer = await self._call("GET", _path(kind, name))
         if isinstance(answer, StoreError):
             return answer
-        decoded = _decode(answer, _Object)
+        decoded = _decode_object(answer)
         if isinstance(decoded, StoreError):
             return decoded
         answered = decoded.metadata.name
@@ -154,7 +173,7 @@
             answer = await self._call("GET", _path(kind) + suffix)
             if isinstance(answer, StoreError):
                 return answer
-            page = _decode(answer, _Listing)
+            page = _decode_listing(answer)
             if isinstance(page, StoreError):
                 return page
             # Later pages may reflect newer versions; watching from the first one misses no change.
@@ -162,7 +181,11 @@
             objects.extend(_stored(kind, item) for item in page.items)
             if not page.has_more or not page.items:
                 return Listing(tuple(objects), version)
-            after = page.items[-1].metadata.name
+            last = _last_readable_name(page)
+            if last in ("", after):
+                reason = f"no name that can be read after {after!r}"
+                return StoreError(StoreErrorKind.UNAVAILABLE, reason)
+            after = last
         return StoreError(StoreErrorKind.UNAVAILABLE, f"listing exceeds {MAX_PAGES} pages")
 
     async def watch(
@@ -176,7 +199,7 @@
             if answer.kind is StoreErrorKind.NOT_FOUND and answer.reason == HISTORY_TRUNCATED:
                 return ChangeBatch((), after_version, truncated=True)
             return answer
-        batch = _decode(answer, _Events)
+        batch = _decode_events(answer)
         if isinstance(batch, StoreError):
             return batch
         changes = []
@@ -228,10 +251,100 @@
 
 
 def _decode(answer: bytes, expected: type[_Document]) -> _Document | StoreError:
-    try:
-        return msgspec.json.decode(answer, type=expected)
-    except msgspec.DecodeError as error:
-        return StoreError(StoreErrorKind.UNAVAILABLE, f"answer cannot be decoded: {error}")
+    decoded = decode_json(answer, expected)
+    if isinstance(decoded, Unreadable):
+        return _undecodable(decoded.reason)
+    return decoded
+
+
+def _decode_object(answer: bytes) -> _Object | StoreError:
+    """Decode an object; its value stays as it is if it can't be decoded."""
+    decoded = decode_json(answer, _Object)
+    if not isinstance(decoded, Unreadable):
+        return decoded
+    members = split_object(answer)
+    if members is None or "metadata" not in members:
+        return _undecodable(decoded.reason)
+    metadata = decode_json(members["metadata"], _Metadata)
+    if isinstance(metadata, Unreadable):
+        return _decode_unnamed(members["metadata"])
+    return _Object(metadata, msgspec.Raw(members.get("spec", NO_VALUE)))
+
+
+def _decode_unnamed(metadata: bytes) -> _Object | StoreError:
+    """Decode an object whose name can't be read; it has no value, as no call can name it."""
+    members = split_object(metadata) or {}
+    name = read_escaped(members.get("name", b'""'))
+    revision = decode_json(members.get("revision", b"0"), int)
+    if isinstance(revision, Unreadable):
+        return _undecodable(revision.reason)
+    return _Object(_Metadata(UNREADABLE_NAME_PREFIX + name, revision), msgspec.Raw(NO_VALUE))
+
+
+def _decode_listing(answer: bytes) -> _Listing | StoreError:
+    """Decode a page of a listing, object by object if it can't be decoded as a whole."""
+    decoded = decode_json(answer, _Listing)
+    if not isinstance(decoded, Unreadable):
+        return decoded
+    page = split_object(answer) or {}
+    texts = split_array(page.get("items", b""))
+    rest = decode_json(_without(page, "items"), _ListingEnd)
+    if texts is None or isinstance(rest, Unreadable):
+        return _undecodable(decoded.reason)
+    items = []
+    for text in texts:
+        item = _decode_object(text)
+        if isinstance(item, StoreError):
+            return item
+        items.append(item)
+    return _Listing(items, rest.at, rest.has_more)
+
+
+def _decode_events(answer: bytes) -> _Events | StoreError:
+    """Decode the answer to a watch, event by event if it can't be decoded as a whole."""
+    decoded = decode_json(answer, _Events)
+    if not isinstance(decoded, Unreadable):
+        return decoded
+    page = split_object(answer) or {}
+    texts = split_array(page.get("events", b""))
+    rest = decode_json(_without(page, "events"), _ListingEnd)
+    if texts is None or isinstance(rest, Unreadable):
+        return _undecodable(decoded.reason)
+    events = []
+    for text in texts:
+        event = _decode_event(text)
+        if isinstance(event, StoreError):
+            return event
+        events.append(event)
+    return _Events(events, rest.at)
+
+
+def _decode_event(text: bytes) -> _Event | StoreError:
+    members = split_object(text) or {}
+    item = _decode_object(members.get("object", b""))
+    if isinstance(item, StoreError):
+        return item
+    deleted = decode_json(members.get("deleted", b"false"), bool)
+    if isinstance(deleted, Unreadable):
+        return _undecodable(deleted.reason)
+    return _Event(item, deleted)
+
+
+def _without(members: dict[str, bytes], left_out: str) -> bytes:
+    """Join the members of an object again, but for one."""
+    kept = (
+        b'"' + name.encode() + b'":' + text for name, text in members.items() if name != left_out
+    )
+    return b"{" + b",".join(kept) + b"}"
+
+
+def _last_readable_name(page: _Listing) -> str:
+    names = (item.metadata.name for item in reversed(page.items))
+    return next((name for name in names if not name.startswith(UNREADABLE_NAME_PREFIX)), "")
+
+
+def _undecodable(reason: str) -> StoreError:
+    return StoreError(StoreErrorKind.UNAVAILABLE, f"answer cannot be decoded: {reason}")
 
 
 def _connection_error(method: str, error: HttpError) -> StoreError:
--- a/tests/platform/test_object_api.py
+++ b/tests/platform/test_object_api.py
@@ -6,17 +6,26 @@
 import unittest
 
 import anyio
+import msgspec
 
 from bronzerudder.http1 import listen
 from bronzerudder.platform import ABSENT_VERSION, ChangeBatch, StoreError, StoreErrorKind
-from bronzerudder.platform.object_api import MAX_PAGES, RemoteObjectStore
+from bronzerudder.platform.object_api import (
+    MAX_PAGES,
+    NO_VALUE,
+    UNREADABLE_NAME_PREFIX,
+    RemoteObjectStore,
+)
 from bronzerudder.standin.fleet import StandinStore
 from tests.http1.test_client import EndlessPeer, Peer
+from tests.platform.unreadable import UNREADABLE_VALUES
 
 TIMEOUT_S = 5.0
 
 
-class RemoteObjectStoreTest(unittest.IsolatedAsyncioTestCase):
+class StandinStoreCase(unittest.IsolatedAsyncioTestCase):
+    """Serves a stand-in store, and opens a client of it."""
+
     async def asyncSetUp(self):
         self.standin = StandinStore()
         listener = listen("127.0.0.1:0")
@@ -25,6 +34,8 @@
         self.addCleanup(listener.close)
         self.addCleanup(task.cancel)
 
+
+class RemoteObjectStoreTest(StandinStoreCase):
     async def test_writes_are_conditional(self):
         first = await self.store.put("kind", "a b/c", b'{"n":1}', ABSENT_VERSION)
         self.assertIsInstance(first, int)
@@ -107,6 +118,41 @@
         self.assertIs(written.kind, StoreErrorKind.OUTCOME_UNKNOWN)
 
 
+class UnreadableValueTest(StandinStoreCase):
+    async def test_pages_with_an_unreadable_value_are_read_one_by_one(self):
+        for name in "abcde":
+            self.standin.put("kind", name, name)
+        self.standin.put("kind", "b", msgspec.Raw(UNREADABLE_VALUES[0]))
+        for page in (1, 2, 500):
+            self.standin.page = page
+            listing = await self.store.list("kind")
+            self.assertEqual([stored.name for stored in listing.objects], list("abcde"))
+
+    async def test_a_watch_returns_changes_beside_an_unreadable_value(self):
+        for value in UNREADABLE_VALUES:
+            with self.subTest(value=value[:40]):
+                start = self.standin.put("kind", "a", 1)
+                self.standin.put("kind", "b", msgspec.Raw(value))
+                self.standin.put("kind", "c", 3)
+                self.standin.remove("kind", "a")
+                self.standin.remove("kind", "b")
+                batch = await self.store.watch("kind", start, 1.0)
+                changes = [(change.name, change.value) for change in batch.changes]
+                expected = [("b", value), ("c", b"3"), ("a", None), ("b", None)]
+                self.assertEqual(changes, expected)
+                self.assertEqual(batch.version, start + 4)
+
+    async def test_a_listing_returns_objects_beside_an_unreadable_value(self):
+        for value in UNREADABLE_VALUES:
+            with self.subTest(value=value[:40]):
+                for name, stored in (("a", b"1"), ("b", value), ("c", b"3")):
+                    self.standin.put("kind", name, msgspec.Raw(stored))
+                listing = await self.store.list("kind")
+                values = {stored.name: stored.value for stored in listing.objects}
+                self.assertEqual(values, {"a": b"1", "b": value, "c": b"3"})
+                self.assertEqual((await self.store.get("kind", "b")).value, value)
+
+
 def make_answer(status: int, body: bytes) -> bytes:
     return f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body
 
@@ -181,6 +227,28 @@
                 self.assertIs(written.kind, StoreErrorKind.OUTCOME_UNKNOWN)
                 self.assertIs(batch.kind, StoreErrorKind.UNAVAILABLE)
 
+    async def test_an_object_whose_name_cannot_be_decoded_has_no_value(self):
+        page = (
+            b'{"items":[{"metadata":{"name":"a","revision":1},"spec":1},'
+            b'{"metadata":{"name":"x\\ud83d","revision":2},"spec":2},'
+            b'{"metadata":{"name":"z","revision":3},"spec":3}],"at":9,"has_more":false}'
+        )
+        async with Peer(make_answer(200, page)) as peer:
+            listing = await RemoteObjectStore(peer.address).list("kind")
+        named = [(stored.name, stored.version, stored.value) for stored in listing.objects]
+        hidden = (UNREADABLE_NAME_PREFIX + "x\\ud83d", 2, NO_VALUE)
+        self.assertEqual((named, listing.version), ([("a", 1, b"1"), hidden, ("z", 3, b"3")], 9))
+
+    async def test_a_page_that_ends_with_a_name_that_cannot_be_decoded_is_continued(self):
+        first = (
+            b'{"items":[{"metadata":{"name":"a","revision":1}},'
+            b'{"metadata":{"name":"b\\ud83d","revision":2}}],"at":9,"has_more":true}'
+        )
+        second = b'{"items":[{"metadata":{"name":"c","revision":3}}],"at":9,"has_more":false}'
+        async with Peer(make_answer(200, first), make_answer(200, second)) as peer:
+            listing = await RemoteObjectStore(peer.address).list("kind")
+        self.assertEqual([stored.name for stored in listing.objects][::2], ["a", "c"])
+
     async def test_a_listing_without_end_is_given_up(self):
         page = b'{"items":[{"metadata":{"name":"a","revision":1}}],"at":1,"has_more":true}'
         async with Peer(*[make_answer(200, page)] * (2 * MAX_PAGES)) as peer:
