Check the ranges of an entry of the list of backend servers

What callers saw: an entry with 400 digits as its slots ended every request of its service with 500 (a finding of the review). Others raised inside the directory: nesting (RecursionError), a port of digits that int() refuses.

Cause: the entry's fields were checked for their type only.

Change: slots, the time of the start, the address and the name have ranges, and an entry outside of them names no backend server. The address is parsed by the function that already checks addresses in messages, moved to http1.

--- a/src/bronzerudder/http1/__init__.py
+++ b/src/bronzerudder/http1/__init__.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from bronzerudder.http1.addresses import parse_address
 from bronzerudder.http1.client import ClientPool, Exchange, ResponseHead, contains_response_head
 from bronzerudder.http1.errors import HttpError, HttpErrorKind
 from bronzerudder.http1.server import HttpServer, Request, ResponseWriter, ServerLimits
@@ -28,4 +29,5 @@
     "connect",
     "contains_response_head",
     "listen",
+    "parse_address",
 ]
--- a/src/bronzerudder/peers/datagrams.py
+++ b/src/bronzerudder/peers/datagrams.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import functools
-import ipaddress
 import socket
 from collections.abc import Callable, Iterable
 
@@ -11,6 +9,7 @@
 import anyio.lowlevel
 from absl import logging
 
+from bronzerudder.http1 import parse_address
 from bronzerudder.peers.messages import Message, decode_message, encode_message
 
 MAX_DATAGRAM_BYTES = 65_536
@@ -18,26 +17,6 @@
 """Datagrams that are handled before other tasks run; a flood of them would hold the event loop."""
 
 
-MAX_PORT = 65_535
-MAX_PORT_DIGITS = 5
-ADDRESS_CACHE_SIZE = 4096
-
-
-@functools.lru_cache(ADDRESS_CACHE_SIZE)
-def parse_address(address: str) -> tuple[str, int] | None:
-    """Split an address as ``host:port``; None unless the host is an IPv4 address.
-
-    Messages and the store bring addresses of others; a name would be resolved, which blocks.
-    """
-    host, _, port = address.rpartition(":")
-    if len(port) > MAX_PORT_DIGITS or not port.isdecimal() or int(port) > MAX_PORT:
-        return None
-    try:
-        return str(ipaddress.IPv4Address(host)), int(port)
-    except ValueError:
-        return None
-
-
 class DatagramPort:
     """A UDP socket for peer messages.
 
--- a/src/bronzerudder/platform/configuration.py
+++ b/src/bronzerudder/platform/configuration.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from typing import Annotated
+
 import msgspec
 
 from bronzerudder.gateway.tables import (
@@ -18,11 +20,17 @@
     ServiceShare,
     Workspace,
 )
-from bronzerudder.http1 import ServerLimits
+from bronzerudder.http1 import ServerLimits, parse_address
+from bronzerudder.platform.decoding import Unreadable, decode_json
 from bronzerudder.platform.errors import StoreError, StoreErrorKind
 
 MS_PER_S = 1000.0
 BITS_PER_BYTE = 8
+MAX_SLOTS = 1_000_000
+"""Far above any engine's; slots enter sums and products that must stay finite."""
+MAX_TIME_MS = 2**53 - 1
+"""Largest integer that every JSON decoder reads exactly."""
+MAX_ID_CHARS = 200
 
 _REQUEST_KINDS = {
     "idempotent": RequestKind.IDEMPOTENT,
@@ -123,18 +131,21 @@
     # Failure domain.
     zone: str = ""
     # Requests that it runs concurrently, not slots of experts.
-    slots: int = 1
+    slots: Annotated[int, msgspec.Meta(le=MAX_SLOTS)] = 1
     # Unix time of its start, in milliseconds.
-    born: int = 0
+    born: Annotated[int, msgspec.Meta(ge=0, le=MAX_TIME_MS)] = 0
 
 
 def decode_configuration(value: bytes) -> Configuration | StoreError:
     """Decode one version of the configuration."""
+    document = decode_json(value, _Configuration)
+    if isinstance(document, Unreadable):
+        reason = f"configuration cannot be decoded: {document.reason}"
+        return StoreError(StoreErrorKind.INVALID, reason)
     try:
-        document = msgspec.json.decode(value, type=_Configuration)
         routes = [_route(route) for route in document.routes]
-    except (msgspec.DecodeError, KeyError, ValueError) as error:
-        return StoreError(StoreErrorKind.INVALID, f"configuration cannot be decoded: {error!r}")
+    except KeyError as error:
+        return StoreError(StoreErrorKind.INVALID, f"unknown kind of route: {error}")
     limits = document.limits
     return Configuration(
         document.version,
@@ -152,14 +163,15 @@
 
 def decode_backend_server(instance_id: str, value: bytes) -> BackendServer | StoreError:
     """Decode an entry of the list; other writers may have stored entries of any form."""
-    try:
-        document = msgspec.json.decode(value, type=_BackendServer)
-    except msgspec.DecodeError as error:
-        return StoreError(StoreErrorKind.INVALID, f"entry {instance_id!r}: {error}")
+    if not _is_usable_id(instance_id):
+        # Requests name the id in a header.
+        return StoreError(StoreErrorKind.INVALID, "its name is not a word of printable ASCII")
+    document = decode_json(value, _BackendServer)
+    if isinstance(document, Unreadable):
+        return StoreError(StoreErrorKind.INVALID, document.reason)
     leaving = _LEAVING_BY_STATE.get(document.state)
-    host, _, port = document.address.rpartition(":")
-    if leaving is None or not host or not port.isdigit():
-        reason = f"entry {instance_id!r}: state {document.state!r}, address {document.address!r}"
+    if leaving is None or parse_address(document.address) is None:
+        reason = f"state {document.state!r}, address {document.address!r}"
         return StoreError(StoreErrorKind.INVALID, reason)
     return BackendServer(
         instance_id,
@@ -172,6 +184,11 @@
     )
 
 
+def _is_usable_id(instance_id: str) -> bool:
+    printable = instance_id.isascii() and instance_id.isprintable() and " " not in instance_id
+    return printable and 0 < len(instance_id) <= MAX_ID_CHARS
+
+
 def _route(route: _Route) -> Route:
     shares = tuple(ServiceShare(share.service, share.weight) for share in route.split)
     return Route(
--- a/tests/peers/test_datagrams.py
+++ b/tests/peers/test_datagrams.py
@@ -6,7 +6,8 @@
 
 import anyio
 
-from bronzerudder.peers.datagrams import DatagramPort, parse_address
+from bronzerudder.http1 import parse_address
+from bronzerudder.peers.datagrams import DatagramPort
 from bronzerudder.peers.messages import CrashSeen
 
 MESSAGE = CrashSeen("c", [])
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -2,13 +2,22 @@
 
 from __future__ import annotations
 
+import json
 import unittest
 
 import msgspec
+from hypothesis import given
+from hypothesis import strategies as st
 
 from bronzerudder.gateway.tables import Configuration, RequestKind
+from bronzerudder.http1 import parse_address
 from bronzerudder.platform import StoreError
-from bronzerudder.platform.configuration import decode_backend_server, decode_configuration
+from bronzerudder.platform.configuration import (
+    MAX_SLOTS,
+    decode_backend_server,
+    decode_configuration,
+)
+from tests.platform.unreadable import UNREADABLE_VALUES, encoded_values
 
 ENTRY = {"service": "s", "address": "10.0.0.1:80", "zone": "z", "slots": 6, "state": "ready"}
 
@@ -106,9 +115,39 @@
             encode({**ENTRY, "address": "10.0.0.1"}),
             encode({"service": "s"}),
         )
-        for value in invalid:
+        for value in (*invalid, *UNREADABLE_VALUES):
             self.assertIsInstance(decode_backend_server("i-1", value), StoreError, value)
 
+    def test_entries_with_values_out_of_range_name_no_backend_server(self):
+        fields = {
+            "slots": (10**400, 10**9, 1e300, "6", None),
+            "born": (-1, 10**300, 2**53, 1.5),
+            "address": ("10.0.0.1:\u00b2", "10.0.0.1:99999", "a b\r\n:80", ":80", "host:80"),
+            "zone": (5, []),
+        }
+        for field, values in fields.items():
+            for value in values:
+                with self.subTest(field=field, value=str(value)[:40]):
+                    entry = json.dumps({**ENTRY, field: value}).encode()
+                    self.assertIsInstance(decode_backend_server("i-1", entry), StoreError)
+
+    def test_an_entry_whose_name_cannot_be_sent_in_a_header_names_no_backend_server(self):
+        for name in ("", "a b", "a\r\nb", "\u00e9", "x" * 300):
+            with self.subTest(name=name[:10]):
+                self.assertIsInstance(decode_backend_server(name, encode(ENTRY)), StoreError)
+
+    @given(st.sampled_from(sorted(ENTRY)), encoded_values())
+    def test_any_value_of_a_field_gives_a_usable_entry_or_an_error(self, field, value):
+        members = {name: json.dumps(held).encode() for name, held in ENTRY.items()}
+        members[field] = value
+        text = b",".join(json.dumps(name).encode() + b":" + held for name, held in members.items())
+        server = decode_backend_server("i-1", b"{" + text + b"}")
+        if isinstance(server, StoreError):
+            return
+        self.assertTrue(1 <= server.slots <= MAX_SLOTS)
+        self.assertIsNotNone(parse_address(server.address))
+        self.assertIsInstance(msgspec.json.encode([server, server.incarnation]), bytes)
+
 
 if __name__ == "__main__":
     unittest.main()
