Log each ignored entry of the list of backend servers once

What operators saw: a line for an ignored entry at each listing, with as much of the entry as its writer liked; nothing at all from rank agents.

Cause: the directory logged every time that it read an entry, and the agents' list of ranks skipped entries without a line.

Change: both log an entry when it begins to be ignored and when the reason changes, with the name and at most 200 characters of the reason.

Evidence: test_an_ignored_entry_is_logged_once_until_its_reason_changes and test_an_entry_of_a_known_server_that_becomes_unreadable_names_it_no_longer failed before.

--- a/src/bronzerudder/gateway/directory.py
+++ b/src/bronzerudder/gateway/directory.py
@@ -8,6 +8,7 @@
 from bronzerudder.gateway.follower import KindListener
 from bronzerudder.gateway.tables import BackendServer
 from bronzerudder.observability.event_log import EventLog
+from bronzerudder.observability.ignored_entries import IgnoredEntries
 from bronzerudder.platform.api import Change, Listing
 from bronzerudder.platform.errors import StoreError
 
@@ -43,6 +44,7 @@
         self._on_server = on_server
         self._on_gone = on_gone
         self._log = log
+        self._ignored = IgnoredEntries(log, "backend server entry ignored")
         self._servers: dict[str, BackendServer] = {}
         self._versions: dict[str, int] = {}
         self._missing_until_s: dict[str, float] = {}
@@ -57,6 +59,7 @@
         """Apply a listing of all entries."""
         self._start_grace(after_outage)
         listed = {stored.name for stored in listing.objects}
+        self._ignored.keep(listed)
         for stored in listing.objects:
             self._apply_entry(stored.name, stored.value, stored.version)
         for instance_id in [name for name in self._servers if name not in listed]:
@@ -66,6 +69,7 @@
         """Apply the write or removal of one entry."""
         self._start_grace(after_outage)
         if change.value is None:
+            self._ignored.discard(change.name)
             self._mark_missing(change.name)
             return
         self._apply_entry(change.name, change.value, change.version)
@@ -84,10 +88,11 @@
     def _apply_entry(self, instance_id: str, value: bytes, version: int) -> None:
         decoded = self._decode(instance_id, value)
         if isinstance(decoded, StoreError):
-            self._log.state("backend server entry ignored", reason=decoded.reason)
+            self._ignored.add(instance_id, decoded.reason)
             if instance_id in self._servers:
                 self._drop(instance_id, "entry cannot be decoded")
             return
+        self._ignored.discard(instance_id)
         self._missing_until_s.pop(instance_id, None)
         listed = self._servers.get(instance_id)
         if self._resolve_address_conflict(decoded, version) or listed == decoded:
--- a/src/bronzerudder/processes/rank_agent.py
+++ b/src/bronzerudder/processes/rank_agent.py
@@ -18,6 +18,7 @@
 from bronzerudder.expert_maps.shape import ExpertShape, MapBounds
 from bronzerudder.http1 import HttpServer, Request, ResponseWriter, ServerLimits, listen
 from bronzerudder.observability.event_log import DEFAULT_LINES_PER_S, EventLog
+from bronzerudder.observability.ignored_entries import IgnoredEntries
 from bronzerudder.peers.datagrams import DatagramPort
 from bronzerudder.peers.messages import RankLoad
 from bronzerudder.peers.registry import GatewayRegistry
@@ -75,6 +76,7 @@
             log.get("lines_per_s", DEFAULT_LINES_PER_S),
             log.get("sample_share", 1.0),
         )
+        self._ignored = IgnoredEntries(self._log, "backend server entry ignored")
         self._store = RemoteObjectStore(settings["store_address"])
         self._gateways = GatewayRegistry(self._store, self._log)
         self._datagrams = DatagramPort(f"{settings['peer_address'].rpartition(':')[0]}:0")
@@ -174,10 +176,15 @@
         if isinstance(listing, StoreError):
             self._log.state("ranks not listed", reason=listing.reason)
             return ()
+        self._ignored.keep({stored.name for stored in listing.objects})
         addresses = []
         for stored in listing.objects:
             server = decode_backend_server(stored.name, stored.value)
-            if isinstance(server, StoreError) or server.service != self._settings["service"]:
+            if isinstance(server, StoreError):
+                self._ignored.add(stored.name, server.reason)
+                continue
+            self._ignored.discard(stored.name)
+            if server.service != self._settings["service"]:
                 continue
             addresses.append(server.address)
         # A crashed backend server stays listed for a while next to its successor at that address.
--- a/tests/gateway/test_directory.py
+++ b/tests/gateway/test_directory.py
@@ -9,9 +9,11 @@
 
 from bronzerudder.gateway import directory
 from bronzerudder.gateway.directory import BackendDirectory
+from bronzerudder.observability.ignored_entries import MAX_LOGGED_CHARS
 from bronzerudder.platform import Change, Listing, StoredObject
 from bronzerudder.platform.configuration import decode_backend_server
 from tests.gateway.harness import quiet_log
+from tests.platform.unreadable import UNREADABLE_VALUES
 
 
 def entry(address="10.0.0.1:80", state="ready") -> bytes:
@@ -91,6 +93,30 @@
         self.directory.apply_listing(listing(a=b"\xff", b=entry()), False)
         self.assertEqual(list(self.directory.servers), ["b"])
 
+    def test_an_entry_of_a_known_server_that_becomes_unreadable_names_it_no_longer(self):
+        for value in UNREADABLE_VALUES:
+            self.directory.apply_listing(listing(a=entry()), False)
+            self.change("a", value)
+            self.assertEqual(self.directory.servers, {}, value[:40])
+        self.assertEqual(self.removed, ["a"] * len(UNREADABLE_VALUES))
+
+    def test_an_ignored_entry_is_logged_once_until_its_reason_changes(self):
+        log = mock.Mock()
+        self.directory = BackendDirectory(
+            decode_backend_server, self.received.append, self.removed.append, log
+        )
+        for version in range(5):
+            self.directory.apply_listing(listing(a=b"{", b=entry()), version == 3)
+            self.change("a", b"{", 10 + version)
+        self.change("a", b"null")
+        self.change("a", b"{" + b'"x' * 1000)
+        lines = [call for call in log.state.mock_calls if "ignored" in call.args[0]]
+        self.assertEqual([call.kwargs["entry"] for call in lines], ["a"] * 3)
+        self.assertLessEqual(max(len(call.kwargs["reason"]) for call in lines), MAX_LOGGED_CHARS)
+        self.change("a", None)
+        self.change("a", b"{")
+        self.assertEqual(log.state.mock_calls[-1].kwargs["entry"], "a")
+
 
 if __name__ == "__main__":
     unittest.main()
