Claim a group over a leader's record that can't be decoded

Cause: the record is one document of all agents. A value that can't be decoded was an error of the read, and agents claim only after a read.

Change: a record that can't be decoded, or whose term is out of range, names no leader; agents log it once and may claim the group over it.

--- a/src/bronzerudder/expert_maps/agent.py
+++ b/src/bronzerudder/expert_maps/agent.py
@@ -22,7 +22,7 @@
 from bronzerudder.expert_maps.api import RankExperts, RankFailure, RankState
 from bronzerudder.expert_maps.counts import AgentCounts, CounterName
 from bronzerudder.expert_maps.leader import GroupLeader, RankLister
-from bronzerudder.expert_maps.leadership import NO_LEADER, Leader, LeaderRecord
+from bronzerudder.expert_maps.leadership import Leader, LeaderRecord
 from bronzerudder.expert_maps.messages import (
     ACCEPTED,
     NOT_LEADER,
@@ -201,7 +201,7 @@
         if self._record is not None and self._record.group == group:
             return
         self._log.state("in group", group=group)
-        self._record = LeaderRecord(self._store, group)
+        self._record = LeaderRecord(self._store, group, self._log)
         self._leader = None
         self._reported = None
         self._newest_version = 0
@@ -299,7 +299,7 @@
             self._follow(recorded)
             return
         if (
-            recorded == NO_LEADER
+            not recorded.address
             and state.rank != FIRST_RANK
             and not self._has_waited_for_first_rank
         ):
@@ -307,11 +307,7 @@
             self._has_waited_for_first_rank = True
             await anyio.sleep(FIRST_CLAIM_DELAY_S * random.uniform(0.5, 1.0))
             return
-        if (
-            recorded != NO_LEADER
-            and recorded.address != self._own_address
-            and state.held_step is None
-        ):
+        if recorded.address not in ("", self._own_address) and state.held_step is None:
             await anyio.sleep(CLAIM_JITTER_S * random.random())
         await self._claim(recorded)
 
--- a/src/bronzerudder/expert_maps/leadership.py
+++ b/src/bronzerudder/expert_maps/leadership.py
@@ -21,11 +21,14 @@
 from __future__ import annotations
 
 import random
-from typing import NamedTuple
+from typing import Annotated, NamedTuple
 
 import msgspec
 
-from bronzerudder.platform.api import ABSENT_VERSION, ObjectStore, StoredObject
+from bronzerudder.observability.event_log import EventLog
+from bronzerudder.observability.ignored_entries import IgnoredEntries
+from bronzerudder.platform.api import ABSENT_VERSION, ObjectStore
+from bronzerudder.platform.decoding import Unreadable, decode_json
 from bronzerudder.platform.errors import StoreError, StoreErrorKind
 
 LEADER_KIND = "bronzerudder-leaders"
@@ -40,7 +43,7 @@
 
 class _Document(msgspec.Struct):
     address: str
-    term: int
+    term: Annotated[int, msgspec.Meta(ge=0, le=MAX_TERM)]
     rank_address: str = ""
     settled: bool = False
 
@@ -86,11 +89,14 @@
         Where it is kept.
     group : str
         Name of the group.
+    log : EventLog
+        Takes a line if the record can't be decoded.
     """
 
-    def __init__(self, store: ObjectStore, group: str) -> None:
+    def __init__(self, store: ObjectStore, group: str, log: EventLog) -> None:
         self._store = store
         self._group = group
+        self._ignored = IgnoredEntries(log, "leader record ignored")
 
     @property
     def group(self) -> str:
@@ -98,11 +104,26 @@
         return self._group
 
     async def read(self) -> Leader | StoreError:
-        """Read the current leader."""
+        """Read the current leader.
+
+        A record that can't be decoded names no leader. Agents may claim the group over it, as
+        safety does not depend on the record.
+        """
         stored = await self._store.get(LEADER_KIND, self._group)
         if isinstance(stored, StoreError):
             return NO_LEADER if stored.kind is StoreErrorKind.NOT_FOUND else stored
-        return _decode(stored)
+        document = decode_json(stored.value, _Document)
+        if isinstance(document, Unreadable):
+            self._ignored.add(self._group, document.reason)
+            return NO_LEADER._replace(version=stored.version)
+        self._ignored.discard(self._group)
+        return Leader(
+            document.address,
+            document.term,
+            stored.version,
+            document.rank_address,
+            document.settled,
+        )
 
     async def claim(
         self, previous: Leader, address: str, rank_address: str, newest_version: int = 0
@@ -155,17 +176,3 @@
 def _draw_term(highest_term: int) -> int:
     """Draw a term above another one, which no other claim draws."""
     return highest_term + random.randint(1, MAX_TERM_INCREMENT)
-
-
-def _decode(stored: StoredObject) -> Leader | StoreError:
-    try:
-        document = msgspec.json.decode(stored.value, type=_Document)
-    except msgspec.DecodeError as error:
-        return StoreError(StoreErrorKind.INVALID, f"invalid leader record: {error}")
-    return Leader(
-        document.address,
-        document.term,
-        stored.version,
-        document.rank_address,
-        document.settled,
-    )
