Keep unreadable crash and gateway entries from hiding others

Nesting in a crash entry raised RecursionError, which ended the reading of all crashes; the list of gateways took each name for the address of a gateway, so foreign entries took a share of the retry budget and of limits. A rank's report that is nested too deep raised in the agent.

Change: crash entries and reports are decoded by the function that returns unreadable texts as errors; the age of a crash can't be negative; the list of gateways ignores names that are no addresses, and says which.

--- a/src/bronzerudder/peers/crash_archive.py
+++ b/src/bronzerudder/peers/crash_archive.py
@@ -9,13 +9,16 @@
 import random
 import time
 from collections.abc import Callable, Mapping
+from typing import Annotated
 
 import anyio
 import msgspec
 
 from bronzerudder.observability.event_log import EventLog
+from bronzerudder.observability.ignored_entries import MAX_LOGGED_CHARS
 from bronzerudder.peers.messages import CrashSeen
 from bronzerudder.platform.api import ABSENT_VERSION, Listing, ObjectStore
+from bronzerudder.platform.decoding import Unreadable, decode_json
 from bronzerudder.platform.errors import StoreError, StoreErrorKind
 from bronzerudder.policy.quarantine import QUARANTINE_S
 
@@ -30,7 +33,7 @@
 class _Document(msgspec.Struct):
     subjects: list[str]
     # Time from the crash to the writing of the entry.
-    age_s: float = 0.0
+    age_s: Annotated[float, msgspec.Meta(ge=0.0)] = 0.0
 
 
 class CrashArchive:
@@ -85,10 +88,10 @@
             if stored.name in self._first_read_s:
                 continue
             self._first_read_s[stored.name] = now_s
-            try:
-                document = msgspec.json.decode(stored.value, type=_Document)
-            except msgspec.DecodeError as error:
-                self._log.state("crash entry ignored", crash=stored.name, reason=str(error))
+            document = decode_json(stored.value, _Document)
+            if isinstance(document, Unreadable):
+                reason = document.reason[:MAX_LOGGED_CHARS]
+                self._log.state("crash entry ignored", crash=stored.name, reason=reason)
                 continue
             if stored.name not in self._written:
                 self._log.state("crash read", crash=stored.name, fingerprints=document.subjects)
--- a/src/bronzerudder/peers/registry.py
+++ b/src/bronzerudder/peers/registry.py
@@ -7,8 +7,10 @@
 import anyio
 import msgspec
 
+from bronzerudder.http1 import parse_address
 from bronzerudder.observability.event_log import EventLog
-from bronzerudder.platform.api import ABSENT_VERSION, ObjectStore
+from bronzerudder.observability.ignored_entries import IgnoredEntries
+from bronzerudder.platform.api import ABSENT_VERSION, Listing, ObjectStore
 from bronzerudder.platform.errors import StoreError, StoreErrorKind
 
 GATEWAY_KIND = "bronzerudder-gateways"
@@ -39,6 +41,7 @@
     def __init__(self, store: ObjectStore, log: EventLog) -> None:
         self._store = store
         self._log = log
+        self._ignored = IgnoredEntries(log, "gateway entry ignored")
         self._addresses: tuple[str, ...] = ()
 
     @property
@@ -72,10 +75,22 @@
             listing = await self._store.list(GATEWAY_KIND, stale=True)
             if isinstance(listing, StoreError):
                 continue
-            found = tuple(sorted(stored.name for stored in listing.objects))
+            found = self._addresses_of(listing)
             if not found:
                 pause_s = STARTUP_READ_INTERVAL_S
             if found == self._addresses:
                 continue
             self._addresses = found
             self._log.state("list of gateways changed", count=len(found))
+
+    def _addresses_of(self, listing: Listing) -> tuple[str, ...]:
+        """Addresses in a listing; the name of an entry is the address of its gateway."""
+        names = sorted(stored.name for stored in listing.objects)
+        self._ignored.keep(names)
+        addresses = []
+        for name in names:
+            if parse_address(name) is None:
+                self._ignored.add(name, "its name is no address")
+                continue
+            addresses.append(name)
+        return tuple(addresses)
--- a/src/bronzerudder/platform/ranks.py
+++ b/src/bronzerudder/platform/ranks.py
@@ -22,6 +22,7 @@
 )
 from bronzerudder.http1 import ClientPool, HttpError, HttpErrorKind
 from bronzerudder.platform import wire
+from bronzerudder.platform.decoding import Unreadable, decode_json
 
 CALL_TIMEOUT_S = 0.1
 """A rank answers within milliseconds."""
@@ -174,10 +175,10 @@
             status, body = answer
             if status != 200:
                 return RankFailure(f"status {status}")
-            try:
-                return msgspec.json.decode(body, type=expected)
-            except msgspec.DecodeError as error:
-                return RankFailure(f"answer cannot be decoded: {error}")
+            decoded = decode_json(body, expected)
+            if isinstance(decoded, Unreadable):
+                return RankFailure(f"answer cannot be decoded: {decoded.reason}")
+            return decoded
         return RankFailure(f"no answer within {CALL_TIMEOUT_S} s")
 
     async def _call(
--- a/tests/peers/test_crash_archive.py
+++ b/tests/peers/test_crash_archive.py
@@ -7,6 +7,7 @@
 from unittest import mock
 
 import anyio
+import msgspec
 
 from bronzerudder.http1 import listen
 from bronzerudder.peers import crash_archive
@@ -15,6 +16,7 @@
 from bronzerudder.platform.object_api import RemoteObjectStore
 from bronzerudder.standin.fleet import StandinStore
 from tests.gateway.harness import quiet_log
+from tests.platform.unreadable import UNREADABLE_VALUES
 
 TIMEOUT_S = 5.0
 
@@ -68,6 +70,15 @@
         await asyncio.sleep(0.3)
         self.assertEqual(len(read), 2)
 
+    async def test_unreadable_entries_do_not_hide_the_crashes_beside_them(self):
+        for number, value in enumerate(UNREADABLE_VALUES):
+            self.store.put(CRASH_KIND, f"a-{number}", msgspec.Raw(value))
+        self.store.put(CRASH_KIND, "b", {"subjects": ["p"], "age_s": -1})
+        self.store.put(CRASH_KIND, "i-1", {"subjects": ["pkiller"]})
+        read = self.start({})
+        await self.wait_until(lambda: read)
+        self.assertEqual(read, [CrashSeen("i-1", ["pkiller"])])
+
     async def test_a_crash_is_written_once_and_deleted_when_it_is_cleared(self):
         kept = {"i-1": CrashSeen("i-1", ["pkiller"])}
         self.start(kept)
--- a/tests/platform/test_ranks.py
+++ b/tests/platform/test_ranks.py
@@ -11,6 +11,7 @@
 from bronzerudder.http1 import Connection
 from bronzerudder.platform.ranks import RankClient
 from tests.http1.test_client import EndlessPeer, Peer
+from tests.platform.unreadable import UNREADABLE_VALUES
 
 TIMEOUT_S = 5.0
 GROUP = {"name": "g", "epoch": 1, "rank": 0, "state": "open"}
@@ -60,6 +61,16 @@
             self.assertIsInstance(await client.state(peer.address), RankState)
             self.assertIsInstance(await client.counts(peer.address), RankFailure)
 
+    async def test_an_unreadable_report_is_a_failure(self):
+        for value in UNREADABLE_VALUES:
+            report = b'{"stage":' + value + b"," + REPORT[1:]
+            with self.subTest(value=value[:40]):
+                async with Peer(make_answer(200, report)) as peer:
+                    state = await RankClient().state(peer.address)
+                    if not isinstance(state, RankFailure):
+                        # A member that is not used is skipped, if it has an end that can be found.
+                        self.assertEqual((state.step, state.size), (9, 4))
+
     async def test_a_timed_out_order_leaves_no_connection_for_its_late_answer(self):
         async with Peer(make_answer(200, REPORT), b"", make_answer(409)) as peer:
             client = RankClient()
