Do not confirm a configuration by a version that can't be decoded

What callers could see: after a suspension or an outage, a gateway reads the configuration again before it answers 401 or 404. If that read returned a version that it can't decode, the older one counted as confirmed.

Change: such a read confirms nothing, so the caller is told to come back (503). A rejected version is logged once, not at each listing.

Evidence: test_an_unreadable_version_confirms_nothing_and_leaves_the_last_one_in_force and test_a_rejected_version_is_logged_once failed before.

--- a/src/bronzerudder/gateway/configuration.py
+++ b/src/bronzerudder/gateway/configuration.py
@@ -7,6 +7,7 @@
 from bronzerudder.gateway.follower import KindListener
 from bronzerudder.gateway.tables import Configuration
 from bronzerudder.observability.event_log import EventLog
+from bronzerudder.observability.ignored_entries import IgnoredEntries
 from bronzerudder.platform.api import Change, Listing
 from bronzerudder.platform.errors import StoreError
 
@@ -35,6 +36,7 @@
         self._decode = decode
         self._on_change = on_change
         self._log = log
+        self._rejected = IgnoredEntries(log, "configuration rejected")
         self._current: Configuration | None = None
 
     @property
@@ -57,15 +59,16 @@
             return
         self.apply_value(change.value)
 
-    def apply_value(self, value: bytes) -> None:
-        """Put the decoded value in force, if it is newer."""
+    def apply_value(self, value: bytes) -> bool:
+        """Put the decoded value in force, if it is newer; return False if it can't be decoded."""
         decoded = self._decode(value)
         if isinstance(decoded, StoreError):
-            self._log.state("configuration rejected", reason=decoded.reason)
-            return
+            self._rejected.add(self._name, decoded.reason)
+            return False
+        self._rejected.discard(self._name)
         current_version = -1 if self._current is None else self._current.version
         if decoded.version <= current_version:
-            return
+            return True
         self._current = decoded
         self._log.state(
             "configuration in force",
@@ -75,3 +78,4 @@
             keys=len(decoded.workspaces or ()),
         )
         self._on_change()
+        return True
--- a/src/bronzerudder/processes/gateway.py
+++ b/src/bronzerudder/processes/gateway.py
@@ -277,7 +277,8 @@
             if isinstance(stored, StoreError):
                 self._log.state("configuration not confirmed", reason=stored.reason)
                 return False
-            self._configuration.apply_value(stored.value)
+            if not self._configuration.apply_value(stored.value):
+                return False
             self._was_suspended = False
             return True
         return False
