Discard messages that are nested too deep

A datagram with it restarted the task that receives those of other gateways, and a report to an agent ended its connection.

Evidence: both tests raised RecursionError before.

--- a/src/bronzerudder/expert_maps/messages.py
+++ b/src/bronzerudder/expert_maps/messages.py
@@ -123,7 +123,7 @@
     """Decode a message of another agent; None if it is not of the expected type."""
     try:
         return msgspec.msgpack.decode(data, type=expected)
-    except msgspec.DecodeError:
+    except (msgspec.DecodeError, RecursionError):
         return None
 
 
--- a/src/bronzerudder/peers/messages.py
+++ b/src/bronzerudder/peers/messages.py
@@ -201,5 +201,5 @@
     """Decode a message; None when it is not one."""
     try:
         return _decoder.decode(data)
-    except msgspec.DecodeError:
+    except (msgspec.DecodeError, RecursionError):
         return None
--- a/tests/expert_maps/test_messages.py
+++ b/tests/expert_maps/test_messages.py
@@ -30,7 +30,8 @@
         self.assertEqual(unpack_layout(pack_layout(LAYOUT)), LAYOUT)
 
     def test_other_bytes_are_nothing(self):
-        for data in (b"", b"\xff" * 20, b"\x80"):
+        nested = b"\x81\xa1x" + b"\x91" * 100_000 + b"\xc0"
+        for data in (b"", b"\xff" * 20, b"\x80", nested):
             self.assertIsNone(decode_body(data, RankReport))
             self.assertIsNone(decode_body(data, RankOrder))
 
--- a/tests/peers/test_messages.py
+++ b/tests/peers/test_messages.py
@@ -30,5 +30,13 @@
         self.assertEqual(decode_message(encode_message(answer)), answer)
 
 
+class MalformedMessageTest(unittest.TestCase):
+    def test_nesting_beside_the_members_of_a_message_does_not_raise(self):
+        answer = PermitAnswer(ADDRESS, 1, None, "", True, 0.5, 1.0, 4)
+        data = encode_message(answer)
+        nested = b"\xa1x" + b"\x91" * 50_000 + b"\xc0"
+        self.assertIsNone(decode_message(bytes([data[0] + 1]) + nested + data[1:]))
+
+
 if __name__ == "__main__":
     unittest.main()
