--- a/src/bronzerudder/expert_maps/change.py
+++ b/src/bronzerudder/expert_maps/change.py
@@ -443,15 +443,13 @@
     states: Sequence[RankState], earlier: Sequence[RankState]
 ) -> list[RankState]:
     """Hide holds that were not there earlier: another leader may have made them since."""
-    held = {(state.address, state.held_step) for state in earlier}
-    return [
-        (
-            state
-            if (state.address, state.held_step) in held
-            else msgspec.structs.replace(state, held_step=None)
-        )
-        for state in states
-    ]
+    known = {(state.address, state.held_step) for state in earlier}
+    settled = []
+    for state in states:
+        if (state.address, state.held_step) not in known:
+            state = msgspec.structs.replace(state, held_step=None)
+        settled.append(state)
+    return settled
 
 
 async def _all_succeed(
--- a/src/bronzerudder/expert_maps/leadership.py
+++ b/src/bronzerudder/expert_maps/leadership.py
@@ -174,5 +174,5 @@
 
 
 def _draw_term(highest_term: int) -> int:
-    """Draw a term above another one, which no other claim draws."""
+    """Draw a term above those that are known; another claim with the same base draws another."""
     return highest_term + random.randint(1, MAX_TERM_INCREMENT)
--- a/src/bronzerudder/platform/decoding.py
+++ b/src/bronzerudder/platform/decoding.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-_STRING = rb'"(?:[^"\\]|\\.)*"'
+_STRING = rb'"[^"\\]*+(?:\\.[^"\\]*+)*+"'
 _STRUCTURE = re.compile(_STRING + rb"|[\[\]{},]", re.DOTALL)
 _MEMBER = re.compile(rb"\s*(" + _STRING + rb")\s*:\s*(.*)", re.DOTALL)
 _OPENING = (b"{", b"[")
