--- a/tests/expert_maps/simulated_agents.py
+++ b/tests/expert_maps/simulated_agents.py
@@ -13,7 +13,6 @@
 from bronzerudder.expert_maps.agent import RankAgent
 from bronzerudder.expert_maps.api import RankCalls, RankCounts, RankExperts, RankFailure
 from bronzerudder.expert_maps.counts import AgentCounts
-from bronzerudder.expert_maps.leadership import LEADER_KIND
 from bronzerudder.expert_maps.shape import ExpertShape, MapBounds
 from bronzerudder.http1 import HttpError, HttpErrorKind, Request
 from bronzerudder.platform.api import ABSENT_VERSION, ObjectStore, StoredObject
@@ -34,7 +33,20 @@
 GROUP = "g"
 
 
-class SimulatedStore(ObjectStore):
+class RecordStore(ObjectStore):
+    """The part of a store that agents use for the leader's record."""
+
+    async def delete(self, kind, name, if_version):
+        raise NotImplementedError
+
+    async def list(self, kind, stale=False):
+        raise NotImplementedError
+
+    async def watch(self, kind, after_version, timeout_s):
+        raise NotImplementedError
+
+
+class SimulatedStore(RecordStore):
     """Objects in memory, with copies of earlier states.
 
     Attributes
@@ -84,17 +96,8 @@
         self._objects[kind, name] = StoredObject(kind, name, self._revision, value)
         return self._revision
 
-    async def delete(self, kind, name, if_version):
-        raise NotImplementedError
-
-    async def list(self, kind, stale=False):
-        raise NotImplementedError
 
-    async def watch(self, kind, after_version, timeout_s):
-        raise NotImplementedError
-
-
-class StallingStore(SimulatedStore):
+class SuspendedStore(RecordStore):
     """One agent's view of the store: its calls wait while the agent is suspended."""
 
     def __init__(self, store, instance):
@@ -274,7 +277,7 @@
                 SimulatedRanks(self.group, tasks, address, instance),
                 address,
                 f"host-{number}:{AGENT_PORT}",
-                StallingStore(self.store, instance),
+                SuspendedStore(self.store, instance),
                 read_shape,
                 list_ranks,
                 lambda state: None,
@@ -288,10 +291,6 @@
             self.agents.append(item)
             tasks.start_soon(item.run)
 
-    async def recorded(self):
-        """Return the record of the leader, or the error of reading it."""
-        return await self.store.get(LEADER_KIND, GROUP)
-
     def leaders(self):
         """Return the numbers of the agents that lead or believe to."""
         return [number for number, item in enumerate(self.agents) if item.group_leader is not None]
