Log the effect of each change of map

A leader logged what it expected of a change, but not what followed: whether the plan came from old counts, whether the leader itself was slow, or whether steps are long for another reason could not be told apart. 'map measured' has the expected skew beside that of the requests since, the time of a step before and after, the age of the counts when the map came into use, and the leader's processor time; 'planning_cpu_s' is the part of the search.

No decision changes.

--- a/src/bronzerudder/expert_maps/leader.py
+++ b/src/bronzerudder/expert_maps/leader.py
@@ -26,6 +26,7 @@
 )
 from bronzerudder.expert_maps.counts import AgentCounts, CounterName
 from bronzerudder.expert_maps.leadership import Leader, LeaderRecord
+from bronzerudder.expert_maps.map_effect import MapEffect, PlannedEffect
 from bronzerudder.expert_maps.messages import RankReport
 from bronzerudder.expert_maps.scenarios import ScenarioWindow
 from bronzerudder.expert_maps.shape import ExpertShape
@@ -141,6 +142,7 @@
 
         self._load_times = LoadTimes(shape.load_s)
         self._planned_loads = 0
+        self._effect = MapEffect()
         self._unused_versions = iter(leader.versions)
         self._newest_version = leader.versions.start
         self._held_since_s: float | None = None
@@ -185,6 +187,7 @@
             self._scenarios.add(report.scenario, now_s)
         if state.address == self._own_address:
             self._update_step_rate(state.step, now_s)
+            self._effect.observe_map(state.map_version, state.step, now_s)
 
     async def run(self) -> None:
         """Lead the group until another agent has claimed it, or a higher term is needed."""
@@ -209,6 +212,7 @@
                     return
                 await self._settle(ranks)
                 continue
+            self._measure_effect(ranks, len(ranks))
             plan = await self._plan(ranks)
             if plan is None:
                 continue
@@ -292,6 +296,24 @@
             self._held_since_s = now_s
         return now_s - self._held_since_s >= ORPHANED_HOLD_GRACE_S
 
+    def _measure_effect(self, ranks: list[RankState], min_scenarios: int) -> None:
+        """Log the effect of the last change if enough scenarios arrived since its map is in use."""
+        in_use_s = self._effect.in_use_s
+        if in_use_s is None or self._scenarios.count_since(in_use_s) < min_scenarios:
+            return
+        layout = self._layout(ranks)
+        if layout is None:
+            return
+        from bronzerudder.expert_maps import planner
+
+        now_s = time.monotonic()
+        loads = planner.slice_loads(self._scenarios.slices(now_s, in_use_s), self._shape.sets)
+        skew = planner.layout_skew(
+            layout, loads, planner.relative_slowdowns([state.pace for state in ranks])
+        )
+        own = [state.step for state in ranks if state.address == self._own_address]
+        self._log_event("map measured", **self._effect.summarize(skew, max(own), now_s))
+
     async def _plan(self, ranks: list[RankState]) -> ChangePlan | None:
         """Plan a change; None if it is not due, or not worth its cost."""
         now_s = time.monotonic()
@@ -317,6 +339,8 @@
             return None
         if now_s < self._replan_at_s and self._skew < REPLAN_SKEW_RATIO * self._rejected_skew:
             return None
+        self._measure_effect(ranks, min_scenarios=1)
+        newest_counts_s, oldest_counts_s = self._scenarios.newest_s, self._scenarios.oldest_s
         planned = await planner.plan_layout(
             layout, scenarios, slowdowns, self._shape.bounds, self._load_times
         )
@@ -343,8 +367,12 @@
             expected_s=round(self._load_times.duration_s(planned.loads), 3),
             slowest_pace=max(state.pace for state in ranks),
             planning_s=round(time.monotonic() - now_s, 3),
+            planning_cpu_s=round(planned.cpu_s, 3),
             oldest_post_s=round(self._oldest_report_s(ranks), 2),
         )
+        self._effect.expect(
+            PlannedEffect(version, planned.skew_after, step_s, newest_counts_s, oldest_counts_s)
+        )
         fallback = self._next_version()
         self._planned_loads = planned.loads
         loading_s = LOAD_TIMEOUT_FACTOR * planned.loads * self._load_times.load_s
--- a/src/bronzerudder/expert_maps/planner.py
+++ b/src/bronzerudder/expert_maps/planner.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import functools
-from typing import NamedTuple
+import time
+from collections.abc import Callable
+from typing import NamedTuple, TypeVar
 
 import anyio.lowlevel
 import anyio.to_thread
@@ -24,6 +26,8 @@
 MIN_SLOWDOWN = 0.1
 """Lower bound, in case a rank reports zero or a negative value."""
 
+_Result = TypeVar("_Result")
+
 
 class PlannedLayout(NamedTuple):
     """A layout, and what it changes.
@@ -36,12 +40,15 @@
         Largest over mean load of a step, before and after.
     loads : int
         Experts that the busiest rank must load.
+    cpu_s : float
+        Processor time of the search, in seconds.
     """
 
     layout: Layout
     skew: float
     skew_after: float
     loads: int
+    cpu_s: float = 0.0
 
 
 def slice_loads(slices: list[list[Scenario]], sets: int) -> np.ndarray:
@@ -95,6 +102,7 @@
         How long changes take.
     """
     best: SizedChange | None = None
+    cpu_s = 0.0
     loads_per_change = 1
     while loads_per_change <= bounds.loads_per_change:
         sized_bounds = bounds._replace(loads_per_change=loads_per_change)
@@ -103,7 +111,9 @@
             improve = functools.partial(
                 _improve, index, held, scenarios[index], slowdowns, sized_bounds
             )
-            improvements.append(await anyio.to_thread.run_sync(improve))
+            improvement, improve_cpu_s = await anyio.to_thread.run_sync(_timed(improve))
+            improvements.append(improvement)
+            cpu_s += improve_cpu_s
         sized = choose_sets(layout, improvements, times)
         if sized is None or (best is not None and sized.rate <= best.rate):
             break
@@ -111,10 +121,20 @@
         loads_per_change *= 2
     skew = layout_skew(layout, scenarios, slowdowns)
     if best is None:
-        return PlannedLayout(layout, skew, skew, 0)
-    return PlannedLayout(
-        best.layout, skew, layout_skew(best.layout, scenarios, slowdowns), best.loads
-    )
+        return PlannedLayout(layout, skew, skew, 0, cpu_s)
+    skew_after = layout_skew(best.layout, scenarios, slowdowns)
+    return PlannedLayout(best.layout, skew, skew_after, best.loads, cpu_s)
+
+
+def _timed(function: Callable[[], _Result]) -> Callable[[], tuple[_Result, float]]:
+    """Return a function that also returns the processor time that it takes, in seconds."""
+
+    def run() -> tuple[_Result, float]:
+        started_s = time.thread_time()
+        result = function()
+        return result, time.thread_time() - started_s
+
+    return run
 
 
 def _improve(
--- a/src/bronzerudder/expert_maps/scenarios.py
+++ b/src/bronzerudder/expert_maps/scenarios.py
@@ -90,16 +90,37 @@
         if len(scenario.levels) == self._packed_size:
             self._scenarios.append(_TimedScenario(now_s, scenario))
 
-    def slices(self, now_s: float) -> list[list[Scenario]]:
+    @property
+    def newest_s(self) -> float:
+        """Monotonic time at which the newest scenario arrived; 0 if there is none."""
+        return self._scenarios[-1].at_s if self._scenarios else 0.0
+
+    @property
+    def oldest_s(self) -> float:
+        """Monotonic time at which the oldest scenario arrived; 0 if there is none."""
+        return self._scenarios[0].at_s if self._scenarios else 0.0
+
+    def count_since(self, since_s: float) -> int:
+        """Return the number of scenarios that arrived since a monotonic time."""
+        return sum(held.at_s >= since_s for held in self._scenarios)
+
+    def slices(self, now_s: float, since_s: float = -math.inf) -> list[list[Scenario]]:
         """Return the scenarios of the window, grouped by the slice in which they arrived.
 
         The load of a step is the sum over all ranks, so it is approximated by a slice rather than
         by the scenario of one rank.
+
+        Parameters
+        ----------
+        now_s, since_s : float
+            Monotonic times; scenarios that arrived before `since_s` are left out.
         """
         while self._scenarios and self._scenarios[0].at_s < now_s - WINDOW_S:
             self._scenarios.popleft()
         by_slice: dict[int, list[Scenario]] = {}
         for held in self._scenarios:
+            if held.at_s < since_s:
+                continue
             by_slice.setdefault(int((now_s - held.at_s) / SLICE_S), []).append(held.scenario)
         weights = {number: sum(item.weight for item in held) for number, held in by_slice.items()}
         min_weight = MIN_SLICE_FRACTION * max(weights.values(), default=0)
--- a/tests/expert_maps/simulated_group.py
+++ b/tests/expert_maps/simulated_group.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+import time
 
 import anyio
 
@@ -36,6 +37,8 @@
 class VirtualTime:
     """Replaces the module ``time`` where code reads the monotonic clock."""
 
+    process_time = staticmethod(time.process_time)
+
     @staticmethod
     def monotonic():
         return asyncio.get_running_loop().time()
--- a/tests/expert_maps/test_leader.py
+++ b/tests/expert_maps/test_leader.py
@@ -99,7 +99,7 @@
 
 
 class SeveralGroupsTest(VirtualLeaderTest):
-    def lead(self, names, misdirected=False):
+    def lead(self, names, misdirected=False, log=None):
         """Lead each group for some time; return the groups, counters and calls by name."""
         groups = {name: SimulatedGroup(RANKS, seeded(3), name=name) for name in names}
         counts = {name: AgentCounts() for name in names}
@@ -129,7 +129,7 @@
                         StandingRecord(recorded),
                         recorded,
                         NO_LEADER,
-                        mock.Mock(),
+                        log or mock.Mock(),
                         counts[name],
                     )
                     tasks.start_soon(leaders[name].run)
@@ -158,6 +158,16 @@
         for name in groups:
             self.assertEqual({group for group, _ in calls[name].layouts}, {name})
 
+    def test_the_effect_of_a_change_is_logged(self):
+        log = mock.Mock()
+        _, counts, _ = self.lead(("only",), log=log)
+        lines = [call for call in log.state.call_args_list if call.args == ("map measured",)]
+        changes = counts["only"].by_result(CounterName.MAP_CHANGES)["changed"]
+        self.assertGreater(len(lines), 0)
+        self.assertLessEqual(len(lines), changes)
+        for line in lines:
+            self.assertLess(line.kwargs["newest_counts_age_s"], 2.0)
+
     def test_reports_of_another_group_are_not_taken_for_those_of_its_ranks(self):
         self.assert_changed(*self.lead(("first", "second"), misdirected=True)[:2])
 
