--- a/tests/expert_maps/simulated_agents.py
+++ b/tests/expert_maps/simulated_agents.py
@@ -172,8 +172,13 @@
             return list(range(rank.number, EXPERTS, len(self.ranks)))
         return list(ast.literal_eval(rank.map.content)[0][rank.number])
 
-    @property
-    def counts(self):
+    def experts_by_set(self, rank):
+        """Return the experts that a rank holds, by set of layers."""
+        return [self.experts(rank)]
+
+    def counts(self, rank):
+        """Return how often the requests of a rank chose each expert."""
+        del rank
         return list(self._counts)
 
 
@@ -189,14 +194,14 @@
 
     async def counts(self, address):
         await self._instance.wait()
-        return RankCounts(self._group.epoch, self._group.counts)
+        return RankCounts(self._group.epoch, self._group.counts(self._find(address)))
 
     async def experts(self, address):
         await self._instance.wait()
         if self._is_blocked(address):
             return RankFailure("no answer in time")
         rank = self._find(address)
-        return RankExperts(rank.map.version, [self._group.experts(rank)])
+        return RankExperts(rank.map.version, self._group.experts_by_set(rank))
 
 
 class Answer:
@@ -243,6 +248,15 @@
 class AgentGroup:
     """All agents of a group.
 
+    Parameters
+    ----------
+    size, seed : int
+        Number of ranks, and the seed of all draws.
+    late, lost : float
+        Fractions of orders that are executed late, and of lost answers.
+    group, shape : AddressedGroup, ExpertShape
+        The group and the shape of its maps, if they are not the default ones.
+
     Attributes
     ----------
     group, store : SimulatedGroup, SimulatedStore
@@ -251,20 +265,20 @@
         Suspends the agents.
     """
 
-    def __init__(self, size, seed, late=0.0, lost=0.0):
+    def __init__(self, size, seed, late=0.0, lost=0.0, group=None, shape=None):
         self.generator = seeded(seed)
-        self.group = AddressedGroup(size, self.generator, late, lost)
+        self.group = group or AddressedGroup(size, self.generator, late, lost)
+        self._shape = shape or ExpertShape(1, EXPERTS, BOUNDS, 0.01)
         self.store = SimulatedStore()
         self.instances = [Instance() for _ in range(size)]
         self.agents = []
 
     def start(self, tasks):
         """Start the group, the store and all agents."""
-        shape = ExpertShape(1, EXPERTS, BOUNDS, 0.01)
         addresses = tuple(rank.address for rank in self.group.ranks)
 
         async def read_shape():
-            return shape
+            return self._shape
 
         async def list_ranks():
             return addresses
