Plan no change until all ranks show the map of the last one

After a change the leader pauses for 0.3 s and then plans from what ranks report. The map comes into use at a held step 0.25 s and up to three steps ahead, and reports follow; where steps are long all ranks still show the replaced map, so the leader planned the same change once more. The ranks then load experts that they have just dropped, and may refuse more loads than one change allows.

The leader now waits until all ranks of the epoch show the last map.

--- a/src/bronzerudder/expert_maps/leader.py
+++ b/src/bronzerudder/expert_maps/leader.py
@@ -154,6 +154,7 @@
         self._skew = 1.0
         self._replan_at_s = 0.0
         self._changed_at_s = 0.0
+        self._last_change: tuple[int, int] | None = None
         self._rejected_skew = 0.0
 
     @property
@@ -322,7 +323,7 @@
             return None
         if step_s <= self._shape.step_target_s and ranks[0].map_version != INITIAL_MAP_VERSION:
             return None
-        if any(state.armed is not None for state in ranks):
+        if any(state.armed is not None for state in ranks) or not self._shows_last_change(ranks):
             return None
         slices = self._scenarios.slices(now_s)
         layout = self._layout(ranks)
@@ -385,6 +386,13 @@
             max(LOAD_TIMEOUT_S, loading_s),
         )
 
+    def _shows_last_change(self, ranks: list[RankState]) -> bool:
+        """Whether all ranks report the map of the last change, or that the group formed again."""
+        if self._last_change is None:
+            return True
+        epoch, version = self._last_change
+        return ranks[0].epoch != epoch or all(state.map_version >= version for state in ranks)
+
     def _layout(self, ranks: list[RankState]) -> Layout | None:
         """Layout in use, or None while it is not known for all ranks."""
         version = ranks[0].map_version
@@ -416,6 +424,7 @@
         )
         if result is ChangeResult.CHANGED:
             self._failures = 0
+            self._last_change = (ranks[0].epoch, plan.version)
             self._load_times.record(self._planned_loads, now_s - started_s)
             self._next_change_at_s = now_s + CHANGE_PAUSE_S
             await self._mark_settled()
