Test repeated refusals, and errors where a broken stream goes on

A refusal written once more on a kept connection: next to the first one, on the idle connection, before the next answer, or split around the next request; at one and two backend servers, for requests that may and may not be repeated. The connection of a refusal is closed, so no copy of it can meet the same request again.

A stream that breaks off after some events, whose next answer is an error: eight statuses in each framing, refusals, cut-off errors, bytes that are no answer, callers of HTTP/1.0. Nothing but the stream's events arrives, and it does not look complete. The handler stops once a stream has begun; without that check the writer refuses a second head, so the tests hold without it too.

The stand-in server can refuse, answer errors and split an extra answer. An answer that ends with its connection now counts as whole only without a reset.

--- a/bench/soak/injector.py
+++ b/bench/soak/injector.py
@@ -69,7 +69,7 @@
     *(
         AnswerScript(framing, extra=Extra(extra_time, extra_id))
         for framing in Framing
-        for extra_time in ExtraTime
+        for extra_time in (ExtraTime.ADJACENT, ExtraTime.IDLE, ExtraTime.LATE)
         for extra_id in ExtraId
     ),
     *(
--- a/src/bronzerudder/standin/fleet/answer_script.py
+++ b/src/bronzerudder/standin/fleet/answer_script.py
@@ -21,6 +21,7 @@
 TEXTS_PER_CHUNK = 1000
 """Repetitions of a text in each chunk of an endless answer."""
 INFORMATIONAL_HEAD = b"HTTP/1.1 102 Processing\r\n\r\n"
+SUCCESS_STATUS = 200
 FOREIGN_ID = b"another-request"
 GARBAGE = b"\x16\x03\x01 these bytes are no answer\r\n\r\n"
 
@@ -57,12 +58,14 @@
     """When an extra answer is sent.
 
     ``ADJACENT`` sends it together with the end of the first answer, ``IDLE`` shortly after it, and
-    ``LATE`` before the answer to the next request on the connection.
+    ``LATE`` before the answer to the next request on the connection. ``SPLIT`` sends its first half
+    shortly after the first answer, and the rest before that to the next request.
     """
 
     ADJACENT = "adjacent"
     IDLE = "idle"
     LATE = "late"
+    SPLIT = "split"
 
 
 class ExtraId(enum.Enum):
@@ -120,6 +123,11 @@
         Whether bytes that are no answer replace the answer.
     early : bool
         Whether the request is refused as not executed before its body is read.
+    refused : bool
+        Whether the request is refused as not executed, and does not run; an extra answer repeats
+        the refusal.
+    status : int
+        Status of the answer; an error has a short text as its body.
     """
 
     framing: Framing | None = None
@@ -130,6 +138,8 @@
     endless: Endless | None = None
     garbage: bool = False
     early: bool = False
+    refused: bool = False
+    status: int = 200
 
 
 SOUND = AnswerScript()
@@ -199,6 +209,12 @@
         end = b"0\r\n\r\n" if framing is Framing.CHUNKS else b""
         return head + b"".join(_frame(contents, framing)) + end
 
+    def refusal(self) -> bytes:
+        """Return an answer that says that the request was not executed."""
+        body = b"refused <" + self._id + b">\n"
+        head = self._head(self._id, Framing.LENGTH, len(body), wire.STATUS_REJECTED)
+        return head[:-2] + wire.NOT_EXECUTED + b": 1\r\n\r\n" + body
+
     def endless(self, endless: Endless) -> EndlessBytes:
         """Return the bytes of an endless answer."""
         chunked = self._head(self._id, Framing.CHUNKS, 0)
@@ -230,7 +246,7 @@
     def _contents(self, request_id: bytes | None = None) -> list[bytes]:
         """Return the body in the portions in which it is sent; each event is one."""
         request_id = self._id if request_id is None else request_id
-        if not self._is_stream:
+        if self._script.status != SUCCESS_STATUS or not self._is_stream:
             body = plain_body(request_id)
             return [body[: len(body) // 2], body[len(body) // 2 :]]
         first = int(self._request.header(wire.LAST_EVENT_ID) or b"0") + 1
@@ -251,8 +267,12 @@
             return [*contents[:complete], event[: len(b"id: 1")]]
         return [*contents[:complete], event[: event.index(b"event")]]
 
-    def _head(self, request_id: bytes, framing: Framing, length: int, status: int = 200) -> bytes:
-        content_type = b"text/event-stream" if self._is_stream else b"text/plain"
+    def _head(
+        self, request_id: bytes, framing: Framing, length: int, status: int | None = None
+    ) -> bytes:
+        status = self._script.status if status is None else status
+        is_stream = self._is_stream and status == SUCCESS_STATUS
+        content_type = b"text/event-stream" if is_stream else b"text/plain"
         lines = [b"HTTP/1.1 %d OK" % status, wire.SIGNATURE + b": signed", wire.LOAD + b": 1,0,6"]
         lines.append(b"content-type: " + content_type)
         if request_id:
--- a/src/bronzerudder/standin/fleet/faulty_answers.py
+++ b/src/bronzerudder/standin/fleet/faulty_answers.py
@@ -132,10 +132,11 @@
         if not complete:
             return False
         request = Request(head.method, head.target, tuple(head.headers), body)
+        if script.refused:
+            return await self._refuse(AnswerBytes(request, script), script)
         self._server.runs.append(request)
         self._server.run_at_s.append(time.monotonic())
-        late, self._late_answer = self._late_answer, b""
-        if late and not await self._send(late):
+        if not await self._send_late_answer():
             return False
         return await self._answer(AnswerBytes(request, script), script)
 
@@ -150,19 +151,48 @@
             return False
         pieces = answer.pieces()
         extra = script.extra
-        if extra is not None and extra.time is ExtraTime.ADJACENT:
-            pieces[-1] += answer.extra(extra)
+        if extra is None:
+            sent = await self._send_pieces(pieces)
+        else:
+            sent = await self._send_twice(pieces, answer.extra(extra), extra.time)
+        return sent and await self._end(answer.ending)
+
+    async def _refuse(self, answer: AnswerBytes, script: AnswerScript) -> bool:
+        """Refuse a request that was read; the connection is kept."""
+        if not await self._send_late_answer():
+            return False
+        refusal = answer.refusal()
+        if script.extra is None:
+            return await self._send(refusal)
+        return await self._send_twice([refusal], refusal, script.extra.time)
+
+    async def _send_late_answer(self) -> bool:
+        late, self._late_answer = self._late_answer, b""
+        return await self._send(late)
+
+    async def _send_pieces(self, pieces: list[bytes]) -> bool:
         for number, piece in enumerate(pieces):
             if number:
                 await anyio.sleep(EVENT_GAP_S)
             if not await self._send(piece):
                 return False
-        if extra is not None and extra.time is ExtraTime.IDLE:
-            await anyio.sleep(EXTRA_DELAY_S)
-            await self._send(answer.extra(extra))
-        if extra is not None and extra.time is ExtraTime.LATE:
-            self._late_answer = answer.extra(extra)
-        return await self._end(answer.ending)
+        return True
+
+    async def _send_twice(self, pieces: list[bytes], extra: bytes, extra_time: ExtraTime) -> bool:
+        """Send an answer and an extra one."""
+        if extra_time is ExtraTime.ADJACENT:
+            return await self._send_pieces([*pieces[:-1], pieces[-1] + extra])
+        if not await self._send_pieces(pieces):
+            return False
+        if extra_time is ExtraTime.LATE:
+            self._late_answer = extra
+            return True
+        await anyio.sleep(EXTRA_DELAY_S)
+        if extra_time is ExtraTime.IDLE:
+            await self._send(extra)
+            return True
+        self._late_answer = extra[len(extra) // 2 :]
+        return await self._send(extra[: len(extra) // 2])
 
     async def _refuse_early(self, head: h11.Request) -> bool:
         """Refuse a request before its body is read; the connection is kept and read on later."""
--- a/tests/gateway/test_faulty_answers.py
+++ b/tests/gateway/test_faulty_answers.py
@@ -18,6 +18,7 @@
 from bronzerudder.standin.fleet.answer_script import (
     EVENTS,
     FOREIGN_ID,
+    SOUND,
     BreakPoint,
     Ending,
     Endless,
@@ -153,12 +154,14 @@
 
 
 class Play:
-    """A gateway and two backend servers that answer by scripts.
+    """A gateway and backend servers that answer by scripts.
 
     Parameters
     ----------
     kind : str
         Route of its requests.
+    servers : int
+        Number of backend servers.
 
     Attributes
     ----------
@@ -166,10 +169,10 @@
         The backend servers.
     """
 
-    def __init__(self, kind: str) -> None:
+    def __init__(self, kind: str, servers: int = 2) -> None:
         self._kind = kind
         self._gateway = GatewayHarness(server_count=0)
-        self.servers = [FaultyAnswerServer("i-0"), FaultyAnswerServer("i-1")]
+        self.servers = [FaultyAnswerServer(f"i-{number}") for number in range(servers)]
 
     @property
     def is_stream(self):
@@ -185,12 +188,12 @@
     async def __aexit__(self, *unused):
         await self._gateway.stop()
 
-    async def send(self, request_id, body=b"", **headers):
+    async def send(self, request_id, body=b"", version=b"1.1", **headers):
         """Send a request over its own connection; return what is received."""
         host, _, port = self._gateway.address.rpartition(":")
         reader, writer = await asyncio.open_connection(host, int(port))
         lines = [
-            b"POST /%s/%s HTTP/1.1" % (self._kind.encode(), request_id),
+            b"POST /%s/%s HTTP/%s" % (self._kind.encode(), request_id, version),
             b"host: h.example",
             b"connection: close",
             wire.API_KEY + b": key",
@@ -198,20 +201,22 @@
             b"content-length: %d" % len(body),
         ]
         lines.extend(f"{name}: {value}".encode() for name, value in headers.items())
-        raw = b""
+        raw, reset = b"", False
         try:
             with anyio.fail_after(TIMEOUT_S):
                 writer.write(b"\r\n".join([*lines, b"", body]))
                 while block := await reader.read(READ_BYTES):
                     raw += block
         except ConnectionResetError:
-            # Ends the answer like a normal end of the connection; what came before counts.
-            pass
+            # What came before counts, but an answer that ends with its connection isn't whole.
+            reset = True
         finally:
             writer.close()
-        return decode(raw)
+        received = decode(raw)
+        is_unframed = not {b"content-length", b"transfer-encoding"} & set(received.headers)
+        return received._replace(whole=received.whole and not (reset and is_unframed))
 
-    async def send_several(self, scripts, shortest=EVENTS):
+    async def send_several(self, scripts, shortest=EVENTS, version=b"1.1"):
         """Answer the first requests by the scripts, later ones soundly; return all violations."""
         for server in self.servers:
             # Shared, as the gateway chooses the backend server.
@@ -219,7 +224,7 @@
         found = []
         for number in range(1 + FOLLOWING_REQUESTS):
             request_id = b"%s-%d" % (self._kind.encode(), number)
-            received = await self.send(request_id)
+            received = await self.send(request_id, version=version)
             violation = find_violation(request_id, received, self.is_stream, shortest)
             violation = violation or self._find_run_violation(request_id, received)
             if violation:
@@ -364,6 +369,88 @@
         await self.play(AnswerScript(Framing.CONNECTION_END, Ending.CLOSED, point), shortest=1)
 
 
+class RepeatedRefusalTest(unittest.IsolatedAsyncioTestCase):
+    """A backend server writes a refusal once more on a connection that it keeps."""
+
+    async def play(self, kind, servers, scripts):
+        described = list(map(describe, scripts))
+        async with Play(kind, servers) as played:
+            found = await played.send_several(scripts)
+            await played.expect_service()
+        return [f"{line}; {kind} at {servers} by {described}" for line in found]
+
+    async def play_all(self, before, after):
+        found = []
+        for kind, servers, time in itertools.product(
+            ("read", "book", "stream", "once"), (1, 2), ExtraTime
+        ):
+            refusal = AnswerScript(refused=True, extra=Extra(time))
+            found += await self.play(kind, servers, [*before, refusal, *after])
+        self.assertFalse(found, "\n".join(["", *found]))
+
+    async def test_a_repeated_refusal_is_taken_for_the_answer_to_a_request_that_runs(self):
+        await self.play_all((), ())
+
+    async def test_a_repeated_refusal_between_others_on_the_connection(self):
+        await self.play_all((SOUND, SOUND), (AnswerScript(refused=True), SOUND))
+
+    async def test_several_repeated_refusals_in_a_row(self):
+        again = AnswerScript(refused=True, extra=Extra(ExtraTime.LATE))
+        await self.play_all((), (again, again))
+
+
+def break_and_fail(status, framing, ending=Ending.KEPT):
+    """Make a stream that breaks off after some events, and an error as the next answer."""
+    broken = AnswerScript(ending=Ending.RESET, broken_at=BreakPoint.BETWEEN_EVENTS)
+    return [broken, AnswerScript(framing, ending, status=status)]
+
+
+class ErrorOnResumptionTest(unittest.IsolatedAsyncioTestCase):
+    """A stream has begun and broken off, and the next backend server answers with an error."""
+
+    async def play(self, scripts, version=b"1.1"):
+        found = []
+        for kind, each in itertools.product(STREAM_KINDS, scripts):
+            described = list(map(describe, each))
+            async with Play(kind) as played:
+                violations = await played.send_several(each, version=version)
+                found += [f"{line}; by {described}" for line in violations]
+                await played.expect_service()
+        self.assertFalse(found, "\n".join(["", *found]))
+
+    async def test_the_error_is_written_into_the_stream(self):
+        statuses = (204, 302, 400, 404, 429, 500, 502, 503)
+        await self.play(
+            [break_and_fail(status, framing) for status in statuses for framing in Framing]
+        )
+
+    async def test_the_error_is_written_into_the_stream_of_an_older_caller(self):
+        await self.play(
+            [break_and_fail(status, framing) for status in (404, 500) for framing in Framing],
+            version=b"1.0",
+        )
+
+    async def test_an_error_that_is_cut_off_is_written_into_the_stream(self):
+        endings = (Ending.CLOSED, Ending.RESET)
+        await self.play([break_and_fail(500, None, ending) for ending in endings])
+
+    async def test_a_refusal_is_written_into_the_stream(self):
+        broken = break_and_fail(500, None)[0]
+        refusals = [AnswerScript(refused=True)] * 3
+        extra = AnswerScript(refused=True, extra=Extra(ExtraTime.ADJACENT))
+        await self.play([[broken, *refusals], [broken, extra, broken]])
+
+    async def test_bytes_that_are_no_answer_are_written_into_the_stream(self):
+        broken = break_and_fail(500, None)[0]
+        await self.play(
+            [
+                [broken, AnswerScript(garbage=True)],
+                [broken, AnswerScript(broken_at=BreakPoint.HEAD)],
+                [broken, AnswerScript(status=500, extra=Extra(ExtraTime.ADJACENT))],
+            ]
+        )
+
+
 class EarlyAnswerTest(unittest.IsolatedAsyncioTestCase):
     async def test_an_answer_before_the_body_is_read_gets_only_the_rest_of_the_body(self):
         for kind in ("read", "book"):
