Pass over numbers in headers that are too long or no ASCII digits

Callers got 500 "internal error" for requests that a backend server had run, at each server that named a `Server-Load` or a `Keep-Alive` timeout of 400 digits or more, or a load with a superscript digit, for as long as it did. A caller's own header of that sort ended its request the same way.

str.isdigit is true for digits that int refuses; int refuses more than 4,300 digits; and a longer integer than a float holds fails where it is calculated with. Numbers now have ASCII digits and a greatest length.

The new tests of the client, the headers and the gateway failed before. Limits and pauses (`Server-Limit`, `Retry-After`) were sound already, and a caller's huge number did not keep others from being served.

--- a/src/bronzerudder/http1/client.py
+++ b/src/bronzerudder/http1/client.py
@@ -24,6 +24,8 @@
 KEEP_ALIVE_MARGIN_S = 1.0
 """Subtracted from the peer's Keep-Alive timeout, so that the peer does not close the connection
 just as a request is sent; the timeout is in whole seconds."""
+MAX_TIMEOUT_DIGITS = 9
+"""Digits of a Keep-Alive timeout that is followed; a longer one counts as none."""
 MAX_IDLE_PER_ADDRESS = 32
 MAX_HEAD_BYTES = 65_536
 EMPTY_STATUSES = (204, 304)
@@ -388,6 +390,6 @@
         return DEFAULT_IDLE_TIMEOUT_S
     for part in value.split(b","):
         name, _, number = part.strip().partition(b"=")
-        if name.lower() == b"timeout" and number.isdigit():
+        if name.lower() == b"timeout" and number.isdigit() and len(number) <= MAX_TIMEOUT_DIGITS:
             return int(number) - KEEP_ALIVE_MARGIN_S
     return DEFAULT_IDLE_TIMEOUT_S
--- a/src/bronzerudder/platform/requests.py
+++ b/src/bronzerudder/platform/requests.py
@@ -12,6 +12,8 @@
 from bronzerudder.platform import wire
 
 MS_PER_S = 1000.0
+MAX_DIGITS = 15
+"""Digits of a number in a header; more would be no size, time or load."""
 MAX_SHARED_PARTS = 16
 """Prompt parts of a request that are read; prompts of the platform have fewer."""
 MAX_PART_ID_LENGTH = 64
@@ -151,7 +153,7 @@
 def decode_request(request: Request) -> RequestHead:
     """Read a caller's headers; of a repeated header the first counts."""
     headers = dict(reversed(request.headers))
-    deadline_ms = _number(headers.get(wire.DEADLINE_MS))
+    deadline_ms = _whole_number(_text(headers.get(wire.DEADLINE_MS)))
     prompt, _, answer = _text(headers.get(wire.TOKENS)).partition(",")
     hint = _count(_text(headers.get(wire.LENGTH_HINT)))
     return RequestHead(
@@ -252,11 +254,10 @@
 
 
 def _decode_load(value: str) -> ServerLoad | None:
-    parts = value.split(",")
-    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+    numbers = [_whole_number(part) for part in value.split(",")]
+    if len(numbers) != 3 or None in numbers:
         return None
-    running, waiting, slots = (int(part) for part in parts)
-    return ServerLoad(running, waiting, slots)
+    return ServerLoad(*numbers)
 
 
 def _decode_limit(values: list[bytes]) -> RateLimit:
@@ -294,11 +295,13 @@
     return "" if value is None else value.decode("latin-1").strip()
 
 
-def _number(value: bytes | None) -> float | None:
-    text = _text(value)
-    return float(text) if text.isdigit() else None
+def _whole_number(text: str) -> int | None:
+    """Return a number written in ASCII digits; None if it is none, or too long to be one."""
+    text = text.strip()
+    if len(text) > MAX_DIGITS or not (text.isascii() and text.isdigit()):
+        return None
+    return int(text)
 
 
 def _count(text: str) -> int:
-    text = text.strip()
-    return int(text) if text.isdigit() else 0
+    return _whole_number(text) or 0
--- a/src/bronzerudder/standin/fleet/answer_script.py
+++ b/src/bronzerudder/standin/fleet/answer_script.py
@@ -22,6 +22,7 @@
 """Repetitions of a text in each chunk of an endless answer."""
 INFORMATIONAL_HEAD = b"HTTP/1.1 102 Processing\r\n\r\n"
 SUCCESS_STATUS = 200
+USUAL_LOAD = (wire.LOAD, b"1,0,6")
 FOREIGN_ID = b"another-request"
 GARBAGE = b"\x16\x03\x01 these bytes are no answer\r\n\r\n"
 
@@ -128,6 +129,8 @@
         the refusal.
     status : int
         Status of the answer; an error has a short text as its body.
+    header : tuple or None
+        Name and value of a header; replaces the usual one of that name.
     """
 
     framing: Framing | None = None
@@ -140,6 +143,7 @@
     early: bool = False
     refused: bool = False
     status: int = 200
+    header: tuple[bytes, bytes] | None = None
 
 
 SOUND = AnswerScript()
@@ -273,7 +277,11 @@
         status = self._script.status if status is None else status
         is_stream = self._is_stream and status == SUCCESS_STATUS
         content_type = b"text/event-stream" if is_stream else b"text/plain"
-        lines = [b"HTTP/1.1 %d OK" % status, wire.SIGNATURE + b": signed", wire.LOAD + b": 1,0,6"]
+        lines = [b"HTTP/1.1 %d OK" % status, wire.SIGNATURE + b": signed"]
+        name, value = self._script.header or USUAL_LOAD
+        lines.append(name + b": " + value)
+        if name != wire.LOAD:
+            lines.append(b": ".join(USUAL_LOAD))
         lines.append(b"content-type: " + content_type)
         if request_id:
             lines.append(wire.REQUEST_ID + b": " + request_id)
--- a/tests/gateway/test_faulty_answers.py
+++ b/tests/gateway/test_faulty_answers.py
@@ -451,6 +451,38 @@
         )
 
 
+class OddNumberTest(unittest.IsolatedAsyncioTestCase):
+    """A backend server, or a caller, names numbers that are too large or none."""
+
+    async def test_answers_are_lost_or_their_server_is_no_longer_picked(self):
+        numbers = (b"9" * 400, b"9" * 5000, b"\xb2", b"-1", b"1e400", b"nan")
+        names = (wire.LIMIT, wire.RETRY_AFTER, wire.LEAVING, wire.FAULTY_ADDRESS)
+        odd = [(name, number) for name in names for number in numbers]
+        odd += [(wire.LOAD, number + b",0,6") for number in numbers]
+        odd += [(wire.LOAD, b"1," + number + b",6") for number in numbers]
+        odd += [(b"keep-alive", b"timeout=" + number) for number in numbers]
+        found = []
+        for kind, header in itertools.product(("read", "once"), odd):
+            async with Play(kind) as played:
+                for server in played.servers:
+                    server.usual = AnswerScript(header=header)
+                for number in range(1 + FOLLOWING_REQUESTS):
+                    received = await played.send(b"%s-%d" % (kind.encode(), number))
+                    if received.status != 200 or not received.whole:
+                        found.append(f"{kind} {header[0]} {header[1][:8]}: {received.raw[:80]}")
+                        break
+        self.assertFalse(found, "\n".join(["", *found]))
+
+    async def test_a_caller_that_names_a_huge_number_keeps_others_from_being_served(self):
+        async with Play("read") as played:
+            for number in (400, 5000):
+                huge = "9" * number
+                await played.send(b"odd-%d" % number, **{"token-usage": f"{huge},{huge}"})
+                await played.send(b"hint-%d" % number, **{"length-hint": huge})
+                received = await played.send(b"sound-%d" % number)
+                self.assertEqual((received.status, received.whole), (200, True), received)
+
+
 class EarlyAnswerTest(unittest.IsolatedAsyncioTestCase):
     async def test_an_answer_before_the_body_is_read_gets_only_the_rest_of_the_body(self):
         for kind in ("read", "book"):
--- a/tests/http1/test_client.py
+++ b/tests/http1/test_client.py
@@ -265,6 +265,13 @@
                 skipped = await exchange.skip_stale_answer()
             self.assertIs(skipped.kind, HttpErrorKind.BROKEN)
 
+    async def test_a_keep_alive_time_that_is_too_long_loses_the_answer(self):
+        for digits in (20, 400, 5000):
+            answer = OK.replace(b"timeout=5", b"timeout=" + b"9" * digits)
+            async with Peer(answer) as peer:
+                result = await ClientPool().call(peer.address, b"GET", b"/", [(b"host", b"h")])
+                self.assertEqual(result, (200, b"ok"), digits)
+
     async def test_a_connection_is_not_kept_after_answers_that_end_it(self):
         ends = (
             b"HTTP/1.0 200 OK\r\nContent-Length: 2\r\n\r\nok",
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -36,6 +36,19 @@
             (caller.deadline_s, caller.prompt_tokens, caller.answer_tokens), (None, 0, 0)
         )
 
+    def test_a_number_that_is_too_long_or_no_ascii_is_passed_over(self):
+        for value in (b"9" * 400, b"9" * 5000, b"\xb2", b"1" + b"0" * 15):
+            with self.subTest(value=value[:8], length=len(value)):
+                headers = ((b"deadline-ms", value), (b"token-usage", value + b",7"))
+                caller = decode_request(Request(b"GET", b"/", headers, b""))
+                self.assertEqual(
+                    (caller.deadline_s, caller.prompt_tokens, caller.answer_tokens), (None, 0, 7)
+                )
+                hinted = decode_request(Request(b"GET", b"/", ((b"length-hint", value),), b""))
+                self.assertEqual(hinted.answer_tokens, 0)
+                answer = ResponseHead(200, ((b"server-load", value + b",0,6"),))
+                self.assertIsNone(decode_answer(answer).load)
+
     def test_shared_parts_are_all_but_the_last(self):
         for value, expected in (
             (b"5c1e:800,91BD:410, e440:250", ("5c1e", "91bd")),
