Check the ranges of what ranks report

A rank that reported a huge or negative number ended the task of the agent next to it on each poll, as no message to the leader can carry it and no level can be drawn from it. A group size of some billions filled the leader's memory, and an expert that does not exist ended the leader on each plan.

Ranges are checked where answers are decoded, so such an answer is a failed call like others; the leader compares sizes without building lists, and takes no placement outside of its shape for known. Deep nesting was an error already.

The tests of ranks failed before (44 of the cases), as did that of the group size; that of experts fails without the check of the shape.

--- a/src/bronzerudder/expert_maps/leader.py
+++ b/src/bronzerudder/expert_maps/leader.py
@@ -272,7 +272,9 @@
     def _complete_group(self) -> list[RankState] | None:
         """All ranks of the group in order, or None while the current state of any is not known."""
         ranks = self._current_ranks()
-        if not ranks or sorted(ranks) != list(range(next(iter(ranks.values())).size)):
+        if not ranks or len(ranks) != next(iter(ranks.values())).size:
+            return None
+        if set(ranks) != set(range(len(ranks))):
             return None
         return [ranks[rank] for rank in range(len(ranks))]
 
@@ -405,11 +407,21 @@
                 or rank_experts.map_version != version
             ):
                 return None
-            if len(rank_experts.experts) != self._shape.sets:
+            if not self._fits_shape(rank_experts):
                 return None
             placements.append(rank_experts.experts)
         return [[experts[index] for experts in placements] for index in range(self._shape.sets)]
 
+    def _fits_shape(self, rank_experts: RankExperts) -> bool:
+        """Whether a rank holds experts that exist, and no more than it has slots for."""
+        experts, slots = range(self._shape.experts), self._shape.bounds.slots_per_rank
+        if len(rank_experts.experts) != self._shape.sets:
+            return False
+        return all(
+            len(held) <= slots and all(expert in experts for expert in held)
+            for held in rank_experts.experts
+        )
+
     async def _change(self, ranks: list[RankState], plan: ChangePlan) -> None:
         started_s = time.monotonic()
         result = await self._changer.change(ranks, plan)
--- a/src/bronzerudder/platform/ranks.py
+++ b/src/bronzerudder/platform/ranks.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from typing import TypeVar
+from typing import Annotated, TypeVar
 
 import anyio
 import msgspec
@@ -33,49 +33,60 @@
 """Orders on whose acceptance the leader relies without reading the rank's state. An answer doesn't
 say which order it is for, so these go on a new connection, where no other answer can be due."""
 ACCEPTED_STATUSES = (200, 202)
+MAX_RANKS = 65_536
+"""Largest group that is read; a group of 256 ranks is the largest planned."""
 
 _Document = TypeVar("_Document")
 
 
+_Count = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+"""Larger numbers are no counts of anything, and no message between agents could carry them all."""
+
+
+class _Armed(msgspec.Struct):
+    version: _Count
+    step: _Count
+
+
 class _Group(msgspec.Struct):
     name: str
     # Rises each time that the group forms.
-    epoch: int
-    rank: int
+    epoch: _Count
+    rank: Annotated[int, msgspec.Meta(ge=0, lt=MAX_RANKS)]
     state: str
 
 
 class _Report(msgspec.Struct):
     group: _Group
     # Number of ranks in the group.
-    size: int
+    size: Annotated[int, msgspec.Meta(ge=1, le=MAX_RANKS)]
     # Last step that began.
-    step: int
+    step: _Count
     # Version of the map in use, not the map itself.
-    map: int
+    map: _Count
     # Version that is loaded and can be armed.
-    prepared: int | None = None
-    armed: ArmedMap | None = None
+    prepared: _Count | None = None
+    armed: _Armed | None = None
     # Step that is held until this rank gets a release, not a version.
-    held: int | None = None
+    held: _Count | None = None
     # Unix time of the rank's start, in milliseconds.
-    born: int = 0
-    waiting: int = 0
-    running: int = 0
+    born: _Count = 0
+    waiting: _Count = 0
+    running: _Count = 0
     # Duration of the rank's work relative to the usual one: above 1 is slow.
-    pace: float = 1.0
+    pace: Annotated[float, msgspec.Meta(ge=0.0)] = 1.0
 
 
 class _Counts(msgspec.Struct):
-    epoch: int
+    epoch: _Count
     # Choices of each expert since the start of the rank, set by set.
-    counts: list[int]
+    counts: list[_Count]
 
 
 class _Map(msgspec.Struct):
-    version: int
+    version: _Count
     # Experts that the rank holds, by set of layers.
-    experts: list[list[int]]
+    experts: list[list[_Count]]
 
 
 class _Lists(msgspec.Struct):
@@ -111,7 +122,7 @@
             report.step,
             report.map,
             report.prepared,
-            report.armed,
+            None if report.armed is None else ArmedMap(report.armed.version, report.armed.step),
             report.held,
             report.running + report.waiting,
             report.pace,
--- a/tests/expert_maps/test_leader.py
+++ b/tests/expert_maps/test_leader.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import tracemalloc
 import unittest
 from unittest import mock
 
 import anyio
+import msgspec
 
 from bronzerudder.expert_maps import change, leader
 from bronzerudder.expert_maps.api import RankCalls, RankExperts, RankFailure
@@ -18,6 +20,7 @@
 from bronzerudder.expert_maps.shape import ExpertShape, MapBounds
 from bronzerudder.standin.fleet.group import LoadedMap
 from tests.expert_maps.simulated_group import (
+    STEP_S,
     SimulatedGroup,
     SimulatedOrders,
     VirtualTime,
@@ -31,6 +34,8 @@
 INITIAL = [[[rank, rank + RANKS]] for rank in range(RANKS)]
 REPORT_INTERVAL_S = 0.4
 DURATION_S = 20.0
+ODD_REPORTS_S = 4.0
+MAX_MEMORY_BYTES = 64 * 1024 * 1024
 DEMAND = [900, 10, 10, 10, 700, 10, 10, 10]
 """Choices of each expert; the hot ones are both on the first rank."""
 
@@ -187,6 +192,61 @@
             self.assertLessEqual(len(polled), RANKS)
 
 
+class OddReportTest(VirtualLeaderTest):
+    def lead_with(self, change_report):
+        """Lead a group one of whose ranks is reported with odd values at first."""
+        group = SimulatedGroup(RANKS, seeded(3), name="only")
+        counts = AgentCounts()
+
+        async def list_ranks():
+            return tuple(rank.address for rank in group.ranks)
+
+        async def simulate():
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(group.run)
+                calls = {group.name: GroupCalls({group.name: SimulatedOrders(group, tasks)})}
+                recorded = Leader("a:1", 1, 1, f"{group.name}-0", True)
+                group_leader = GroupLeader(
+                    group.name,
+                    calls[group.name],
+                    f"{group.name}-0",
+                    list_ranks,
+                    SHAPE,
+                    StandingRecord(recorded),
+                    recorded,
+                    NO_LEADER,
+                    mock.Mock(),
+                    counts,
+                )
+                tasks.start_soon(group_leader.run)
+                tasks.start_soon(report, group, [group_leader], calls)
+                for _ in range(round(ODD_REPORTS_S / STEP_S)):
+                    state = group.state(group.ranks[0])
+                    group_leader.handle_report(change_report(RankReport(state)))
+                    await anyio.sleep(STEP_S)
+                await anyio.sleep(DURATION_S)
+                tasks.cancel_scope.cancel()
+
+        run_virtual(simulate)
+        self.assertGreater(counts.by_result(CounterName.MAP_CHANGES).get("changed", 0), 0)
+
+    def test_a_huge_group_size_fills_the_memory(self):
+        def change_report(sound):
+            return RankReport(msgspec.structs.replace(sound.state, size=2**22))
+
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        self.lead_with(change_report)
+        self.assertLess(tracemalloc.get_traced_memory()[1], MAX_MEMORY_BYTES)
+
+    def test_experts_that_do_not_exist_end_the_leader(self):
+        for experts in ([[EXPERTS, 0]], [[-1]], [[0] * 50], [[0], [1]], []):
+            with self.subTest(experts=experts):
+                self.lead_with(
+                    lambda sound, held=experts: RankReport(sound.state, None, RankExperts(0, held))
+                )
+
+
 class OutdatedLeaderTest(VirtualLeaderTest):
     def lead_until_it_stops(self, group, leader_versions=None):
         """Lead a group for some time; return the leader, and whether it has stopped."""
--- a/tests/platform/test_ranks.py
+++ b/tests/platform/test_ranks.py
@@ -40,6 +40,25 @@
             late = answer
 
 
+class ScriptedRank(Peer):
+    """Answers each call with the same document."""
+
+    def __init__(self, document: bytes) -> None:
+        super().__init__()
+        self._document = document
+
+    async def _answer(self, connection: Connection):
+        while True:
+            request = await connection.receive()
+            if not isinstance(request, bytes) or not request:
+                return
+            await connection.send(make_answer(200, self._document))
+
+
+HUGE = 10**399
+OUT_OF_RANGE = (-1, 2**64, HUGE)
+
+
 class RankClientTest(unittest.IsolatedAsyncioTestCase):
     async def test_a_late_answer_is_not_taken_for_that_of_an_order(self):
         orders = (
@@ -71,6 +90,35 @@
                         # A member that is not used is skipped, if it has an end that can be found.
                         self.assertEqual((state.step, state.size), (9, 4))
 
+    async def assert_failures(self, documents, call):
+        for document in documents:
+            with self.subTest(document=str(document)[:80]):
+                content = document if isinstance(document, bytes) else str(document).encode()
+                async with ScriptedRank(content.replace(b"'", b'"')) as peer:
+                    self.assertIsInstance(await call(RankClient(), peer.address), RankFailure)
+
+    async def test_a_number_out_of_range_ends_the_agent_that_reads_it(self):
+        report = {"group": GROUP, "size": 4, "step": 9, "map": 0}
+        documents = []
+        for value in OUT_OF_RANGE:
+            for name in ("size", "step", "map", "prepared", "held", "born", "waiting", "running"):
+                documents.append({**report, name: value})
+            for name in ("epoch", "rank"):
+                documents.append({**report, "group": {**GROUP, name: value}})
+            for name in ("version", "step"):
+                documents.append({**report, "armed": {"version": 1, "step": 2, name: value}})
+        documents += [{**report, "size": 10**9}, {**report, "pace": -1.0}]
+        await self.assert_failures(documents, RankClient.state)
+
+    async def test_counts_out_of_range_end_the_agent_that_packs_them(self):
+        documents = [{"epoch": 1, "counts": [value, 1]} for value in OUT_OF_RANGE]
+        nested = b'{"epoch": 1, "counts": ' + b"[" * 50_000 + b"]" * 50_000 + b"}"
+        await self.assert_failures([*documents, nested], RankClient.counts)
+
+    async def test_experts_out_of_range_end_the_leader_that_plans_with_them(self):
+        documents = [{"map": {"version": 1, "experts": [[value]]}} for value in OUT_OF_RANGE]
+        await self.assert_failures(documents, RankClient.experts)
+
     async def test_a_timed_out_order_leaves_no_connection_for_its_late_answer(self):
         async with Peer(make_answer(200, REPORT), b"", make_answer(409)) as peer:
             client = RankClient()
