Split the search into problem, placement and moves

The class that finds moves read private attributes of the search. What stays the same while sets are searched is now a type of its own.

--- a/src/bronzerudder/expert_maps/leader.py
+++ b/src/bronzerudder/expert_maps/leader.py
@@ -307,6 +307,7 @@
         layout = self._layout(ranks)
         if layout is None:
             return
+        # Imported late to save memory, as only the leader needs it.
         from bronzerudder.expert_maps import planner, step_loads
 
         now_s = time.monotonic()
@@ -321,11 +322,7 @@
         """Plan a change; None if it is not due, or not worth its cost."""
         now_s = time.monotonic()
         step_s = 1.0 / self._steps_per_s
-        if now_s < self._next_change_at_s:
-            return None
-        if step_s <= self._shape.step_target_s and ranks[0].map_version != INITIAL_MAP_VERSION:
-            return None
-        if any(state.armed is not None for state in ranks) or not self._shows_last_change(ranks):
+        if now_s < self._next_change_at_s or not self._may_change(ranks, step_s):
             return None
         slices = self._scenarios.slices(now_s)
         layout = self._layout(ranks)
@@ -388,6 +385,14 @@
             max(LOAD_TIMEOUT_S, loading_s),
         )
 
+    def _may_change(self, ranks: list[RankState], step_s: float) -> bool:
+        """Whether steps are too long, and no earlier change is still to come into use."""
+        if step_s <= self._shape.step_target_s and ranks[0].map_version != INITIAL_MAP_VERSION:
+            return False
+        if any(state.armed is not None for state in ranks):
+            return False
+        return self._shows_last_change(ranks)
+
     def _shows_last_change(self, ranks: list[RankState]) -> bool:
         """Whether all ranks report the map of the last change, or that the group formed again."""
         if self._last_change is None:
--- a/src/bronzerudder/expert_maps/map_effect.py
+++ b/src/bronzerudder/expert_maps/map_effect.py
@@ -33,7 +33,11 @@
 
 
 class MapEffect:
-    """Follows one change from its plan until its effect can be measured."""
+    """Follows one change from its plan until its effect can be measured.
+
+    Call `expect` for a plan, `observe_map` with each report of the rank next to the leader, and
+    `summarize` once `in_use_s` is set and requests have run on the map.
+    """
 
     def __init__(self) -> None:
         self._planned: PlannedEffect | None = None
--- a/src/bronzerudder/expert_maps/search.py
+++ b/src/bronzerudder/expert_maps/search.py
@@ -47,6 +47,49 @@
     SWAP = 2
 
 
+class _Problem(NamedTuple):
+    """What does not change while sets are searched.
+
+    Parameters
+    ----------
+    demand : numpy.ndarray
+        Shape ``(scenarios, sets, experts + 1)``: load of each expert, in units of a scenario's mean
+        load per rank. The last column stands for empty slots, and is 0.
+    slowdowns : numpy.ndarray
+        Shape ``(ranks,)``: time that a rank takes for a load of one.
+    initial : numpy.ndarray
+        Shape ``(sets, ranks, experts + 1)``: whether a rank holds an expert before the search.
+    """
+
+    demand: np.ndarray
+    slowdowns: np.ndarray
+    initial: np.ndarray
+
+    @property
+    def empty(self) -> int:
+        """Number that stands for an empty slot in place of an expert."""
+        return self.demand.shape[2] - 1
+
+    def select(self, sets: np.ndarray) -> _Problem:
+        """Return the problem of some sets."""
+        return _Problem(self.demand[:, sets], self.slowdowns, self.initial[sets])
+
+    def count_loads(self, holding: np.ndarray) -> np.ndarray:
+        """Return how many experts each rank must load, in shape ``(sets, ranks)``."""
+        return (holding & ~self.initial)[:, :, :-1].sum(axis=2)
+
+    def evaluate(self, slots: np.ndarray) -> _Placement:
+        """Return the placement with the given slots."""
+        numbers = np.arange(len(slots))[:, None, None]
+        replicas = _sum_by_expert(slots, np.ones(slots.shape), self.empty).astype(int)
+        replicas[:, self.empty] = 1
+        replicas = np.maximum(replicas, 1)
+        shares = (self.demand / replicas)[:, numbers, slots]
+        powers = _eighth_power(shares.sum(axis=3) * self.slowdowns)
+        costs = (powers.sum(axis=2) ** (1.0 / NORM_ORDER)).sum(axis=0)
+        return _Placement(slots, replicas, shares, costs)
+
+
 class _Placement(NamedTuple):
     """Experts of some sets, and the loads that follow.
 
@@ -131,8 +174,35 @@
     return loads
 
 
+def _normalize(scenarios: np.ndarray, ranks: int) -> np.ndarray:
+    """Return the demand of a `_Problem`; scenarios without any load stay 0."""
+    scenarios = np.asarray(scenarios, dtype=np.float64).transpose(1, 0, 2)
+    totals = scenarios.sum(axis=2, keepdims=True)
+    totals[totals <= 0.0] = 1.0
+    demand = np.zeros((*scenarios.shape[:2], scenarios.shape[2] + 1))
+    demand[:, :, :-1] = scenarios * (ranks / totals)
+    return demand
+
+
+def _holding_of(slots: np.ndarray, empty: int) -> np.ndarray:
+    """Return whether a rank holds an expert, in shape ``(sets, ranks, experts + 1)``."""
+    holding = np.zeros((*slots.shape[:2], empty + 1), dtype=bool)
+    np.put_along_axis(holding, slots, True, axis=2)
+    return holding
+
+
+def _sum_by_expert(slots: np.ndarray, values: np.ndarray, empty: int) -> np.ndarray:
+    """Sum values of slots by set and expert."""
+    columns = empty + 1
+    first_columns = (np.arange(len(slots)) * columns)[:, None, None]
+    sums = np.bincount(
+        (slots + first_columns).ravel(), weights=values.ravel(), minlength=len(slots) * columns
+    )
+    return sums.reshape(len(slots), columns)
+
+
 class LayoutSearch:
-    """Improves a layout, in units of a scenario's mean load per rank.
+    """Improves the placement of all sets of a layout.
 
     Parameters
     ----------
@@ -150,13 +220,13 @@
         self, layout: Layout, scenarios: np.ndarray, slowdowns: np.ndarray, slots_per_rank: int
     ) -> None:
         self._layout = layout
-        self._slowdowns = slowdowns
+        demand = _normalize(scenarios, len(layout[0]))
         self._empty = scenarios.shape[2]
-        self._demand = self._normalize(scenarios)
         self._set_numbers = np.arange(len(layout))
         self._initial_slots = self._fill_slots(layout, slots_per_rank)
-        self._initial = self._holding(self._initial_slots)
-        self._placement = self._evaluate(self._set_numbers, self._initial_slots.copy())
+        initial = _holding_of(self._initial_slots, self._empty)
+        self._problem = _Problem(demand, slowdowns, initial)
+        self._placement = self._problem.evaluate(self._initial_slots.copy())
 
     def improve(self, loads_per_change: int) -> None:
         """Make moves until none is worthwhile.
@@ -186,16 +256,7 @@
 
     def loads(self) -> np.ndarray:
         """Return how many experts each rank must load, in shape ``(sets, ranks)``."""
-        return self._count_loads(self._holding(self._placement.slots), self._initial)
-
-    def _normalize(self, scenarios: np.ndarray) -> np.ndarray:
-        """Return scenarios by scenario and set, with a last column for empty slots."""
-        scenarios = np.asarray(scenarios, dtype=np.float64).transpose(1, 0, 2)
-        totals = scenarios.sum(axis=2, keepdims=True)
-        totals[totals <= 0.0] = 1.0
-        demand = np.zeros((*scenarios.shape[:2], self._empty + 1))
-        demand[:, :, :-1] = scenarios * (len(self._layout[0]) / totals)
-        return demand
+        return self._problem.count_loads(_holding_of(self._placement.slots, self._empty))
 
     def _fill_slots(self, layout: Layout, slots_per_rank: int) -> np.ndarray:
         slots = np.full((len(layout), len(layout[0]), slots_per_rank), self._empty)
@@ -204,40 +265,13 @@
                 slots[index, rank, : len(held)] = held
         return slots
 
-    def _holding(self, slots: np.ndarray) -> np.ndarray:
-        """Return whether a rank holds an expert, in shape ``(sets, ranks, experts + 1)``."""
-        holding = np.zeros((*slots.shape[:2], self._empty + 1), dtype=bool)
-        np.put_along_axis(holding, slots, True, axis=2)
-        return holding
-
-    def _count_loads(self, holding: np.ndarray, initial: np.ndarray) -> np.ndarray:
-        return (holding & ~initial)[:, :, :-1].sum(axis=2)
-
-    def _evaluate(self, sets: np.ndarray, slots: np.ndarray) -> _Placement:
-        """Return the placement of some sets with the given slots."""
-        numbers = np.arange(len(sets))[:, None, None]
-        replicas = self._sum_by_expert(slots, np.ones(slots.shape)).astype(int)
-        replicas[:, self._empty] = 1
-        replicas = np.maximum(replicas, 1)
-        shares = (self._demand[:, sets] / replicas)[:, numbers, slots]
-        powers = _eighth_power(shares.sum(axis=3) * self._slowdowns)
-        costs = (powers.sum(axis=2) ** (1.0 / NORM_ORDER)).sum(axis=0)
-        return _Placement(slots, replicas, shares, costs)
-
-    def _sum_by_expert(self, slots: np.ndarray, values: np.ndarray) -> np.ndarray:
-        """Sum values of slots by set and expert."""
-        columns = self._empty + 1
-        first_columns = (np.arange(len(slots)) * columns)[:, None, None]
-        sums = np.bincount(
-            (slots + first_columns).ravel(), weights=values.ravel(), minlength=len(slots) * columns
-        )
-        return sums.reshape(len(slots), columns)
-
     def _make_best_moves(self, sets: np.ndarray, loads_per_change: int) -> np.ndarray:
         """Make the best worthwhile move of each of some sets; return which sets had one."""
-        moves_by_rank = _Round(self, sets, loads_per_change).best_moves()
+        found = _MoveFinder(
+            self._problem.select(sets), self._placement.select(sets), loads_per_change
+        )
         moved = np.zeros(len(sets), dtype=bool)
-        for moves in moves_by_rank:
+        for moves in found.best_moves():
             tried = np.flatnonzero(~moved & (moves.gains > 0.0))
             if len(tried):
                 moved[tried] = self._apply_worthwhile(sets[tried], moves.select(tried))
@@ -251,53 +285,49 @@
         dropped = np.flatnonzero(moves.kinds != _Kind.COPY)
         left = np.where(moves.kinds == _Kind.SWAP, moves.evicted, self._empty)
         slots[dropped, moves.hot_ranks[dropped], moves.hot_slots[dropped]] = left[dropped]
-        placement = self._evaluate(sets, slots)
+        placement = self._problem.select(sets).evaluate(slots)
         worthwhile = placement.costs <= self._placement.costs[sets] * (1.0 - MIN_MOVE_GAIN)
         accepted = np.flatnonzero(worthwhile)
         self._placement.replace(sets[accepted], placement.select(accepted))
         return worthwhile
 
 
-class _Round:
+class _MoveFinder:
     """Finds the best move of each hot rank, for some sets of a search."""
 
-    def __init__(self, search: LayoutSearch, sets: np.ndarray, loads_per_change: int) -> None:
-        self._empty = search._empty
-        self._sum_by_expert = search._sum_by_expert
-        self._slowdowns = search._slowdowns
-        self._demand = search._demand[:, sets]
-        self._placement = search._placement.select(sets)
-        self._holding = search._holding(self._placement.slots)
-        self._initial = search._initial[sets]
-        loaded = search._count_loads(self._holding, self._initial)
-        self._may_load = loaded < loads_per_change
+    def __init__(self, problem: _Problem, placement: _Placement, loads_per_change: int) -> None:
+        self._empty = problem.empty
+        self._slowdowns = problem.slowdowns
+        self._demand = problem.demand
+        self._initial = problem.initial
+        self._placement = placement
+        self._holding = _holding_of(placement.slots, problem.empty)
+        self._may_load = problem.count_loads(self._holding) < loads_per_change
         self._loads = self._placement.shares.sum(axis=3)
         self._powers = _eighth_power(self._loads * self._slowdowns)
         self._rank_costs = self._powers.sum(axis=0)
         # Index arrays that select along the dimension of sets.
-        self._by_set = np.arange(len(sets))[:, None]
+        self._by_set = np.arange(len(placement.slots))[:, None]
         self._by_set_3d = self._by_set[:, :, None]
         self._by_set_4d = self._by_set_3d[:, :, :, None]
 
     def best_moves(self) -> list[_Moves]:
-        """Return the moves of each set in order of their gains."""
+        """Return the best move of each hot rank, the best one of each set first."""
         candidates = self._choose_candidates()
         targets = self._choose_targets()
         gains = self._gains(candidates, targets)
-        kinds, sets, count, target_count, slot_count = gains.shape
-        per_rank = count // min(HOT_RANKS, self._loads.shape[2])
-        grouped = gains.reshape(kinds, sets, -1, per_rank, target_count, slot_count)
-        by_rank = grouped.transpose(1, 2, 0, 3, 4, 5).reshape(sets, count // per_rank, -1)
-        best = by_rank.argmax(axis=2)
-        best_gains = np.take_along_axis(by_rank, best[:, :, None], axis=2)[:, :, 0]
-        order = np.argsort(-best_gains, axis=1)
+        kinds, sets, candidate_count, target_count, slot_count = gains.shape
+        ranks = min(HOT_RANKS, self._loads.shape[2])
+        per_rank = candidate_count // ranks
+        grouped = gains.reshape(kinds, sets, ranks, per_rank, target_count, slot_count)
+        by_rank = grouped.transpose(1, 2, 0, 3, 4, 5)
+        flat = by_rank.reshape(sets, ranks, -1)
+        best = flat.argmax(axis=2)
+        best_gains = np.take_along_axis(flat, best[:, :, None], axis=2)[:, :, 0]
         moves = []
         numbers = np.arange(sets)
-        for place in range(order.shape[1]):
-            hot = order[:, place]
-            kind, offset, target, slot = np.unravel_index(
-                best[numbers, hot], (kinds, per_rank, target_count, slot_count)
-            )
+        for hot in np.argsort(-best_gains, axis=1).T:
+            kind, offset, target, slot = np.unravel_index(best[numbers, hot], by_rank.shape[2:])
             candidate = hot * per_rank + offset
             target_rank = targets[numbers, target]
             moves.append(
@@ -369,7 +399,7 @@
         ).sum(axis=0)
         added = after - self._rank_costs[..., None]
         added[is_alone] = 0.0
-        by_expert = self._sum_by_expert(slots, added)
+        by_expert = _sum_by_expert(slots, added, self._empty)
         costs = by_expert[self._by_set_3d, evicted] - added[self._by_set, targets]
         costs[is_alone[self._by_set, targets]] = np.inf
         costs[evicted == self._empty] = 0.0
