Hold the step of a new map no further ahead than arming takes

The lead is now one and a half times the longest of the last eight times to arm all ranks, at most 0.25 s. Where orders become slow, one step waits for them and the lead grows again; unanswered orders still get 0.6 s.

The two new tests fail without it, or bound the time for which a step waits.

--- a/src/bronzerudder/expert_maps/change.py
+++ b/src/bronzerudder/expert_maps/change.py
@@ -43,6 +43,7 @@
 
 from __future__ import annotations
 
+import collections
 import enum
 import time
 from collections.abc import Awaitable, Callable, Sequence
@@ -68,9 +69,15 @@
 ARM_TIMEOUT_S = 20.0
 """An order without an answer may be executed up to 12 s later; the step stays held until then."""
 RETRY_INTERVAL_S = 0.02
-HOLD_LEAD_S = 0.25
-"""How far ahead the held step is. All orders take some hundredths of a second, and some are
-retried. The old map stays in use until then."""
+MAX_HOLD_LEAD_S = 0.25
+"""How far ahead the held step is until orders were timed, and at most. All take some hundredths of
+a second, and some are retried. The old map stays in use until then."""
+MIN_HOLD_LEAD_S = 0.05
+HOLD_LEAD_FACTOR = 1.5
+"""The lead is this multiple of the longest recent time to arm all ranks, so that a step is due
+only after its release."""
+TIMED_ARMINGS = 8
+"""Changes whose time to arm all ranks counts as recent."""
 MIN_LEAD_STEPS = 2
 LONG_HOLD_LEAD_S = 0.6
 """Used if earlier orders of this change got no answer; leaves time for several retries."""
@@ -166,6 +173,7 @@
         self._prepared_by = prepared_by
         self._log_event = log_event
         self._unanswered = 0
+        self._arming_times_s: collections.deque[float] = collections.deque(maxlen=TIMED_ARMINGS)
         self._was_outdated = False
         self._ruled_out: tuple[int, FailedLeader] | None = None
 
@@ -200,6 +208,7 @@
         others = [rank for rank in ranks if rank.address != self._own_address]
         armed = await self._arm_all(others, version, step)
         if armed and await self._arm_all(own, version, step):
+            self._arming_times_s.append(time.monotonic() - loaded_s)
             await self._release(holder, step)
             self._log_event(
                 "map armed",
@@ -344,13 +353,19 @@
         state = await self._orders.state(self._own_address)
         if isinstance(state, RankFailure) or state.held_step is not None:
             return None
-        lead_s = LONG_HOLD_LEAD_S if self._unanswered else HOLD_LEAD_S
+        lead_s = LONG_HOLD_LEAD_S if self._unanswered else self._hold_lead_s()
         step = state.step + MIN_LEAD_STEPS + int(steps_per_s * lead_s)
         result = await self._send_until_certain(
             lambda: self._orders.hold(holder, step), HOLD_TIMEOUT_S
         )
         return step if result is OrderResult.ACCEPTED else None
 
+    def _hold_lead_s(self) -> float:
+        if not self._arming_times_s:
+            return MAX_HOLD_LEAD_S
+        lead_s = HOLD_LEAD_FACTOR * max(self._arming_times_s)
+        return min(max(lead_s, MIN_HOLD_LEAD_S), MAX_HOLD_LEAD_S)
+
     async def _arm_all(self, ranks: Sequence[RankState], version: int, step: int) -> bool:
         async def arm(rank: RankState) -> bool:
             def send() -> Awaitable[OrderResult]:
--- a/tests/expert_maps/test_change.py
+++ b/tests/expert_maps/test_change.py
@@ -68,6 +68,46 @@
             self.assertEqual({rank.map.version for rank in group.ranks}, {1001})
             self.assertEqual((group.mixed_steps, group.held_s), ([], 0.0))
 
+    def make_changes(self, arm_delays_s):
+        """Make changes with late orders to arm; return the steps of lead, and the time held."""
+        group = SimulatedGroup(SIZE, seeded(1))
+        leads = []
+
+        class CountingOrders(SimulatedOrders):
+            async def hold(self, rank, step):
+                leads.append(step - group.step)
+                return await super().hold(rank, step)
+
+            async def arm(self, rank, version, step):
+                await anyio.sleep(self.arm_delay_s)
+                return await super().arm(rank, version, step)
+
+        async def simulate():
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(group.run)
+                orders = CountingOrders(group, tasks, own="rank-0")
+                changer = self.changer(orders, group, "rank-0")
+                for number, delay_s in enumerate(arm_delays_s):
+                    orders.arm_delay_s = delay_s
+                    result = await changer.change(group.states(), plan(1, number))
+                    self.assertIs(result, ChangeResult.CHANGED)
+                    await anyio.sleep(1.0)
+                tasks.cancel_scope.cancel()
+
+        run_virtual(simulate)
+        self.assertEqual(group.mixed_steps, [])
+        return leads, group.held_s
+
+    def test_a_map_waits_longer_for_its_step_than_ranks_need_to_be_armed(self):
+        leads, held_s = self.make_changes([0.0] * 4)
+        self.assertLess(leads[-1], leads[0])
+        self.assertEqual(held_s, 0.0)
+
+    def test_a_step_is_held_again_and_again_by_slow_armings(self):
+        leads, held_s = self.make_changes([0.0, 0.0, 0.08, 0.08, 0.08])
+        self.assertGreater(leads[3], leads[2])
+        self.assertLess(held_s, change.MAX_HOLD_LEAD_S)
+
     def test_a_rank_that_stops_answering_after_the_hold_does_not_keep_the_step_held(self):
         group = SimulatedGroup(SIZE, seeded(0))
 
