Measure the effect of a change only by counts that are still known

The leader would have ended with an exception, and its group been claimed again, if the counts since a change had left the window before they were looked at, as after a pause of all reports; or if the rank next to it had been replaced by another one meanwhile. Found by reading; no play showed it.

Counting drops what has left the window (the new test fails without it), and the last step is that of the rank next to the leader, as it was last reported.

--- a/src/bronzerudder/expert_maps/leader.py
+++ b/src/bronzerudder/expert_maps/leader.py
@@ -301,8 +301,9 @@
 
     def _measure_effect(self, ranks: list[RankState], min_scenarios: int) -> None:
         """Log the effect of the last change if enough scenarios arrived since its map is in use."""
+        now_s = time.monotonic()
         in_use_s = self._effect.in_use_s
-        if in_use_s is None or self._scenarios.count_since(in_use_s) < min_scenarios:
+        if in_use_s is None or self._scenarios.count_since(in_use_s, now_s) < min_scenarios:
             return
         layout = self._layout(ranks)
         if layout is None:
@@ -310,13 +311,11 @@
         # Imported late to save memory, as only the leader needs it.
         from bronzerudder.expert_maps import planner, step_loads
 
-        now_s = time.monotonic()
         loads = planner.slice_loads(self._scenarios.slices(now_s, in_use_s), self._shape.sets)
         skew = step_loads.layout_skew(
             layout, loads, planner.relative_slowdowns([state.pace for state in ranks])
         )
-        own = [state.step for state in ranks if state.address == self._own_address]
-        self._log_event("map measured", **self._effect.summarize(skew, max(own), now_s))
+        self._log_event("map measured", **self._effect.summarize(skew, now_s))
 
     async def _plan(self, ranks: list[RankState]) -> ChangePlan | None:
         """Plan a change; None if it is not due, or not worth its cost."""
--- a/src/bronzerudder/expert_maps/map_effect.py
+++ b/src/bronzerudder/expert_maps/map_effect.py
@@ -43,6 +43,7 @@
         self._planned: PlannedEffect | None = None
         self._in_use_s: float | None = None
         self._first_step = 0
+        self._last_step = 0
         self._cpu_s = time.process_time()
         self._cpu_since_s = time.monotonic()
 
@@ -58,21 +59,20 @@
 
     def observe_map(self, version: int, step: int, now_s: float) -> None:
         """Note the map that the rank next to the leader uses, and its last step."""
+        self._last_step = step
         if self._planned is None or self._in_use_s is not None:
             return
         if version == self._planned.version:
             self._in_use_s = now_s
             self._first_step = step
 
-    def summarize(self, skew: float, step: int, now_s: float) -> dict[str, float]:
+    def summarize(self, skew: float, now_s: float) -> dict[str, float]:
         """End following the change; return the fields of its log line.
 
         Parameters
         ----------
         skew : float
             Largest over mean load of the ranks, by what requests chose since the map is in use.
-        step : int
-            Last step that began.
         now_s : float
             Monotonic time in seconds.
         """
@@ -88,7 +88,7 @@
             "expected_skew": round(planned.skew, 3),
             "skew": round(skew, 3),
             "step_before_s": round(planned.step_s, 4),
-            "step_s": round((now_s - in_use_s) / max(1, step - self._first_step), 4),
+            "step_s": round((now_s - in_use_s) / max(1, self._last_step - self._first_step), 4),
             "newest_counts_age_s": round(in_use_s - planned.newest_counts_s, 3),
             "oldest_counts_age_s": round(in_use_s - planned.oldest_counts_s, 3),
             "cpu_cores": round(cpu_share, 3),
--- a/src/bronzerudder/expert_maps/scenarios.py
+++ b/src/bronzerudder/expert_maps/scenarios.py
@@ -100,8 +100,9 @@
         """Monotonic time at which the oldest scenario arrived; 0 if there is none."""
         return self._scenarios[0].at_s if self._scenarios else 0.0
 
-    def count_since(self, since_s: float) -> int:
-        """Return the number of scenarios that arrived since a monotonic time."""
+    def count_since(self, since_s: float, now_s: float) -> int:
+        """Return the number of scenarios of the window that arrived since a monotonic time."""
+        self._drop_old(now_s)
         return sum(held.at_s >= since_s for held in self._scenarios)
 
     def slices(self, now_s: float, since_s: float = -math.inf) -> list[list[Scenario]]:
@@ -115,8 +116,7 @@
         now_s, since_s : float
             Monotonic times; scenarios that arrived before `since_s` are left out.
         """
-        while self._scenarios and self._scenarios[0].at_s < now_s - WINDOW_S:
-            self._scenarios.popleft()
+        self._drop_old(now_s)
         by_slice: dict[int, list[Scenario]] = {}
         for held in self._scenarios:
             if held.at_s < since_s:
@@ -125,3 +125,7 @@
         weights = {number: sum(item.weight for item in held) for number, held in by_slice.items()}
         min_weight = MIN_SLICE_FRACTION * max(weights.values(), default=0)
         return [by_slice[number] for number in sorted(by_slice) if weights[number] >= min_weight]
+
+    def _drop_old(self, now_s: float) -> None:
+        while self._scenarios and self._scenarios[0].at_s < now_s - WINDOW_S:
+            self._scenarios.popleft()
--- a/src/bronzerudder/platform/ranks.py
+++ b/src/bronzerudder/platform/ranks.py
@@ -40,7 +40,7 @@
 
 
 _Count = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
-"""Larger numbers are no counts of anything, and no message between agents could carry them all."""
+"""Messages between agents can carry it, and it can be calculated with as a float."""
 
 
 class _Armed(msgspec.Struct):
--- a/tests/expert_maps/test_map_effect.py
+++ b/tests/expert_maps/test_map_effect.py
@@ -16,9 +16,9 @@
         effect.observe_map(6, 90, 10.0)
         self.assertIsNone(effect.in_use_s)
         effect.observe_map(7, 100, 10.5)
-        effect.observe_map(7, 105, 10.9)
+        effect.observe_map(7, 110, 10.9)
         self.assertEqual(effect.in_use_s, 10.5)
-        fields = effect.summarize(1.6, 110, 11.0)
+        fields = effect.summarize(1.6, 11.0)
         del fields["cpu_cores"]
         self.assertEqual(
             fields,
@@ -37,7 +37,7 @@
         effect = MapEffect()
         effect.expect(PLANNED)
         effect.observe_map(7, 100, 10.5)
-        effect.summarize(1.6, 110, 11.0)
+        effect.summarize(1.6, 11.0)
         effect.observe_map(7, 120, 11.5)
         self.assertIsNone(effect.in_use_s)
 
--- a/tests/expert_maps/test_scenarios.py
+++ b/tests/expert_maps/test_scenarios.py
@@ -53,6 +53,14 @@
         self.window.add(Scenario(1, b"a"), WINDOW_S + 0.1)
         self.assertEqual(self.weights(WINDOW_S + 0.1), [[1]])
 
+    def test_scenarios_that_have_left_the_window_are_not_counted(self):
+        """The effect of a change was measured by none of them, which ended the leader."""
+        self.window.add(Scenario(5, b"a"), 0.0)
+        self.window.add(Scenario(5, b"a"), 0.4)
+        self.assertEqual(self.window.count_since(0.2, 0.4), 1)
+        self.assertEqual(self.window.count_since(0.2, WINDOW_S + 0.5), 0)
+        self.assertEqual(self.window.slices(WINDOW_S + 0.5, 0.2), [])
+
     def test_slices_with_few_choices_are_left_out(self):
         self.window.add(Scenario(100, b"a"), 0.0)
         self.window.add(Scenario(1, b"a"), 0.5)
