Log each retry with the budget that was spent and allowed when it was sent

A retry left no line of its own, so nothing told whether a budget was exceeded by a gateway that had started anew, by a number of gateways that was read too small, or by retries that waited between the decision and the send. 'retry sent' says what the window held and allowed, how many gateways the budget was divided among, the age of that number, and the wait. Its volume is bounded by the budget itself and by the log's lines per second. New histogram bronzerudder_retry_wait_seconds. No decision changes.

--- a/src/bronzerudder/gateway/forwarding.py
+++ b/src/bronzerudder/gateway/forwarding.py
@@ -151,6 +151,8 @@
         self._queue_s = 0.0
         self._last_instance = ""
         self._judged_after_changes = -1
+        self._arrivals = 0
+        self._retry_decided_at_s = 0.0
 
     @property
     def relay(self) -> StreamRelay | None:
@@ -285,7 +287,7 @@
             group.progress,
             on_event,
             on_head,
-            lambda: candidate.wants_requests(time.monotonic()),
+            lambda: self._may_send(candidate),
         )
         sent_at_s = time.monotonic()
         # Counted before the send, so that a cancelled attempt counts as possibly run.
@@ -302,9 +304,33 @@
         if isinstance(result, AttemptFailure) and result.has_not_run:
             self._possible_runs -= 1
             self._rejections += result.kind is not FailureKind.WITHHELD
+        self._arrivals += attempt.sent
         self._log_attempt(candidate, attempt, result, time.monotonic() - sent_at_s, limit)
         return result
 
+    def _may_send(self, candidate: Candidate) -> bool:
+        """Whether the request may be sent now that a connection to the backend server is open."""
+        now_s = time.monotonic()
+        if not candidate.wants_requests(now_s):
+            return False
+        if self._arrivals:
+            self._log_retry(candidate, now_s)
+        return True
+
+    def _log_retry(self, candidate: Candidate, now_s: float) -> None:
+        """Count and log a request that may have reached a backend server before."""
+        wait_s = now_s - self._retry_decided_at_s
+        self._context.metrics.retry_wait_s.observe(wait_s)
+        self._context.log.failure(
+            "retry sent",
+            self._admitted.caller.request_id,
+            instance=candidate.name,
+            service=self._pool.name,
+            arrivals=self._arrivals,
+            wait_s=round(wait_s, 4),
+            **self._pool.describe_budget(now_s),
+        )
+
     def _build_outgoing(self, candidate: Candidate, traceparent: str) -> OutgoingRequest:
         admitted = self._admitted
         resumed_after = ""
@@ -476,6 +502,7 @@
             if isinstance(allowed, RetryDenial):
                 self._context.metrics.retries_denied.labels(allowed.kind.value).inc()
                 return allowed.reason
+        self._retry_decided_at_s = now_s
         return ""
 
     def _final_result(
--- a/src/bronzerudder/gateway/metrics.py
+++ b/src/bronzerudder/gateway/metrics.py
@@ -65,6 +65,12 @@
             ("reason",),
             registry=registry,
         )
+        self.retry_wait_s = Histogram(
+            "bronzerudder_retry_wait_seconds",
+            "Time from the decision to retry a request to its being sent again.",
+            buckets=LATENCY_BUCKETS_S,
+            registry=registry,
+        )
         self.limited_servers = Gauge(
             "bronzerudder_limited_servers",
             "Backend servers that have named a limit of the rate of requests.",
--- a/src/bronzerudder/gateway/services.py
+++ b/src/bronzerudder/gateway/services.py
@@ -64,6 +64,8 @@
             self._on_assigned,
             limits,
         )
+        self._gateways = gateways
+        self._divided_at_s = time.monotonic()
         self.budget = WindowBudget(retry.share, retry.extra / gateways, retry.window_s)
 
     @property
@@ -78,8 +80,19 @@
 
     def divide_retry_budget(self, retry: RetryBudgetLimits, gateways: int) -> None:
         """Recompute this gateway's share of the retry budget."""
+        self._gateways = gateways
+        self._divided_at_s = time.monotonic()
         self.budget.set_limits(retry.share, retry.extra / gateways, retry.window_s)
 
+    def describe_budget(self, now_s: float) -> dict[str, object]:
+        """Return log fields that tell what of the retry budget is spent and how it is divided."""
+        return {
+            "spent": self.budget.spent(now_s),
+            "allowed": round(self.budget.allowed(now_s), 2),
+            "gateways": self._gateways,
+            "gateways_age_s": round(now_s - self._divided_at_s, 2),
+        }
+
     def on_group_state(self, instance_id: str, group: str, is_open: bool) -> None:
         """Handle the report of a rank's agent of whether its group runs."""
         if self.groups.on_agent_report(instance_id, group, is_open):
--- a/src/bronzerudder/policy/retry/window.py
+++ b/src/bronzerudder/policy/retry/window.py
@@ -41,10 +41,19 @@
         self._extra = extra
         self._window_s = window_s
 
+    def spent(self, now_s: float) -> int:
+        """Return the number of retries made in the window that ends now."""
+        self._expire(now_s)
+        return len(self._retries)
+
+    def allowed(self, now_s: float) -> float:
+        """Return the number of retries that the window that ends now allows."""
+        self._expire(now_s)
+        return self._share * len(self._first_attempts) + self._extra
+
     def remaining(self, now_s: float) -> float:
         """Return the number of retries that may be made now."""
-        self._expire(now_s)
-        return self._share * len(self._first_attempts) + self._extra - len(self._retries)
+        return self.allowed(now_s) - self.spent(now_s)
 
     def record_request(self, now_s: float) -> None:
         """Count a request's first attempt."""
