--- a/tests/gateway/gateway_fleet.py
+++ b/tests/gateway/gateway_fleet.py
@@ -53,8 +53,10 @@
         servers: int = 6,
         in_lockstep: bool = False,
         routes: list[dict] | None = None,
+        retry: RetryBudgetLimits = RETRY,
     ) -> None:
         self._routes = routes or [ROUTE]
+        self._retry = retry
         self.links = MessageLinks()
         self._in_lockstep = in_lockstep
         self._stalls: list[asyncio.Task] = []
@@ -111,7 +113,23 @@
 
         It knows of all the others; they know of it once it is listed.
         """
-        gateway = GatewayHarness(0, RETRY, f"g-{len(self.gateways)}")
+        gateway = await self._start_gateway(f"g-{len(self.gateways)}")
+        self.gateways.append(gateway)
+        gateway.limits.set_gateways([item.name for item in self.gateways])
+        if is_listed:
+            self.update_registry()
+        return gateway
+
+    async def restart_gateway(self, index: int) -> None:
+        """Stop a gateway, and start another one of its name that knows nothing."""
+        await self.gateways[index].stop()
+        self._maintaining.pop(index).cancel()
+        gateway = await self._start_gateway(self.gateways[index].name, index)
+        self.gateways[index] = gateway
+        self.update_registry()
+
+    async def _start_gateway(self, name: str, index: int | None = None) -> GatewayHarness:
+        gateway = GatewayHarness(0, self._retry, name)
         gateway.messenger = FleetMessenger(self, gateway)
         gateway.answer_timeout_s = ANSWER_TIMEOUT_S
         await gateway.start()
@@ -119,11 +137,8 @@
             gateway.list_server(instance_id, address)
         gateway.configuration.apply_value(make_configuration(2, routes=self._routes))
         gateway.services.pool("s").groups.set_in_lockstep(self._in_lockstep)
-        self.gateways.append(gateway)
-        gateway.limits.set_gateways([item.name for item in self.gateways])
-        if is_listed:
-            self.update_registry()
-        self._maintaining.append(asyncio.create_task(_maintain(gateway)))
+        index = len(self._maintaining) if index is None else index
+        self._maintaining.insert(index, asyncio.create_task(_maintain(gateway)))
         return gateway
 
     def update_registry(self) -> None:
@@ -131,6 +146,7 @@
         names = [gateway.name for gateway in self.gateways]
         for gateway in self.gateways:
             gateway.limits.set_gateways(names)
+            gateway.services.set_gateways(len(names))
 
     async def stop(self) -> None:
         """Stop all gateways and backend servers."""
