Keep the retry budget by what is earned and lent, charged when a retry is sent

What callers saw: retries piled up at services in trouble beyond what all gateways together may send (BUDGET), by up to 99 of 166 in 10 s in own plays.

Cause: each gateway kept a bound for all of them in its memory. It forgot what it had spent when it started again, multiplied 'extra' by a number of gateways that it had read too small, registered once and never again, added up to more than the rule's windows when traffic moved, and charged a retry seconds before it arrived.

Why it works: a request earns half of its share, valid for one window, so two windows of requests never earn more than the share of one, whichever gateway they reach and however often it restarts. 'extra' is used in parts under a lease on the list of gateways: any two gateways with a part count each other.

The harness gives a gateway its part at once, as it has no list.

--- a/src/bronzerudder/gateway/attempt.py
+++ b/src/bronzerudder/gateway/attempt.py
@@ -143,8 +143,9 @@
     on_head : callable
         Called with the head of the answer to this request, and with the monotonic time at which the
         request was sent.
-    may_send : callable
-        Returns whether the backend server still takes requests once it is connected.
+    find_hindrance : callable
+        Returns why the request must not be sent after all, once the backend server is connected; an
+        empty string if it may be sent.
     """
 
     def __init__(
@@ -155,9 +156,9 @@
         progress: StreamProgress,
         on_event: Callable[[bool], None],
         on_head: Callable[[AnswerHead, float], None],
-        may_send: Callable[[], bool] = lambda: True,
+        find_hindrance: Callable[[], str] = lambda: "",
     ) -> None:
-        self._may_send = may_send
+        self._find_hindrance = find_hindrance
         self._on_event = on_event
         self._on_head = on_head
         self._connections = connections
@@ -208,9 +209,9 @@
             return _attempt_failure(exchange)
         self._reused = exchange.reused
         try:
-            if not self._may_send():
-                reason = "the backend server announced that it takes no requests now"
-                return AttemptFailure(FailureKind.WITHHELD, reason)
+            hindrance = self._find_hindrance()
+            if hindrance:
+                return AttemptFailure(FailureKind.WITHHELD, hindrance)
             return await self._send_and_read(exchange)
         finally:
             # Does nothing once the connection was released.
--- a/src/bronzerudder/gateway/clock.py
+++ b/src/bronzerudder/gateway/clock.py
@@ -4,6 +4,8 @@
 
 import time
 
+from bronzerudder.clock import elapsed_s
+
 MIN_SUSPENSION_S = 0.5
 """Drift between the clocks that is more than scheduling can explain, in seconds."""
 
@@ -25,4 +27,4 @@
 
 
 def _offset_s() -> float:
-    return time.clock_gettime(time.CLOCK_BOOTTIME) - time.monotonic()
+    return elapsed_s() - time.monotonic()
--- a/src/bronzerudder/gateway/forwarding.py
+++ b/src/bronzerudder/gateway/forwarding.py
@@ -5,6 +5,7 @@
 import time
 from typing import NamedTuple
 
+from bronzerudder.clock import elapsed_s
 from bronzerudder.gateway.attempt import (
     BackendAttempt,
     CompleteAnswer,
@@ -24,7 +25,6 @@
 from bronzerudder.observability.event_log import EventLog
 from bronzerudder.platform.requests import AnswerHead, RequestHead, encode_request
 from bronzerudder.policy.quarantine import QuarantineState, RequestSubjects, Verdict
-from bronzerudder.policy.retry import RetryDenial
 from bronzerudder.policy.routing import Assignment, Candidate, RoutedRequest
 
 MAX_REJECTIONS = 3
@@ -153,6 +153,8 @@
         self._judged_after_changes = -1
         self._arrivals = 0
         self._retry_decided_at_s = 0.0
+        self._has_retry_place = False
+        self._late_denial = ""
 
     @property
     def relay(self) -> StreamRelay | None:
@@ -186,7 +188,14 @@
 
     async def run(self) -> CompleteAnswer | StreamDelivered | AttemptFailure | Refusal:
         """Attempt until the request is answered or no further attempt is allowed."""
-        self._pool.budget.record_request(time.monotonic())
+        self._pool.budget.record_request(elapsed_s())
+        try:
+            return await self._run()
+        finally:
+            if self._has_retry_place:
+                self._pool.budget.release()
+
+    async def _run(self) -> CompleteAnswer | StreamDelivered | AttemptFailure | Refusal:
         while True:
             slot_request = self._make_slot_request()
             queued_at_s = time.monotonic()
@@ -287,7 +296,7 @@
             group.progress,
             on_event,
             on_head,
-            lambda: self._may_send(candidate),
+            lambda: self._find_hindrance(candidate),
         )
         sent_at_s = time.monotonic()
         # Counted before the send, so that a cancelled attempt counts as possibly run.
@@ -308,18 +317,24 @@
         self._log_attempt(candidate, attempt, result, time.monotonic() - sent_at_s, limit)
         return result
 
-    def _may_send(self, candidate: Candidate) -> bool:
-        """Whether the request may be sent now that a connection to the backend server is open."""
-        now_s = time.monotonic()
-        if not candidate.wants_requests(now_s):
-            return False
-        if self._arrivals:
-            self._log_retry(candidate, now_s)
-        return True
+    def _find_hindrance(self, candidate: Candidate) -> str:
+        """Return why the request must not be sent, though a connection is open; charge a retry."""
+        if not candidate.wants_requests(time.monotonic()):
+            return "the backend server announced that it takes no requests now"
+        if not self._arrivals:
+            return ""
+        denial = self._pool.budget.spend(elapsed_s())
+        if denial is not None:
+            self._late_denial = denial.reason
+            self._context.metrics.retries_denied.labels(denial.kind.value).inc()
+            return denial.reason
+        self._has_retry_place = False
+        self._log_retry(candidate)
+        return ""
 
-    def _log_retry(self, candidate: Candidate, now_s: float) -> None:
+    def _log_retry(self, candidate: Candidate) -> None:
         """Count and log a request that may have reached a backend server before."""
-        wait_s = now_s - self._retry_decided_at_s
+        wait_s = time.monotonic() - self._retry_decided_at_s
         self._context.metrics.retry_wait_s.observe(wait_s)
         self._context.log.failure(
             "retry sent",
@@ -328,7 +343,7 @@
             service=self._pool.name,
             arrivals=self._arrivals,
             wait_s=round(wait_s, 4),
-            **self._pool.describe_budget(now_s),
+            **self._pool.describe_budget(elapsed_s()),
         )
 
     def _build_outgoing(self, candidate: Candidate, traceparent: str) -> OutgoingRequest:
@@ -487,7 +502,6 @@
         if self._relay is not None and not self._relay.resumable:
             return "the last event sent has no id after which to resume"
         route = self._admitted.route
-        now_s = time.monotonic()
         if not failure.has_not_run:
             if not route.repeatable:
                 return "may have run and may not be repeated"
@@ -497,12 +511,22 @@
             return "rejected too often"
         if self._pool.queue.is_paused_too_long(self._make_slot_request()):
             return "the backend servers left ask for longer pauses"
-        if failure.kind not in (FailureKind.NOT_SENT, FailureKind.WITHHELD):
-            allowed = self._pool.budget.allow(self.attempts, self._admitted.deadline_at_s, now_s)
-            if isinstance(allowed, RetryDenial):
-                self._context.metrics.retries_denied.labels(allowed.kind.value).inc()
-                return allowed.reason
-        self._retry_decided_at_s = now_s
+        return self._reserve_retry()
+
+    def _reserve_retry(self) -> str:
+        """Reserve a place in the retry budget if one is needed; return why it is denied."""
+        if self._late_denial:
+            return self._late_denial
+        if not self._arrivals or self._has_retry_place:
+            # No backend server can have got the request, or it waits for its next attempt still.
+            return ""
+        time_left_s = self._admitted.deadline_at_s - time.monotonic()
+        denial = self._pool.budget.reserve(time_left_s, elapsed_s())
+        if denial is not None:
+            self._context.metrics.retries_denied.labels(denial.kind.value).inc()
+            return denial.reason
+        self._has_retry_place = True
+        self._retry_decided_at_s = time.monotonic()
         return ""
 
     def _final_result(
--- a/src/bronzerudder/gateway/services.py
+++ b/src/bronzerudder/gateway/services.py
@@ -15,13 +15,11 @@
 from bronzerudder.http1 import ClientPool
 from bronzerudder.observability.event_log import EventLog
 from bronzerudder.peers.messages import RankLoad
-from bronzerudder.policy.retry import WindowBudget
+from bronzerudder.policy.retry import BudgetDivision, FleetRetryBudget
 from bronzerudder.policy.routing import Candidate, FreeSlotRouting, OutlierBreaker
 
 MAX_LEAVING_STARTS = 4096
 """Starts of backend servers that are remembered as leaving; more than end within minutes."""
-DEFAULT_GATEWAY_COUNT = 8
-"""Gateways that share the retry budget, assumed while their number is not known."""
 
 
 class RetryBudgetLimits(NamedTuple):
@@ -46,7 +44,11 @@
     """Candidates, groups, slot queue and retry budget of one service at this gateway."""
 
     def __init__(
-        self, name: str, retry: RetryBudgetLimits, gateways: int, limits: ServerLimitKeeper
+        self,
+        name: str,
+        retry: RetryBudgetLimits,
+        division: BudgetDivision,
+        limits: ServerLimitKeeper,
     ) -> None:
         self._name = name
         self._limits = limits
@@ -64,9 +66,8 @@
             self._on_assigned,
             limits,
         )
-        self._gateways = gateways
-        self._divided_at_s = time.monotonic()
-        self.budget = WindowBudget(retry.share, retry.extra / gateways, retry.window_s)
+        self._division = division
+        self.budget = FleetRetryBudget(*retry, division)
 
     @property
     def name(self) -> str:
@@ -78,19 +79,21 @@
         """Backend servers by id."""
         return self._candidates
 
-    def divide_retry_budget(self, retry: RetryBudgetLimits, gateways: int) -> None:
-        """Recompute this gateway's share of the retry budget."""
-        self._gateways = gateways
-        self._divided_at_s = time.monotonic()
-        self.budget.set_limits(retry.share, retry.extra / gateways, retry.window_s)
-
     def describe_budget(self, now_s: float) -> dict[str, object]:
-        """Return log fields that tell what of the retry budget is spent and how it is divided."""
+        """Return log fields that tell what of the retry budget is spent and how it is divided.
+
+        Parameters
+        ----------
+        now_s : float
+            Time on the clock of the budget, in seconds.
+        """
         return {
             "spent": self.budget.spent(now_s),
-            "allowed": round(self.budget.allowed(now_s), 2),
-            "gateways": self._gateways,
-            "gateways_age_s": round(now_s - self._divided_at_s, 2),
+            "allowed": round(self.budget.spent(now_s) + self.budget.remaining(now_s), 2),
+            "waiting": self.budget.waiting,
+            "gateways": self._division.gateways(now_s),
+            "part": round(self._division.part(now_s), 4),
+            "list_age_s": round(self._division.list_age_s(now_s), 2),
         }
 
     def on_group_state(self, instance_id: str, group: str, is_open: bool) -> None:
@@ -224,6 +227,8 @@
         Runs the slot queues.
     limits : ServerLimitKeeper
         Limits that backend servers have named.
+    division : BudgetDivision
+        Divides the retry budget of each service among the gateways.
     """
 
     def __init__(
@@ -233,15 +238,16 @@
         log: EventLog,
         tasks: TaskGroup,
         limits: ServerLimitKeeper,
+        division: BudgetDivision,
     ) -> None:
         self._limits = limits
+        self._division = division
         self._retry_limits = retry
         self._connections = connections
         self._log = log
         self._tasks = tasks
         self._pools: dict[str, ServicePool] = {}
         self._service_of: dict[str, str] = {}
-        self._gateways = DEFAULT_GATEWAY_COUNT
 
     @property
     def limits(self) -> ServerLimitKeeper:
@@ -252,7 +258,7 @@
         """Pool of a service, empty if no backend server is listed."""
         pool = self._pools.get(service)
         if pool is None:
-            pool = ServicePool(service, self._retry_limits, self._gateways, self._limits)
+            pool = ServicePool(service, self._retry_limits, self._division, self._limits)
             self._pools[service] = pool
             self._tasks.start_soon(pool.queue.run)
         return pool
@@ -263,20 +269,11 @@
             engine = service.engine
             self.pool(name).groups.set_in_lockstep(engine is not None and engine.sets > 0)
 
-    def set_gateways(self, gateways: int) -> None:
-        """Divide the retry budgets among this number of gateways; 0 if it is not known."""
-        gateways = gateways or DEFAULT_GATEWAY_COUNT
-        if gateways == self._gateways:
-            return
-        self._gateways = gateways
-        for pool in self._pools.values():
-            pool.divide_retry_budget(self._retry_limits, self._gateways)
-
     def set_retry_limits(self, retry: RetryBudgetLimits) -> None:
         """Change the retry budget of every service."""
         self._retry_limits = retry
         for pool in self._pools.values():
-            pool.divide_retry_budget(retry, self._gateways)
+            pool.budget.set_limits(*retry)
 
     def put(self, server: BackendServer) -> None:
         """Add or change a backend server."""
--- a/src/bronzerudder/policy/retry/__init__.py
+++ b/src/bronzerudder/policy/retry/__init__.py
@@ -9,15 +9,18 @@
     RetryDenialKind,
 )
 from bronzerudder.policy.retry.count import CountBudget
+from bronzerudder.policy.retry.division import BudgetDivision, LeasedDivision
+from bronzerudder.policy.retry.fleet import FleetRetryBudget
 from bronzerudder.policy.retry.share import ShareBudget
-from bronzerudder.policy.retry.window import WindowBudget
 
 __all__ = [
+    "BudgetDivision",
     "CountBudget",
+    "FleetRetryBudget",
+    "LeasedDivision",
     "RetryAllowance",
     "RetryBudget",
     "RetryDenial",
     "RetryDenialKind",
     "ShareBudget",
-    "WindowBudget",
 ]
--- a/src/bronzerudder/processes/gateway.py
+++ b/src/bronzerudder/processes/gateway.py
@@ -12,6 +12,7 @@
 from prometheus_client import CollectorRegistry
 
 from bronzerudder.cli.api import EXIT_OK
+from bronzerudder.clock import elapsed_s
 from bronzerudder.concurrency import supervise
 from bronzerudder.gateway.admin import ReadinessHandler
 from bronzerudder.gateway.clock import SuspensionDetector
@@ -37,6 +38,7 @@
 from bronzerudder.platform.configuration import decode_backend_server, decode_configuration
 from bronzerudder.platform.errors import StoreError
 from bronzerudder.platform.object_api import RemoteObjectStore
+from bronzerudder.policy.retry import LeasedDivision
 from bronzerudder.settings import SettingsError
 from bronzerudder.settings.file import SettingsFile
 from bronzerudder.settings.gateway import GatewaySettings
@@ -101,6 +103,7 @@
         self._tasks = tasks
         self._leaving = False
         self._was_suspended = False
+        self._has_retry_part = False
         log = settings.get("log", {})
         self._log = EventLog(
             {"role": "gateway", "name": settings["gateway_id"]},
@@ -113,12 +116,13 @@
         self._store = RemoteObjectStore(settings["store_address"])
         self._connections = ClientPool()
         retry = _read_retry_budget(settings)
-        self._gateways = GatewayRegistry(self._store, self._log)
+        self._division = LeasedDivision(settings["peer_address"], retry.window_s)
+        self._gateways = GatewayRegistry(self._store, self._log, self._division)
         self._peers = DatagramPort(settings["peer_address"])
         messenger = DatagramMessenger(self._peers, self._gateways, settings["peer_address"])
         self._server_limits = ServerLimitKeeper(messenger, self._log, self._metrics)
         self._services = ServiceTable(
-            retry, self._connections, self._log, tasks, self._server_limits
+            retry, self._connections, self._log, tasks, self._server_limits, self._division
         )
         self._configuration = ConfigurationHolder(
             wire.CONFIGURATION_NAME, decode_configuration, self._on_configuration_change, self._log
@@ -216,7 +220,9 @@
             return
         fixed = [name for name in FIXED_SETTINGS if changed[name] != self._settings[name]]
         self._settings = changed
-        self._services.set_retry_limits(_read_retry_budget(changed))
+        retry = _read_retry_budget(changed)
+        self._division.set_window(retry.window_s)
+        self._services.set_retry_limits(retry)
         self._store.set_address(changed["store_address"])
         self._log.state("settings reloaded", store=changed["store_address"], need_restart=fixed)
 
@@ -298,13 +304,27 @@
             self._check_suspension()
             self.reload()
             self._directory.drop_missing()
-            self._services.set_gateways(len(self._gateways.addresses))
+            self._log_retry_part()
             self._server_limits.set_gateways(self._gateways.addresses)
             self._server_limits.maintain()
             self._connections.sweep()
             self._crashes.maintain()
             self._log.flush()
 
+    def _log_retry_part(self) -> None:
+        """Log that this gateway got or lost its part of the retry budget that is divided."""
+        now_s = elapsed_s()
+        has_part = self._division.part(now_s) > 0.0
+        if has_part == self._has_retry_part:
+            return
+        self._has_retry_part = has_part
+        self._log.state(
+            "part of the retry budget changed",
+            part=round(self._division.part(now_s), 4),
+            gateways=self._division.gateways(now_s),
+            list_age_s=round(self._division.list_age_s(now_s), 2),
+        )
+
     def _refresh_metrics(self) -> None:
         self._metrics.configuration_age_s.set(self._configuration_follower.age_s())
         self._metrics.store_calls.set(self._store.calls)
--- a/tests/gateway/gateway_fleet.py
+++ b/tests/gateway/gateway_fleet.py
@@ -7,6 +7,7 @@
 import random
 import time
 
+from bronzerudder.clock import elapsed_s
 from bronzerudder.gateway.services import RetryBudgetLimits
 from bronzerudder.http1 import listen
 from bronzerudder.peers.messages import (
@@ -16,6 +17,7 @@
     encode_message,
 )
 from bronzerudder.peers.messenger import GatewayMessenger
+from bronzerudder.policy.retry import LeasedDivision
 from bronzerudder.processes.gateway import MAINTENANCE_INTERVAL_S
 from bronzerudder.standin.fleet import Behaviour, CrashPlan, StandinBackendServer
 from bronzerudder.standin.fleet.backend_server import EVENT_GAP_S
@@ -33,6 +35,9 @@
 class GatewayFleet:
     """Gateways that exchange messages; call `start` in asyncSetUp and `stop` as a cleanup.
 
+    With `leased`, gateways divide the retry budget by the list of gateways that they read. The
+    first ones have been listed for long, as if they had run before.
+
     Attributes
     ----------
     gateways : list of GatewayHarness
@@ -54,9 +59,11 @@
         in_lockstep: bool = False,
         routes: list[dict] | None = None,
         retry: RetryBudgetLimits = RETRY,
+        leased: bool = False,
     ) -> None:
         self._routes = routes or [ROUTE]
         self._retry = retry
+        self._leased = leased
         self.links = MessageLinks()
         self._in_lockstep = in_lockstep
         self._stalls: list[asyncio.Task] = []
@@ -115,6 +122,8 @@
         """
         gateway = await self._start_gateway(f"g-{len(self.gateways)}")
         self.gateways.append(gateway)
+        if isinstance(gateway.division, LeasedDivision):
+            gateway.division.record_list([gateway.name], 0.0, 0.0)
         gateway.limits.set_gateways([item.name for item in self.gateways])
         if is_listed:
             self.update_registry()
@@ -130,6 +139,8 @@
 
     async def _start_gateway(self, name: str, index: int | None = None) -> GatewayHarness:
         gateway = GatewayHarness(0, self._retry, name)
+        if self._leased:
+            gateway.division = LeasedDivision(name, self._retry.window_s)
         gateway.messenger = FleetMessenger(self, gateway)
         gateway.answer_timeout_s = ANSWER_TIMEOUT_S
         await gateway.start()
@@ -138,7 +149,7 @@
         gateway.configuration.apply_value(make_configuration(2, routes=self._routes))
         gateway.services.pool("s").groups.set_in_lockstep(self._in_lockstep)
         index = len(self._maintaining) if index is None else index
-        self._maintaining.insert(index, asyncio.create_task(_maintain(gateway)))
+        self._maintaining.insert(index, asyncio.create_task(self._maintain(gateway)))
         return gateway
 
     def update_registry(self) -> None:
@@ -146,7 +157,8 @@
         names = [gateway.name for gateway in self.gateways]
         for gateway in self.gateways:
             gateway.limits.set_gateways(names)
-            gateway.services.set_gateways(len(names))
+            if isinstance(gateway.division, LeasedDivision):
+                gateway.division.record_list(names, elapsed_s(), elapsed_s())
 
     async def stop(self) -> None:
         """Stop all gateways and backend servers."""
@@ -168,6 +180,15 @@
         )
         return status, body
 
+    async def _maintain(self, gateway: GatewayHarness) -> None:
+        while True:
+            await asyncio.sleep(MAINTENANCE_INTERVAL_S)
+            gateway.crashes.maintain()
+            gateway.limits.maintain()
+            if isinstance(gateway.division, LeasedDivision):
+                names = [item.name for item in self.gateways]
+                gateway.division.record_list(names, elapsed_s(), elapsed_s())
+
     def _make_relisting(self, server: StandinBackendServer):
         def relist(old_id: str) -> None:
             address = self._addresses.pop(old_id)
@@ -282,10 +303,3 @@
     def loses(self, sender: str, receiver: str) -> bool:
         """Whether a message is lost."""
         return (sender, receiver) in self.cut or self._generator.random() < self.loss
-
-
-async def _maintain(gateway: GatewayHarness) -> None:
-    while True:
-        await asyncio.sleep(MAINTENANCE_INTERVAL_S)
-        gateway.crashes.maintain()
-        gateway.limits.maintain()
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -24,6 +24,7 @@
 from bronzerudder.peers.messages import CrashSeen
 from bronzerudder.peers.messenger import GatewayMessenger
 from bronzerudder.platform.configuration import decode_configuration
+from bronzerudder.policy.retry import BudgetDivision
 from bronzerudder.standin.fleet import StandinBackendServer
 
 TIMEOUT_S = 5.0
@@ -69,6 +70,31 @@
     return EventLog({}, os.open(os.devnull, os.O_WRONLY))
 
 
+class FixedDivision(BudgetDivision):
+    """Gives a gateway its part of a budget at once and for good.
+
+    Attributes
+    ----------
+    count : int
+        Gateways that the budget is divided among.
+    """
+
+    def __init__(self, count: int = 1) -> None:
+        self.count = count
+
+    def part(self, now_s: float) -> float:
+        """Return an even part."""
+        return 1.0 / self.count
+
+    def gateways(self, now_s: float) -> int:
+        """Return the number of gateways."""
+        return self.count
+
+    def list_age_s(self, now_s: float) -> float:
+        """Return no age."""
+        return 0.0
+
+
 class RecordingMessenger(GatewayMessenger):
     """Sends nothing, and adds the crash reports to a list."""
 
@@ -112,6 +138,7 @@
         self._running: list[asyncio.Task] = []
         self._listeners = []
         self.addresses: dict[str, str] = {}
+        self.division: BudgetDivision = FixedDivision()
 
     async def start(self) -> None:
         """Start the handler and its stand-ins."""
@@ -125,9 +152,13 @@
         self.limits = ServerLimitKeeper(self.messenger, self.log, self.metrics)
         self.limits.set_gateways([self.messenger.address])
         self.services = ServiceTable(
-            self._retry, self.connections, self.log, self._queue_tasks, self.limits
+            self._retry,
+            self.connections,
+            self.log,
+            self._queue_tasks,
+            self.limits,
+            self.division,
         )
-        self.services.set_gateways(1)
         for server in self.backend_servers:
             self.add(server)
         self.crashes = CrashWatch(self.name, self.messenger, self.log, self._queue_tasks)
--- a/tests/gateway/test_retry_budget.py
+++ b/tests/gateway/test_retry_budget.py
@@ -27,7 +27,7 @@
 class FleetRetryBudgetTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         retry = RetryBudgetLimits(*RULE)
-        self.fleet = GatewayFleet(GATEWAYS, 4, routes=[PLAIN], retry=retry)
+        self.fleet = GatewayFleet(GATEWAYS, 4, routes=[PLAIN], retry=retry, leased=True)
         await self.fleet.start()
         self.addAsyncCleanup(self.fleet.stop)
         self.sent_at_s: list[float] = []
@@ -112,7 +112,7 @@
             self.assertEqual(fields["gateways"], 1)
             self.assertGreaterEqual(fields["allowed"], fields["spent"])
             self.assertGreaterEqual(fields["wait_s"], 0.0)
-            self.assertLess(fields["gateways_age_s"], 5.0)
+            self.assertLess(fields["list_age_s"], 5.0)
 
 
 if __name__ == "__main__":
--- a/tests/gateway/test_server_pauses.py
+++ b/tests/gateway/test_server_pauses.py
@@ -6,7 +6,7 @@
 import time
 import unittest
 
-from bronzerudder.gateway.services import RetryBudgetLimits
+from bronzerudder.clock import elapsed_s
 from bronzerudder.gateway.tables import BackendServer
 from bronzerudder.http1 import ResponseHead
 from bronzerudder.platform.requests import MAX_PAUSE_S, decode_answer
@@ -19,8 +19,6 @@
 CONCURRENT = 6
 MAX_RETURN_S = 3.0
 """A server whose rejection counts as a fault is left out for half a second at first."""
-RETRY = RetryBudgetLimits(0.2, 100.0, 10.0)
-"""The default of the harness."""
 
 
 class ServerPauseTest(GatewayCase):
@@ -38,9 +36,6 @@
             answers.append(await self.gateway.send_request(path, f"{prefix}{number}"))
         return answers
 
-    def remaining_budget(self):
-        return self.gateway.services.pool("s").budget.remaining(time.monotonic())
-
     def arrivals(self, server):
         return len(server.limit.arrivals)
 
@@ -86,8 +81,8 @@
             self.reject(server, LONG_PAUSE)
         await self.send_many()
         # Only the first request was sent a second time, before the other server had answered.
-        retries = RETRY.share * REQUESTS + RETRY.extra - self.remaining_budget()
-        self.assertAlmostEqual(retries, 1.0)
+        budget = self.gateway.services.pool("s").budget
+        self.assertEqual((budget.spent(elapsed_s()), budget.waiting), (1, 0))
 
     async def test_requests_wait_for_the_end_of_a_short_pause(self):
         for server in self.gateway.backend_servers:
--- a/tests/policy/retry/fleet_model.py
+++ b/tests/policy/retry/fleet_model.py
@@ -7,7 +7,8 @@
 import random
 from collections.abc import Callable
 
-from bronzerudder.policy.retry import RetryAllowance, WindowBudget
+from bronzerudder.peers.registry import MEMBER_READ_INTERVAL_S
+from bronzerudder.policy.retry import FleetRetryBudget, LeasedDivision
 from bronzerudder.standin.fleet.rate_limit import Arrival
 from bronzerudder.standin.fleet.retry_window import RetryExcess, RetryRule, find_retry_excess
 
@@ -16,9 +17,6 @@
 TIMEOUT_S = 12.0
 ANSWER_S = 0.02
 LINK_S = 0.002
-READ_INTERVAL_S = 4.0
-DEFAULT_GATEWAY_COUNT = 8
-MAINTENANCE_INTERVAL_S = 0.25
 
 
 class ModelRegistry:
@@ -49,19 +47,20 @@
 class ModelGateway:
     """One life of a gateway: its budget, and what it knows of the other gateways."""
 
-    def __init__(self, name: str, started_at_s: float) -> None:
+    def __init__(self, name: str) -> None:
         self.name = name
-        self.started_at_s = started_at_s
         self.is_running = True
-        self._budget = WindowBudget(RULE.share, RULE.extra / DEFAULT_GATEWAY_COUNT, RULE.window_s)
+        self._division = LeasedDivision(name, RULE.window_s)
+        self._budget = FleetRetryBudget(*RULE, self._division)
 
     def read(self, registry: ModelRegistry, now_s: float) -> None:
-        """Read the list of gateways."""
+        """Read the list of gateways, and write an entry that is missing."""
         listed = registry.answer(self.name, now_s)
         if listed is None:
             return
-        extra = RULE.extra / (len(listed) or DEFAULT_GATEWAY_COUNT)
-        self._budget.set_limits(RULE.share, extra, RULE.window_s)
+        self._division.record_list(listed, now_s, now_s)
+        if self.name not in listed:
+            registry.add(self.name)
 
     def record_request(self, now_s: float) -> None:
         """Count a request."""
@@ -69,14 +68,18 @@
 
     def decide(self, deadline_s: float, now_s: float) -> bool:
         """Whether a request is to be sent again."""
-        return isinstance(self._budget.allow(1, deadline_s, now_s), RetryAllowance)
+        return self._budget.reserve(deadline_s - now_s, now_s) is None
 
     def send(self, now_s: float) -> bool:
         """Whether a request that was to be sent again may be sent now."""
-        return True
+        if self._budget.spend(now_s) is None:
+            return True
+        self.release()
+        return False
 
     def release(self) -> None:
         """Give up to send a request again."""
+        self._budget.release()
 
 
 class FleetPlay:
@@ -160,7 +163,7 @@
 
     def _make_start(self, name: str) -> Callable[[float], None]:
         def start(now_s: float) -> None:
-            life = ModelGateway(name, now_s)
+            life = ModelGateway(name)
             self._lives[name] = life
             self.registry.add(name)
             self.at(now_s + self._generator.uniform(0.8, 1.2), self._make_read(life))
@@ -172,7 +175,7 @@
             if not life.is_running:
                 return
             life.read(self.registry, now_s)
-            self.at(now_s + READ_INTERVAL_S * self._generator.uniform(0.8, 1.2), read)
+            self.at(now_s + MEMBER_READ_INTERVAL_S * self._generator.uniform(0.8, 1.2), read)
 
         return read
 
