Refuse what can't end before a planned stop, and answer the rest at its end

Cause: the drain closed connections but never looked at the time left; at its end the process ended with whatever ran.

Now a request that can't end in time is refused as not run, once the gateway has closed to new connections: at its arrival, while it waits, and before it is sent again after a rejection. The time that it needs is its route's objective or the longest answer of the last half minute or so. What still runs at the end is answered: 503 if it was not sent, 504 if it may have run. Streams under way are still cut, as they can't be answered.

--- a/src/bronzerudder/gateway/errors.py
+++ b/src/bronzerudder/gateway/errors.py
@@ -19,6 +19,7 @@
     RATE_LIMITED = "rate-limited"
     DEADLINE_EXCEEDED = "out-of-time"
     NOT_EXECUTED = "not-executed"
+    STOPPING = "stopping"
 
 
 class Refusal(NamedTuple):
--- a/src/bronzerudder/gateway/forwarding.py
+++ b/src/bronzerudder/gateway/forwarding.py
@@ -16,6 +16,7 @@
 from bronzerudder.gateway.crash_watch import CrashWatch
 from bronzerudder.gateway.errors import AttemptFailure, FailureKind, Refusal, RefusalKind
 from bronzerudder.gateway.metrics import GatewayMetrics
+from bronzerudder.gateway.planned_stop import PlannedStop
 from bronzerudder.gateway.relay import StreamRelay
 from bronzerudder.gateway.services import ServicePool, ServiceTable
 from bronzerudder.gateway.slot_queue import SlotRequest
@@ -102,6 +103,7 @@
     metrics: GatewayMetrics
     log: EventLog
     spans: SpanSource
+    stop: PlannedStop
 
 
 def quarantine_refusal(verdict: Verdict) -> Refusal:
@@ -197,6 +199,9 @@
 
     async def _run(self) -> CompleteAnswer | StreamDelivered | AttemptFailure | Refusal:
         while True:
+            stopping = self._find_stop()
+            if stopping is not None:
+                return self._final_result(stopping)
             slot_request = self._make_slot_request()
             queued_at_s = time.monotonic()
             assignment = await self._pool.queue.acquire(slot_request)
@@ -242,9 +247,16 @@
             admitted.arrived_at_s + ON_TIME_FRACTION * admitted.route.objective_s,
             latest_start_s(admitted.route, last_received_at_s, admitted.deadline_at_s),
             routed,
-            self._find_quarantine,
+            lambda: self._find_stop() or self._find_quarantine(),
         )
 
+    def _find_stop(self) -> Refusal | None:
+        """Return why a request that has not run is refused as the gateway stops."""
+        if self.may_have_run:
+            # It can't be refused any more, so that another attempt can only help.
+            return None
+        return self._context.stop.find_refusal(self._admitted.route, time.monotonic())
+
     def _find_quarantine(self) -> Refusal | None:
         """Return why the request must not run; judges only if verdicts have changed since."""
         crashes = self._context.crashes
--- a/src/bronzerudder/gateway/handler.py
+++ b/src/bronzerudder/gateway/handler.py
@@ -148,9 +148,14 @@
         forwarder = RequestForwarder(self._context, admitted, pool, writer)
         result: CompleteAnswer | StreamDelivered | AttemptFailure | Refusal | None = None
         outcome = Outcome("unknown", 0, "caller disconnected")
+        stop = self._context.stop
         try:
-            with anyio.move_on_after(admitted.deadline_at_s - time.monotonic()):
-                result = await forwarder.run()
+            with anyio.move_on_after(admitted.deadline_at_s - time.monotonic()) as scope:
+                stop.add(scope)
+                try:
+                    result = await forwarder.run()
+                finally:
+                    stop.remove(scope)
             outcome = await self._send_result(admitted, forwarder, result, writer)
         finally:
             # Also runs when the caller disconnected and this task is being cancelled.
@@ -196,6 +201,11 @@
         return await self._send_failure(admitted.caller, writer, status, result.reason)
 
     def _deadline_result(self, forwarder: RequestForwarder) -> AttemptFailure | Refusal:
+        """Return why a request was ended, by its deadline or because the gateway ends."""
+        if self._context.stop.ended and forwarder.may_have_run:
+            return AttemptFailure(FailureKind.UNRESPONSIVE, "no answer before the gateway stopped")
+        if self._context.stop.ended:
+            return Refusal(RefusalKind.STOPPING, "no slot became free before the gateway stopped")
         if forwarder.may_have_run:
             return AttemptFailure(
                 FailureKind.UNRESPONSIVE, "no answer before the request's deadline"
@@ -260,6 +270,8 @@
             )
             self._record_stream(forwarder, fields)
         if outcome.name == "done" and outcome.status < 500:
+            if admitted is not None:
+                self._context.stop.record_answer(admitted.route, took_s, time.monotonic())
             self._context.log.routine("request finished", caller.request_id, **fields)
             return
         self._context.log.failure("request failed", caller.request_id, **fields)
--- a/src/bronzerudder/processes/gateway.py
+++ b/src/bronzerudder/processes/gateway.py
@@ -23,6 +23,7 @@
 from bronzerudder.gateway.forwarding import GatewayContext
 from bronzerudder.gateway.handler import GatewayHandler
 from bronzerudder.gateway.metrics import GatewayMetrics
+from bronzerudder.gateway.planned_stop import PlannedStop
 from bronzerudder.gateway.server_limits import ServerLimitKeeper
 from bronzerudder.gateway.services import RetryBudgetLimits, ServiceTable
 from bronzerudder.gateway.spans import NoSpans, RecordedSpans, SpanSource
@@ -49,6 +50,8 @@
 """The load balancer in front polls once a second and removes an instance after two failed polls."""
 STOP_MARGIN_S = 0.3
 """Reserved at the end of the grace period for closing, before SIGKILL follows."""
+FINAL_ANSWERS_S = 0.1
+"""Part of this margin for the answers to requests that had to be ended."""
 DRAIN_CHECK_INTERVAL_S = 0.02
 FIXED_SETTINGS = (
     "gateway_id",
@@ -152,6 +155,7 @@
             self._crashes.add_report,
             self._log,
         )
+        self._stop = PlannedStop()
         context = GatewayContext(
             self._services,
             self._connections,
@@ -159,6 +163,7 @@
             self._metrics,
             self._log,
             self._build_spans(),
+            self._stop,
         )
         handler = GatewayHandler(
             context, self._configuration, self._confirm_current, random.Random(), self._started
@@ -201,15 +206,24 @@
         end_s = started_s + self._settings["grace_s"] - STOP_MARGIN_S
         await anyio.sleep(OUT_OF_ROTATION_S)
         self._server.stop_accepting()
+        # Requests can still come on connections that had begun one.
+        self._stop.begin(end_s)
         self._log.state("closed to new connections", busy=self._server.busy)
-        while time.monotonic() < end_s:
-            if not self._server.busy:
-                break
-            await anyio.sleep(DRAIN_CHECK_INTERVAL_S)
+        await self._wait_until_idle(end_s)
+        if self._server.busy:
+            self._log.state("ending the requests that still run", busy=self._server.busy)
+            self._stop.end()
+            await self._wait_until_idle(end_s + FINAL_ANSWERS_S)
         with anyio.move_on_after(STOP_MARGIN_S / 2):
             await self._gateways.unregister(self._settings["peer_address"])
         self._log.state("stopped", busy=self._server.busy)
 
+    async def _wait_until_idle(self, end_s: float) -> None:
+        while time.monotonic() < end_s:
+            if not self._server.busy:
+                return
+            await anyio.sleep(DRAIN_CHECK_INTERVAL_S)
+
     def reload(self) -> None:
         """Apply changes of the settings file, except to settings that need a restart."""
         changed = self._file.read_change()
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -15,6 +15,7 @@
 from bronzerudder.gateway.forwarding import GatewayContext
 from bronzerudder.gateway.handler import GatewayHandler
 from bronzerudder.gateway.metrics import GatewayMetrics
+from bronzerudder.gateway.planned_stop import PlannedStop
 from bronzerudder.gateway.server_limits import ServerLimitKeeper
 from bronzerudder.gateway.services import RetryBudgetLimits, ServiceTable
 from bronzerudder.gateway.spans import NoSpans
@@ -162,8 +163,15 @@
         for server in self.backend_servers:
             self.add(server)
         self.crashes = CrashWatch(self.name, self.messenger, self.log, self._queue_tasks)
+        self.planned_stop = PlannedStop()
         shared = GatewayContext(
-            self.services, self.connections, self.crashes, self.metrics, self.log, NoSpans()
+            self.services,
+            self.connections,
+            self.crashes,
+            self.metrics,
+            self.log,
+            NoSpans(),
+            self.planned_stop,
         )
         started = anyio.Event()
         started.set()
--- a/tests/processes/gateway_case.py
+++ b/tests/processes/gateway_case.py
@@ -29,9 +29,14 @@
         self.store = StandinStore()
         self.backend_server = StandinBackendServer("i-0")
         self.store_address = self.serve(self.store.server)
-        backend_server_address = self.serve(self.backend_server.server)
+        self.backend_server_address = self.serve(self.backend_server.server)
         self.store.put("config", "main", msgspec.json.decode(make_configuration()))
-        record = {"service": "s", "address": backend_server_address, "state": "ready", "slots": 6}
+        record = {
+            "service": "s",
+            "address": self.backend_server_address,
+            "state": "ready",
+            "slots": 6,
+        }
         self.store.put("servers", "i-0", record)
         self.log = self.directory / "gateway.log"
         self.pool = ClientPool()
