--- a/src/bronzerudder/gateway/attempt.py
+++ b/src/bronzerudder/gateway/attempt.py
@@ -143,9 +143,9 @@
     on_head : callable
         Called with the head of the answer to this request, and with the monotonic time at which the
         request was sent.
-    find_hindrance : callable
-        Returns why the request must not be sent after all, once the backend server is connected; an
-        empty string if it may be sent.
+    before_send : callable
+        Called once the backend server is connected; returns why the request must not be sent after
+        all, or an empty string.
     """
 
     def __init__(
@@ -156,9 +156,9 @@
         progress: StreamProgress,
         on_event: Callable[[bool], None],
         on_head: Callable[[AnswerHead, float], None],
-        find_hindrance: Callable[[], str] = lambda: "",
+        before_send: Callable[[], str] = lambda: "",
     ) -> None:
-        self._find_hindrance = find_hindrance
+        self._before_send = before_send
         self._on_event = on_event
         self._on_head = on_head
         self._connections = connections
@@ -209,9 +209,9 @@
             return _attempt_failure(exchange)
         self._reused = exchange.reused
         try:
-            hindrance = self._find_hindrance()
-            if hindrance:
-                return AttemptFailure(FailureKind.WITHHELD, hindrance)
+            withheld_reason = self._before_send()
+            if withheld_reason:
+                return AttemptFailure(FailureKind.WITHHELD, withheld_reason)
             return await self._send_and_read(exchange)
         finally:
             # Does nothing once the connection was released.
--- a/src/bronzerudder/gateway/forwarding.py
+++ b/src/bronzerudder/gateway/forwarding.py
@@ -308,7 +308,7 @@
             group.progress,
             on_event,
             on_head,
-            lambda: self._find_hindrance(candidate),
+            lambda: self._before_send(candidate),
         )
         sent_at_s = time.monotonic()
         # Counted before the send, so that a cancelled attempt counts as possibly run.
@@ -329,8 +329,8 @@
         self._log_attempt(candidate, attempt, result, time.monotonic() - sent_at_s, limit)
         return result
 
-    def _find_hindrance(self, candidate: Candidate) -> str:
-        """Return why the request must not be sent, though a connection is open; charge a retry."""
+    def _before_send(self, candidate: Candidate) -> str:
+        """Charge a retry to the budget; return why the request must not be sent, if so."""
         if not candidate.wants_requests(time.monotonic()):
             return "the backend server announced that it takes no requests now"
         if not self._arrivals:
