Let what a request earns lapse a second before the window, as it was sent before it came

The rule counts requests when callers send them, a gateway when it reads them. What a request earns could so pay for a retry up to half a second after both windows in which the rule counts it. The test of the margins covers both ways.

--- a/src/bronzerudder/policy/retry/division.py
+++ b/src/bronzerudder/policy/retry/division.py
@@ -18,7 +18,8 @@
 """Time for which a gateway counts that is missing from the list. It costs the others its part, and
 covers lists that lack gateways for minutes, as from a store that lost their entries."""
 SEND_MARGIN_S = 0.5
-"""Time that a request may take to its backend server; one that takes longer was held up."""
+"""Time that a request may take to a gateway or on to its backend server; one that takes longer was
+held up."""
 
 
 class BudgetDivision(abc.ABC):
--- a/src/bronzerudder/policy/retry/fleet.py
+++ b/src/bronzerudder/policy/retry/fleet.py
@@ -141,8 +141,9 @@
         return max(0.0, part * self._extra - sum(amount.retries for amount in self._lent))
 
     def _expire(self, now_s: float) -> None:
-        # A retry may arrive later than it is charged, so both accounts keep away from the edges.
-        earned_since_s = now_s - self._window_s + SEND_MARGIN_S
+        # A retry may arrive later than it is charged, and a request may have been sent earlier than
+        # it was received, so both accounts keep away from the edges of the window.
+        earned_since_s = now_s - self._window_s + 2 * SEND_MARGIN_S
         while self._earned and self._earned[0].at_s <= earned_since_s:
             self._earned.popleft()
         lent_since_s = now_s - self._window_s - SEND_MARGIN_S
--- a/tests/policy/retry/test_fleet.py
+++ b/tests/policy/retry/test_fleet.py
@@ -71,10 +71,10 @@
         budget = self.make_budget(0.2, 0.0)
         for _ in range(100):
             budget.record_request(0.0)
-        self.assertEqual(self.count_sent(budget, 9.0, 3), 3)
+        self.assertEqual(self.count_sent(budget, 8.9, 3), 3)
         self.assertEqual(self.count_sent(budget, 10.0), 0)
 
-    def test_both_accounts_leave_time_for_a_retry_to_arrive(self):
+    def test_both_accounts_leave_time_for_requests_and_retries_to_arrive(self):
         lent = self.make_budget(0.0, 5.0)
         self.assertEqual(self.count_sent(lent, 0.0), 5)
         self.assertEqual(self.count_sent(lent, WINDOW_S + 0.4), 0)
@@ -82,8 +82,8 @@
         earned = self.make_budget(0.2, 0.0)
         for _ in range(20):
             earned.record_request(0.0)
-        self.assertEqual(self.count_sent(earned, WINDOW_S - 0.6, 1), 1)
-        self.assertEqual(self.count_sent(earned, WINDOW_S - 0.4, 1), 0)
+        self.assertEqual(self.count_sent(earned, WINDOW_S - 1.1, 1), 1)
+        self.assertEqual(self.count_sent(earned, WINDOW_S - 0.9, 1), 0)
 
     def test_no_more_places_than_retries_that_remain(self):
         budget = self.make_budget(0.0, 3.0)
