--- a/tests/processes/test_gateway.py
+++ b/tests/processes/test_gateway.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from bronzerudder.http1 import ClientPool, HttpError
+from bronzerudder.peers.registry import GATEWAY_KIND
 from bronzerudder.standin.fleet import Behaviour
 from tests.gateway.harness import make_configuration
 from tests.processes.gateway_case import TIMEOUT_S, GatewayProcessCase
@@ -74,6 +75,19 @@
         await self.wait_for_event("settings rejected, previous ones stay in force")
         self.assertEqual((await self.send_request(b"/read/", "r"))[0], 200)
 
+    async def test_its_entry_is_written_again_after_the_store_came_back_from_an_older_copy(self):
+        before = self.store.take_copy()
+        await self.start()
+        own = [self.addresses["peer_address"]]
+        with anyio.fail_after(TIMEOUT_S):
+            while self.store.names(GATEWAY_KIND) != own:
+                await anyio.sleep(0.05)
+        self.store.restore(before)
+        self.assertEqual(self.store.names(GATEWAY_KIND), [])
+        with anyio.fail_after(TIMEOUT_S):
+            while self.store.names(GATEWAY_KIND) != own:
+                await anyio.sleep(0.05)
+
     async def wait_for_event(self, event):
         with anyio.fail_after(TIMEOUT_S):
             while event not in self.log.read_text():
