--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -267,6 +267,7 @@
         self._most = slots + queue
         self._born_ms = int(time.time() * 1000)
         self._present = 0
+        self.leaving = False
         self.arrived = []
 
     def entry(self, state="ready"):
@@ -282,12 +283,14 @@
         self._record.add("reaches worker", worker=self.name, attempt=attempt)
         load = ("Server-Load", f"{min(self._present, self._slots_count)},"
                 f"{max(0, self._present - self._slots_count)},{self._slots_count}")
+        leaving = [("Server-Leaving", 1)] if self.leaving else []
         if headers.get("expect-instance", self.name) != self.name:
-            writer.write(response(421, [("Instance-Id", self.name), ("Not-Executed", 1)], b""))
+            writer.write(response(421, [("Instance-Id", self.name), *leaving], b""))
             await writer.drain()
             return True
         if self._present >= self._most:
-            writer.write(response(503, [("Attempt-Id", attempt), ("Not-Executed", 1), load], b""))
+            writer.write(response(503, [("Attempt-Id", attempt), ("Not-Executed", 1), load,
+                                                *leaving], b""))
             await writer.drain()
             return True
         self._present += 1
@@ -300,7 +303,9 @@
         answer = f"{self.name} ran {method} {target} {len(body)}\n".encode()
         signed = ("Response-Signature", f"{self.name}.{len(answer)}")
         self._record.add("worker answers", worker=self.name, attempt=attempt)
-        writer.write(response(200, [("Attempt-Id", attempt), signed, load], answer))
+        # It may have begun to leave while the request ran.
+        leaving = [("Server-Leaving", 1)] if self.leaving else []
+        writer.write(response(200, [("Attempt-Id", attempt), signed, load, *leaving], answer))
         await writer.drain()
         return True
 
