--- a/review/7/case.py
+++ b/review/7/case.py
@@ -10,11 +10,11 @@
 import world  # noqa: E402
 
 SERVICE = "bookings"
-WORKERS = 3
+WORKERS = 7
 WORK_S = 0.25
-GROUP = 9
+GROUP = 14
 GROUP_EVERY_S = 4.5
-"""Bookings come nine at a time, as when an office confirms a list."""
+"""Bookings come fourteen at a time, as when an office confirms a list."""
 SILENT_AFTER_GROUP_S = 0.7
 REMOVED_AFTER_SILENCE_S = 0.5
 DRAIN_S = 2.0
