--- a/src/bronzerudder/settings/agent.py
+++ b/src/bronzerudder/settings/agent.py
@@ -9,6 +9,7 @@
 from bronzerudder.claims.settings import ClaimSettings
 from bronzerudder.rank_group.settings import RankGroupSettings
 from bronzerudder.settings.fields import Address, Count, Listener, Name, Seconds, Share, Url
+from bronzerudder.settings.machine import MachineSettings
 from bronzerudder.settings.platform import PlatformSettings
 
 
@@ -56,5 +57,6 @@
     claims: NotRequired[ClaimSettings]
     rank_group: NotRequired[RankGroupSettings]
     packing: NotRequired[PackingSettings]
+    machine: NotRequired[MachineSettings]
     drain_timeout_s: NotRequired[Seconds]
     trace_sample_ratio: NotRequired[Share]
--- a/src/bronzerudder/settings/entry.py
+++ b/src/bronzerudder/settings/entry.py
@@ -5,6 +5,7 @@
 from typing import NotRequired, TypedDict
 
 from bronzerudder.settings.fields import Address, Count, Listener, Name, Seconds, Share
+from bronzerudder.settings.machine import MachineSettings
 from bronzerudder.settings.platform import PlatformSettings
 
 
@@ -32,6 +33,7 @@
     peers: NotRequired[list[Address]]
     headers: NotRequired[HeaderNames]
     max_body_bytes: NotRequired[Count]
+    machine: NotRequired[MachineSettings]
     leave_delay_s: NotRequired[Seconds]
     drain_timeout_s: NotRequired[Seconds]
     trace_sample_ratio: NotRequired[Share]
--- a/src/bronzerudder/settings/gateway.py
+++ b/src/bronzerudder/settings/gateway.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from bronzerudder.settings.fields import Address, Name, Seconds, Share
+from bronzerudder.settings.machine import MachineSettings
 
 Rate = Annotated[float, msgspec.Meta(gt=0, le=100_000)]
 RetriesPerWindow = Annotated[float, msgspec.Meta(ge=0, le=1_000_000)]
@@ -52,5 +53,6 @@
     store_address: Address
     grace_s: Seconds
     retry_budget: RetryBudgetSettings
+    machine: NotRequired[MachineSettings]
     log: NotRequired[LogSettings]
     traces: NotRequired[TraceSettings]
--- a/src/bronzerudder/settings/rank_agent.py
+++ b/src/bronzerudder/settings/rank_agent.py
@@ -6,6 +6,7 @@
 
 from bronzerudder.settings.fields import Address, Name
 from bronzerudder.settings.gateway import LogSettings
+from bronzerudder.settings.machine import MachineSettings
 
 
 class RankAgentSettings(TypedDict):
@@ -22,4 +23,5 @@
     peer_address: Address
     metrics_address: Address
     store_address: Address
+    machine: NotRequired[MachineSettings]
     log: NotRequired[LogSettings]
