--- a/tests/runner.py
+++ b/tests/runner.py
@@ -1,6 +1,7 @@
 """Runs the tests and prints a summary; only failures listed in KNOWN-RED.txt do not fail the run.
 
-Modules run in several processes in parallel; arguments select modules, classes or tests.
+Modules run in several processes in parallel, then those that measure a process's memory one at a
+time; arguments select modules, classes or tests.
 """
 
 from __future__ import annotations
@@ -26,6 +27,8 @@
     "tests.gateway.test_server_limits",
     "tests.test_binary",
 )
+# Modules that run when nothing else does.
+ALONE_PREFIXES = ("tests.crowds.",)
 
 
 class KnownRed(NamedTuple):
@@ -90,10 +93,17 @@
 
 
 def run_all(names: list[str]) -> list[ModuleResult]:
-    """Run all names in parallel and print the output of each when it is complete."""
+    """Run the names in parallel, then those that must run alone one after another."""
+    alone = [name for name in names if name.startswith(ALONE_PREFIXES)]
+    parallel = [name for name in names if name not in alone]
+    return run_in_pool(parallel, WORKERS) + run_in_pool(alone, 1)
+
+
+def run_in_pool(names: list[str], workers: int) -> list[ModuleResult]:
+    """Run names in some processes and print the output of each when it is complete."""
     results = []
     context = multiprocessing.get_context("spawn")
-    with concurrent.futures.ProcessPoolExecutor(WORKERS, mp_context=context) as pool:
+    with concurrent.futures.ProcessPoolExecutor(workers, mp_context=context) as pool:
         futures = [pool.submit(run_name, name) for name in names]
         for future in concurrent.futures.as_completed(futures):
             result = future.result()
