HTTP client: a connection without a descriptor left is an error, not raised

Callers saw 500 and the log a traceback, 'request handler failed', as the socket was created outside the block that turns OSError into a value. The failure proves that nothing was sent, so the request may go to another backend server or is refused as not run.

The test raised OSError before.

--- a/src/bronzerudder/http1/sockets.py
+++ b/src/bronzerudder/http1/sockets.py
@@ -150,7 +150,11 @@
 async def connect(address: str, timeout_s: float) -> Connection | TransportError:
     """Open a connection to ``host:port``; the host must be an IPv4 address."""
     host, _, port = address.rpartition(":")
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    except OSError as error:
+        # No descriptor is left.
+        return TransportError(_name_error(error))
     connected = False
     try:
         _set_options(sock)
--- a/tests/http1/test_sockets.py
+++ b/tests/http1/test_sockets.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import contextlib
+import errno
 import socket
 import unittest
+from unittest import mock
 
 import anyio
 
-from bronzerudder.http1 import Connection
+from bronzerudder.http1 import Connection, TransportError, connect
 
 READS_AT_MOST = 1_000
 
@@ -52,3 +54,10 @@
 
 if __name__ == "__main__":
     unittest.main()
+
+
+class ConnectTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_connection_for_which_no_descriptor_is_left_is_an_error_and_not_raised(self):
+        with mock.patch("socket.socket", side_effect=OSError(errno.EMFILE, "too many files")):
+            result = await connect("127.0.0.1:9", 1.0)
+        self.assertEqual(result, TransportError("EMFILE"))
