HTTP client: hold a large body once, and bound idle connections in all

A request's body was joined with its head for each attempt, so a gateway held each body that it sent twice. From 64 KiB on head and body are sent one after the other; small ones still go in one segment.

Idle connections were bounded for each address (32) and not in all, and the bytes of answers being read by a constant that fits one machine: both limits are now parameters of the pool. The default of the bytes is unchanged.

--- a/src/bronzerudder/gateway/attempt.py
+++ b/src/bronzerudder/gateway/attempt.py
@@ -22,8 +22,6 @@
 
 MAX_BUFFERED_BYTES = 1_048_576
 """Limit of a plain answer, which is buffered in full before the caller is answered."""
-MAX_TOTAL_BUFFERED_BYTES = 64 * 1_048_576
-"""Limit of all plain answers that a gateway reads at the same time; it may use 200 MB in all."""
 UNCOUNTED_BYTES = 65_536
 """Start of a plain answer that does not count, so that long answers don't fail short ones."""
 MAX_BUFFERED_CHUNKS = 8_192
@@ -336,8 +334,9 @@
             return f"answer exceeds {MAX_BUFFERED_BYTES} bytes"
         if chunks > MAX_BUFFERED_CHUNKS:
             return f"answer exceeds {MAX_BUFFERED_CHUNKS} chunks"
-        if size > UNCOUNTED_BYTES and self._connections.buffered_bytes > MAX_TOTAL_BUFFERED_BYTES:
-            return f"answers being read exceed {MAX_TOTAL_BUFFERED_BYTES} bytes"
+        max_bytes = self._connections.max_buffered_bytes
+        if size > UNCOUNTED_BYTES and self._connections.buffered_bytes > max_bytes:
+            return f"answers being read exceed {max_bytes} bytes"
         return ""
 
     async def _relay_stream(
--- a/src/bronzerudder/http1/client.py
+++ b/src/bronzerudder/http1/client.py
@@ -27,7 +27,13 @@
 MAX_TIMEOUT_DIGITS = 9
 """Digits of a Keep-Alive timeout that is followed; a longer one counts as none."""
 MAX_IDLE_PER_ADDRESS = 32
+MAX_IDLE = 1_024
+"""Default limit of the idle connections to all addresses together."""
+MAX_TOTAL_BUFFERED_BYTES = 64 * 1_048_576
+"""Default limit of the answers that are buffered at the same time."""
 MAX_HEAD_BYTES = 65_536
+MAX_JOINED_BYTES = 65_536
+"""Largest body that is sent together with its head."""
 EMPTY_STATUSES = (204, 304)
 """Answers that never have a body."""
 MAX_INFORMATIONAL_HEADS = 8
@@ -125,19 +131,25 @@
             headers = [*headers, (b"content-length", str(len(body)).encode())]
         try:
             self._request = h11.Request(method=method, target=target, headers=headers)
-            data = self._http.send(self._request)
+            head = self._http.send(self._request)
             if body:
-                data += self._http.send(h11.Data(data=body))
-            data += self._http.send(h11.EndOfMessage())
+                self._http.send_with_data_passthrough(h11.Data(data=body))
+            self._http.send(h11.EndOfMessage())
         except h11.LocalProtocolError as error:
             self.discard()
             return HttpError(HttpErrorKind.NOT_SENT, f"request is not valid HTTP: {error}")
-        failure = await self._connection.send(data)
-        if failure is None:
-            return None
-        self.discard()
-        kind = HttpErrorKind.BROKEN if failure.bytes_sent else HttpErrorKind.NOT_SENT
-        return HttpError(kind, failure.reason)
+        # A large body is not joined with its head, as that would hold it twice.
+        parts = [head + body] if len(body) <= MAX_JOINED_BYTES else [head, body]
+        sent = 0
+        for part in parts:
+            failure = await self._connection.send(part)
+            if failure is not None:
+                self.discard()
+                sent += failure.bytes_sent
+                kind = HttpErrorKind.BROKEN if sent else HttpErrorKind.NOT_SENT
+                return HttpError(kind, failure.reason)
+            sent += len(part)
+        return None
 
     async def read_head(self) -> ResponseHead | HttpError:
         """Read the status and headers of the answer."""
@@ -268,11 +280,29 @@
 
 
 class ClientPool:
-    """Pool of idle connections, by address."""
+    """Pool of idle connections, by address.
+
+    Parameters
+    ----------
+    connect_timeout_s : float
+        Time for opening a connection, in seconds.
+    max_idle : int
+        Idle connections to all addresses together.
+    max_buffered_bytes : int
+        Bytes of answers that users of the pool may buffer.
+    """
 
-    def __init__(self, connect_timeout_s: float = CONNECT_TIMEOUT_S) -> None:
+    def __init__(
+        self,
+        connect_timeout_s: float = CONNECT_TIMEOUT_S,
+        max_idle: int = MAX_IDLE,
+        max_buffered_bytes: int = MAX_TOTAL_BUFFERED_BYTES,
+    ) -> None:
         self._connect_timeout_s = connect_timeout_s
+        self._max_idle = max_idle
+        self._max_buffered_bytes = max_buffered_bytes
         self._idle: dict[str, list[_IdleConnection]] = {}
+        self._idle_count = 0
         self._opened = 0
         self._buffered_bytes = 0
 
@@ -281,6 +311,11 @@
         """Bytes of answers that users of the pool have reported as buffered."""
         return self._buffered_bytes
 
+    @property
+    def max_buffered_bytes(self) -> int:
+        """Limit of `buffered_bytes`; users of the pool keep to it."""
+        return self._max_buffered_bytes
+
     def add_buffered(self, size: int) -> None:
         """Report bytes of an answer as buffered, or with a negative size as no longer buffered."""
         self._buffered_bytes += size
@@ -351,14 +386,17 @@
     def keep(self, address: str, connection: Connection, idle_timeout_s: float) -> None:
         """Add a connection to the pool; close it if the pool is full or it may not stay idle."""
         idle = self._idle.setdefault(address, [])
-        if idle_timeout_s <= 0 or len(idle) >= MAX_IDLE_PER_ADDRESS:
+        is_full = len(idle) >= MAX_IDLE_PER_ADDRESS or self._idle_count >= self._max_idle
+        if idle_timeout_s <= 0 or is_full:
             connection.close()
             return
+        self._idle_count += 1
         idle.append(_IdleConnection(connection, time.monotonic() + idle_timeout_s))
 
     def close_idle(self, address: str) -> None:
         """Close the idle connections to an address that is no longer in use."""
         for idle in self._idle.pop(address, []):
+            self._idle_count -= 1
             idle.connection.close()
 
     def sweep(self) -> None:
@@ -368,6 +406,7 @@
             usable = []
             for idle in self._idle[address]:
                 if idle.expires_at_s <= now_s or idle.connection.is_readable():
+                    self._idle_count -= 1
                     idle.connection.close()
                     continue
                 usable.append(idle)
@@ -377,6 +416,7 @@
         idle = self._idle.get(address)
         while idle:
             last = idle.pop()
+            self._idle_count -= 1
             # Readable while idle: the peer has closed it, or has sent bytes that answer no request.
             if last.expires_at_s > time.monotonic() and not last.connection.is_readable():
                 return last.connection
--- a/tests/gateway/test_answer_bounds.py
+++ b/tests/gateway/test_answer_bounds.py
@@ -9,9 +9,10 @@
 
 import anyio
 
-from bronzerudder.gateway.attempt import MAX_BUFFERED_BYTES, MAX_TOTAL_BUFFERED_BYTES
+from bronzerudder.gateway.attempt import MAX_BUFFERED_BYTES
 from bronzerudder.gateway.tables import BackendServer
 from bronzerudder.http1 import Connection, listen
+from bronzerudder.http1.client import MAX_TOTAL_BUFFERED_BYTES
 from bronzerudder.http1.sockets import accept
 from tests.gateway.harness import TIMEOUT_S, GatewayHarness
 
--- a/tests/http1/test_client.py
+++ b/tests/http1/test_client.py
@@ -5,6 +5,7 @@
 import time
 import tracemalloc
 import unittest
+from unittest import mock
 
 import anyio
 
@@ -13,9 +14,12 @@
     Connection,
     HttpError,
     HttpErrorKind,
+    HttpServer,
+    ServerLimits,
     contains_response_head,
     listen,
 )
+from bronzerudder.http1.client import MAX_JOINED_BYTES
 from bronzerudder.http1.sockets import accept
 
 TIMEOUT_S = 5.0
@@ -107,6 +111,40 @@
                 self.assertEqual(await self.call(pool, peer.address), (200, b"ok"))
             self.assertEqual(peer.accepted, 1)
 
+    async def test_idle_connections_beyond_the_limit_of_all_addresses_are_closed(self):
+        async with Peer(OK, OK) as peer, Peer(OK, OK, OK, OK) as other:
+            pool = ClientPool(max_idle=1)
+            for address in (peer.address, other.address, other.address, peer.address):
+                self.assertEqual(await self.call(pool, address), (200, b"ok"))
+            self.assertEqual((peer.accepted, other.accepted), (1, 2))
+            pool.close_idle(peer.address)
+            self.assertEqual(await self.call(pool, other.address), (200, b"ok"))
+            await self.call(pool, other.address)
+            self.assertEqual(other.accepted, 3)
+
+    async def test_a_large_body_is_sent_whole_and_not_joined_with_its_head(self):
+        async def echo(request, writer):
+            await writer.respond(200, [], request.body)
+
+        body = bytes(range(256)) * 4 * (MAX_JOINED_BYTES // 256)
+        listener = listen("127.0.0.1:0")
+        self.addCleanup(listener.close)
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(HttpServer(echo, ServerLimits).serve, listener)
+            sent = []
+            send = Connection.send
+
+            async def record(connection, data):
+                sent.append(len(data))
+                return await send(connection, data)
+
+            with mock.patch.object(Connection, "send", record), anyio.fail_after(TIMEOUT_S):
+                answer = await ClientPool().call(address, b"POST", b"/", HOST, body)
+            tasks.cancel_scope.cancel()
+        self.assertEqual(answer, (200, body))
+        self.assertIn(len(body), sent)
+
     async def test_a_connection_is_not_used_close_to_its_announced_end(self):
         answer = OK.replace(b"timeout=5", b"timeout=1")
         async with Peer(answer, answer) as peer:
