Bound what gateways and rank agents hold for their callers

Callers with many bodies of legal size at once, whole, in pieces, in chunks or short of their end, took a process past the memory of its machine, and it was killed; connections without a request took its descriptors, so that for 24 s neither callers nor the readiness check were answered.

Cause: each request was bounded by itself, and nothing bounded their sum, nor the number of connections, nor what the kernel keeps unread for each.

One intake for each process now counts connections and held bytes, and derives their limits from the memory and descriptors that the settings name. When room is short it ends the connection whose caller keeps the process waiting; a request that was read completely is never ended, so a refusal with 503 is true. The receive buffer of listeners is bounded.

--- a/src/bronzerudder/cli/commands/check.py
+++ b/src/bronzerudder/cli/commands/check.py
@@ -9,8 +9,15 @@
 from bronzerudder.cli.api import EXIT_OK, EXIT_USAGE, Invocation
 from bronzerudder.cli.documents import read_document
 from bronzerudder.cli.registry import command
+from bronzerudder.intake import HTTP1_PROCESS_SIZE, WEB_PROCESS_SIZE, find_limits
 from bronzerudder.settings import SettingsError
 
+SIZE_BY_ROLE = {
+    "entry": WEB_PROCESS_SIZE,
+    "agent": WEB_PROCESS_SIZE,
+    "gateway": HTTP1_PROCESS_SIZE,
+    "rank-agent": HTTP1_PROCESS_SIZE,
+}
 SETTINGS_BY_ROLE = {
     "entry": ("bronzerudder.settings.entry", "EntrySettings"),
     "agent": ("bronzerudder.settings.agent", "AgentSettings"),
@@ -46,6 +53,11 @@
             return self._report(f"{self._settings}: {document}")
         article = "an" if role[0] in "aeiou" else "a"
         print(f"{self._settings}: valid settings of {article} {role}")
+        limits = find_limits(document.get("machine"), SIZE_BY_ROLE[role])
+        print(
+            f"at most {limits.connections} connections of callers,"
+            f" {limits.held_bytes} bytes of their requests and answers"
+        )
         return EXIT_OK
 
     def _detect_role(self) -> str:
--- a/src/bronzerudder/expert_maps/counts.py
+++ b/src/bronzerudder/expert_maps/counts.py
@@ -13,6 +13,7 @@
     ORDERS = "orders"
     MAP_CHANGES = "map_changes"
     LOAD_UPDATES = "loads_told"
+    REFUSALS = "callers_refused"
 
 
 class AgentCounts:
--- a/src/bronzerudder/expert_maps/metrics.py
+++ b/src/bronzerudder/expert_maps/metrics.py
@@ -19,6 +19,7 @@
     CounterName.ORDERS: "Orders of the leader that this agent sent to a rank, by result.",
     CounterName.MAP_CHANGES: "Changes of map that this process led, by result.",
     CounterName.LOAD_UPDATES: "Load reports to the gateways, by whether the load had changed.",
+    CounterName.REFUSALS: "Callers refused by status; 0 for connections closed to make room.",
 }
 
 
@@ -37,6 +38,8 @@
         Map that its rank uses.
     store_calls, log_lines_dropped : int
         Totals since the start.
+    caller_connections, caller_bytes : int
+        Open connections of other agents and readers of metrics, and bytes held for them.
     """
 
     leading: bool
@@ -45,6 +48,8 @@
     map_version: int
     store_calls: int
     log_lines_dropped: int
+    caller_connections: int
+    caller_bytes: int
 
 
 class _AgentCollector(Collector):
@@ -67,6 +72,8 @@
             ("map_version", "Expert map in use.", gauges.map_version),
             ("store_calls", "Calls to the store so far.", gauges.store_calls),
             ("log_lines_dropped", "Log lines dropped so far.", gauges.log_lines_dropped),
+            ("caller_connections", "Open connections.", gauges.caller_connections),
+            ("caller_bytes", "Bytes held for open connections.", gauges.caller_bytes),
         ):
             yield GaugeMetricFamily(f"bronzerudder_{name}", text, value=value)
 
--- a/src/bronzerudder/gateway/metrics.py
+++ b/src/bronzerudder/gateway/metrics.py
@@ -111,6 +111,21 @@
             "Bytes buffered of plain answers that are being read, beyond the first 64 KiB of each.",
             registry=registry,
         )
+        self.caller_connections = Gauge(
+            "bronzerudder_caller_connections",
+            "Open connections of callers, readiness checks and readers of metrics.",
+            registry=registry,
+        )
+        self.caller_bytes = Gauge(
+            "bronzerudder_caller_bytes",
+            "Bytes held of requests, and of answers that callers have not taken yet.",
+            registry=registry,
+        )
+        self.callers_closed = Counter(
+            "bronzerudder_callers_closed",
+            "Connections of callers closed without an answer to make room for others.",
+            registry=registry,
+        )
         self.log_lines_dropped = Gauge(
             "bronzerudder_log_lines_dropped", "Log lines dropped so far.", registry=registry
         )
--- a/src/bronzerudder/http1/__init__.py
+++ b/src/bronzerudder/http1/__init__.py
@@ -11,13 +11,14 @@
 from bronzerudder.http1.addresses import parse_address
 from bronzerudder.http1.client import ClientPool, Exchange, ResponseHead, contains_response_head
 from bronzerudder.http1.errors import HttpError, HttpErrorKind
-from bronzerudder.http1.server import HttpServer, Request, ResponseWriter, ServerLimits
+from bronzerudder.http1.server import Handler, HttpServer, Request, ResponseWriter, ServerLimits
 from bronzerudder.http1.sockets import Connection, TransportError, connect, listen
 
 __all__ = [
     "ClientPool",
     "Connection",
     "Exchange",
+    "Handler",
     "HttpError",
     "HttpErrorKind",
     "HttpServer",
--- a/src/bronzerudder/http1/server.py
+++ b/src/bronzerudder/http1/server.py
@@ -16,6 +16,7 @@
 from absl import logging
 
 from bronzerudder.http1.sockets import Connection, TransportError, accept
+from bronzerudder.intake import HTTP1_PROCESS_SIZE, Account, CallerState, Intake, find_limits
 
 LINGERING_CLOSE_S = 1.0
 """Time for which data of the caller is still read after the last answer of a connection. Closing
@@ -28,6 +29,15 @@
 """Interval of the checks for a disconnect once no more bytes are buffered."""
 ACCEPT_RETRY_S = 0.05
 """Pause after a failed accept, such as when the process has no file descriptors left."""
+ACCEPTS_BETWEEN_PAUSES = 16
+"""Connections that are accepted before other tasks run; callers may connect without end."""
+WRITE_BYTES = 65_536
+"""Part of an answer that is sent at a time, so that progress of a slow caller is seen."""
+RETRY_AFTER_S = 1.0
+"""When to retry a request for which there was no room; stalled requests are ended by then."""
+
+
+STATUS_NO_ROOM = 503
 
 
 class ServerLimits(NamedTuple):
@@ -69,6 +79,11 @@
     status: int
     reason: str
 
+    @property
+    def is_shortage(self) -> bool:
+        """Whether there was no room for the request, so that a retry may succeed."""
+        return self.status == STATUS_NO_ROOM
+
 
 class _Closed(NamedTuple):
     reason: str
@@ -85,13 +100,21 @@
         Connection to the caller.
     closing : bool
         Whether the connection is closed after the answer.
+    account : Account
+        Counts the bytes that the caller has not taken yet.
     has_body : bool
         Whether the body is sent; answers to HEAD requests have none.
     """
 
     def __init__(
-        self, http: h11.Connection, connection: Connection, closing: bool, has_body: bool = True
+        self,
+        http: h11.Connection,
+        connection: Connection,
+        closing: bool,
+        account: Account,
+        has_body: bool = True,
     ) -> None:
+        self._account = account
         self._http = http
         self._has_body = has_body
         self._connection = connection
@@ -140,11 +163,17 @@
         length = (b"content-length", str(len(body)).encode())
         extra = [(b"connection", b"close")] if self._closing else []
         head = h11.Response(status_code=status, headers=[*headers, length, *extra])
-        chunks = [self._http.send(head)]
-        if self._has_body:
-            chunks.append(self._http.send(h11.Data(data=body)))
-        chunks.append(self._http.send(h11.EndOfMessage()))
-        await self._write(b"".join(chunk for chunk in chunks if chunk))
+        sent_body = body if self._has_body else b""
+        data = self._http.send(head)
+        if sent_body:
+            self._http.send_with_data_passthrough(h11.Data(data=sent_body))
+        self._http.send(h11.EndOfMessage())
+        if len(sent_body) <= WRITE_BYTES:
+            await self._write(data + sent_body)
+            return
+        # Not joined, as that would hold a long answer twice.
+        await self._write(data)
+        await self._write(sent_body)
 
     def abort(self) -> None:
         """Reset the connection, so that the caller cannot take the answer for complete."""
@@ -158,8 +187,21 @@
         if self._failed or not data:
             return
         self._sending = True
-        if await self._connection.send(data) is not None:
-            self._failed = True
+        account = self._account
+        state = account.state
+        unsent = len(data)
+        account.add(unsent)
+        try:
+            while unsent and not self._failed:
+                account.enter(CallerState.SENDING)
+                part = data[-unsent:][:WRITE_BYTES]
+                self._failed = await self._connection.send(part) is not None
+                account.add(-len(part))
+                unsent -= len(part)
+        finally:
+            account.add(-unsent)
+            if account.state is CallerState.SENDING:
+                account.enter(state)
         self._sending = False
 
 
@@ -178,6 +220,10 @@
         Returns the current limits.
     on_rejected : callable
         Called with status and reason for each request that is invalid, too large or too slow.
+    intake : Intake or None
+        Bounds what the process holds; a new one with the default limits if it is None.
+    max_connections : int or None
+        Connections of this server; as the intake allows if it is None.
     """
 
     def __init__(
@@ -185,13 +231,17 @@
         handler: Handler,
         limits: Callable[[], ServerLimits],
         on_rejected: Callable[[int, str], None] = lambda status, reason: None,
+        intake: Intake | None = None,
+        max_connections: int | None = None,
     ) -> None:
+        self._intake = Intake(find_limits(None, HTTP1_PROCESS_SIZE)) if intake is None else intake
+        self._max_connections = max_connections or self._intake.limits.connections
+        self._connections: dict[Connection, _Session] = {}
         self._handler = handler
         self._limits = limits
         self._on_rejected = on_rejected
         self._closing = False
         self._busy = 0
-        self._connections: set[Connection] = set()
         self._idle: set[Connection] = set()
         self._listeners: list[socket.socket] = []
         self._stopped = False
@@ -222,6 +272,7 @@
     async def serve(self, listener: socket.socket) -> None:
         """Accept and serve connections until cancelled, or until `stop_accepting` is called."""
         self._listeners.append(listener)
+        accepted = 0
         async with anyio.create_task_group() as tasks:
             while True:
                 try:
@@ -232,20 +283,48 @@
                     if self._stopped:
                         return
                     logging.error("accept failed: %s", error)
+                    self._end_longest_waiting(f"accept failed: {error.strerror}")
                     await anyio.sleep(ACCEPT_RETRY_S)
                     continue
-                tasks.start_soon(self._serve_connection, connection)
+                accepted += 1
+                is_full = len(self._connections) >= self._max_connections
+                if is_full or accepted % ACCEPTS_BETWEEN_PAUSES == 0:
+                    # Connections are served before further ones take their places.
+                    await anyio.lowlevel.checkpoint()
+                if not self._make_room_for_connection():
+                    connection.close()
+                    continue
+                session = _Session(self, connection)
+                self._connections[connection] = session
+                tasks.start_soon(self._serve_connection, session, connection)
+
+    def _make_room_for_connection(self) -> bool:
+        """End connections that wait for their callers until one more is allowed."""
+        reason = f"{self._max_connections} connections are open"
+        while len(self._connections) >= self._max_connections:
+            if not self._end_longest_waiting(reason):
+                self._intake.report_refused(0, f"{reason}, and all serve requests")
+                return False
+        return True
 
-    async def _serve_connection(self, connection: Connection) -> None:
-        self._connections.add(connection)
+    def _end_longest_waiting(self, reason: str) -> bool:
+        accounts = [session.account for session in self._connections.values()]
+        return self._intake.end_longest_waiting(accounts, reason)
+
+    def _forget(self, connection: Connection) -> None:
+        session = self._connections.pop(connection, None)
+        if session is not None:
+            session.account.remove()
+        self._idle.discard(connection)
+
+    async def _serve_connection(self, session: _Session, connection: Connection) -> None:
         try:
-            await _Session(self, connection).run()
+            await session.run()
         except Exception:
             # An error on one connection must not end the others.
             logging.exception("serving a connection failed")
         finally:
-            self._connections.discard(connection)
-            self._idle.discard(connection)
+            self._forget(connection)
             connection.close()
 
 
@@ -258,7 +337,30 @@
         header_bytes = server._limits().header_bytes
         self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=header_bytes)
         self._read_ahead = b""
+        self._has_head = False
+        self._body_bytes = 0
+        self._unparsed_bytes = 0
         self._caller_disconnected = False
+        self._read_scope = anyio.CancelScope()
+        self._refusal: _BadRequest | None = None
+        self._account = server._intake.open(self._refuse, self._close)
+
+    @property
+    def account(self) -> Account:
+        """What is held for this connection."""
+        return self._account
+
+    def _refuse(self, reason: str) -> None:
+        """Refuse the request that is being read; it is answered and the connection closed."""
+        self._refusal = _BadRequest(STATUS_NO_ROOM, reason)
+        self._read_scope.cancel()
+
+    def _close(self, reset: bool) -> None:
+        """Close the connection, and free its descriptor at once."""
+        if reset:
+            self._connection.reset()
+        self._connection.close()
+        self._server._forget(self._connection)
 
     async def run(self) -> None:
         while True:
@@ -281,6 +383,7 @@
         data: bytes | TransportError = b""
         idle = self._server._idle
         idle.add(self._connection)
+        self._account.enter(CallerState.IDLE)
         with anyio.move_on_after(idle_timeout_s):
             data = await self._connection.receive()
         idle.discard(self._connection)
@@ -291,22 +394,32 @@
 
     async def _serve_one(self, limits: ServerLimits) -> bool:
         request: Request | _BadRequest | _Closed = _BadRequest(408, "request not received in time")
-        with anyio.move_on_after(limits.header_timeout_s):
+        most_bytes = self._server._intake.limits.large_bytes
+        if limits.body_bytes > most_bytes:
+            limits = limits._replace(body_bytes=most_bytes)
+        self._account.enter(CallerState.READING)
+        with anyio.move_on_after(limits.header_timeout_s) as self._read_scope:
             request = await self._read_request(limits)
+        if self._refusal is not None:
+            request = self._refusal
         if isinstance(request, _Closed):
             return False
         if isinstance(request, _BadRequest):
             self._server._on_rejected(request.status, request.reason)
             await self._reject(request)
             return False
+        self._account.enter(CallerState.SERVED)
+        self._account.hold(len(request.body) + self._unparsed_bytes)
         has_body = request.method != b"HEAD"
-        writer = ResponseWriter(self._http, self._connection, self._server._closing, has_body)
+        closing = self._server._closing
+        writer = ResponseWriter(self._http, self._connection, closing, self._account, has_body)
         try:
             await self._handle(request, writer)
         finally:
             if not writer.finished and self._http.their_http_version != b"1.1":
                 # Such an answer has no chunks, so the end of its connection would complete it.
                 self._connection.reset()
+        self._account.hold(len(self._read_ahead) + self._unparsed_bytes)
         if self._caller_disconnected or writer.failed or not writer.finished:
             return False
         if self._http.our_state is not h11.DONE or self._http.their_state is not h11.DONE:
@@ -337,11 +450,15 @@
 
     async def _wait_for_disconnect(self) -> None:
         """Buffer pipelined requests up to the limit until the caller disconnects."""
+        account = self._account
         while len(self._read_ahead) < MAX_READ_AHEAD_BYTES:
+            if not self._server._intake.has_room(MAX_READ_AHEAD_BYTES):
+                break
             data = await self._connection.receive()
             if isinstance(data, TransportError) or not data:
                 return
             self._read_ahead += data
+            account.add(len(data))
         while True:
             if self._connection.is_disconnected():
                 return
@@ -351,12 +468,15 @@
         head: h11.Request | None = None
         body = bytearray()
         chunks = 0
+        self._has_head = False
+        self._body_bytes = 0
         while True:
             event = await self._next_event()
             if isinstance(event, _BadRequest | _Closed):
                 return event
             if isinstance(event, h11.Request):
                 head = event
+                self._has_head = True
                 fault = _check_head(head, limits)
                 if fault is not None:
                     return fault
@@ -368,6 +488,7 @@
                 body += event.data
                 if len(body) > limits.body_bytes:
                     return _BadRequest(413, f"body exceeds {limits.body_bytes} bytes")
+                self._body_bytes = len(body)
                 chunks += 1
                 if chunks % CHUNKS_BETWEEN_PAUSES == 0:
                     await anyio.lowlevel.checkpoint()
@@ -386,6 +507,9 @@
                 return _Closed("connection cannot be reused")
             if event is not h11.NEED_DATA:
                 return event
+            # The parser has used up what it was given, but for an incomplete head.
+            rest_bytes = 0 if self._has_head else self._server._limits().header_bytes
+            self._unparsed_bytes = min(self._unparsed_bytes, rest_bytes)
             data: bytes | TransportError = self._read_ahead
             self._read_ahead = b""
             if not data:
@@ -394,20 +518,27 @@
                 return _Closed(data.reason)
             if not data and self._http.their_state is h11.IDLE:
                 return _Closed("connection closed between requests")
+            self._unparsed_bytes += len(data)
+            reason = self._account.hold(self._body_bytes + self._unparsed_bytes)
+            if reason:
+                return _BadRequest(STATUS_NO_ROOM, reason)
             self._http.receive_data(data)
 
     async def _reject(self, bad: _BadRequest) -> None:
         """Send an error and close, as it is not known where the next request would start."""
         if self._http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
-        writer = ResponseWriter(self._http, self._connection, closing=True)
-        await writer.respond(
-            bad.status, [(b"content-type", b"text/plain")], f"{bad.reason}\n".encode()
-        )
+        writer = ResponseWriter(self._http, self._connection, True, self._account)
+        headers = [(b"content-type", b"text/plain")]
+        if bad.is_shortage:
+            headers.append((b"retry-after", f"{RETRY_AFTER_S:g}".encode()))
+        await writer.respond(bad.status, headers, f"{bad.reason}\n".encode())
         await self._linger()
 
     async def _linger(self) -> None:
         """Stop sending and discard what the caller still sends, so that it can read the answer."""
+        self._account.enter(CallerState.CLOSING)
+        self._account.hold(0)
         self._connection.end_sending()
         with anyio.move_on_after(LINGERING_CLOSE_S):
             while True:
--- a/src/bronzerudder/http1/sockets.py
+++ b/src/bronzerudder/http1/sockets.py
@@ -13,6 +13,8 @@
 import anyio
 import anyio.lowlevel
 
+from bronzerudder.intake import RECEIVE_BUFFER_BYTES
+
 RECEIVE_BYTES = 65_536
 MAX_IMMEDIATE_CALLS = 32
 """Reads and writes of a connection that may complete without waiting before other tasks run. A peer
@@ -177,10 +179,12 @@
 
 
 def listen(address: str) -> socket.socket:
-    """Open a listening socket on ``host:port``."""
+    """Open a listening socket on ``host:port``; its connections keep few bytes unread."""
     host, _, port = address.rpartition(":")
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    # Set before listening, so that the window of each accepted connection follows from it.
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
     sock.setblocking(False)
     sock.bind((host, int(port)))
     sock.listen(LISTEN_BACKLOG)
--- a/src/bronzerudder/processes/gateway.py
+++ b/src/bronzerudder/processes/gateway.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import os
 import random
 import signal
@@ -27,9 +28,11 @@
 from bronzerudder.gateway.server_limits import ServerLimitKeeper
 from bronzerudder.gateway.services import RetryBudgetLimits, ServiceTable
 from bronzerudder.gateway.spans import NoSpans, RecordedSpans, SpanSource
-from bronzerudder.http1 import ClientPool, HttpServer, ServerLimits, listen
+from bronzerudder.http1 import ClientPool, Handler, HttpServer, ServerLimits, listen
+from bronzerudder.intake import HTTP1_PROCESS_SIZE, Intake, find_limits
 from bronzerudder.observability.event_log import DEFAULT_LINES_PER_S, EventLog
 from bronzerudder.observability.metrics_page import MetricsHandler
+from bronzerudder.observability.refusal_log import RefusalLog
 from bronzerudder.peers.crash_archive import CrashArchive
 from bronzerudder.peers.datagrams import DatagramPort
 from bronzerudder.peers.messages import CrashDigest, Message, RankLoad, ServerLimitMessage
@@ -46,6 +49,8 @@
 
 SETTINGS = GatewaySettings
 MAINTENANCE_INTERVAL_S = 0.25
+OPERATOR_CONNECTIONS = 16
+"""Connections of the readiness check, and of the metrics page; each has a few users."""
 OUT_OF_ROTATION_S = 2.6
 """The load balancer in front polls once a second and removes an instance after two failed polls."""
 STOP_MARGIN_S = 0.3
@@ -60,6 +65,7 @@
     "ready_address",
     "metrics_address",
     "peer_address",
+    "machine",
 )
 """Settings that change only with a restart."""
 MAX_AGE_S = 2 * WATCH_S
@@ -117,7 +123,12 @@
         self._registry = CollectorRegistry()
         self._metrics = GatewayMetrics(self._registry)
         self._store = RemoteObjectStore(settings["store_address"])
-        self._connections = ClientPool()
+        self._refusals = RefusalLog(functools.partial(self._log.failure, "request rejected", ""))
+        limits = find_limits(settings.get("machine"), HTTP1_PROCESS_SIZE)
+        self._intake = Intake(limits, self._record_closed)
+        self._connections = ClientPool(
+            max_idle=limits.peer_connections, max_buffered_bytes=limits.answer_bytes
+        )
         retry = _read_retry_budget(settings)
         self._division = LeasedDivision(settings["peer_address"], retry.window_s)
         self._gateways = GatewayRegistry(self._store, self._log, self._division)
@@ -168,7 +179,7 @@
         handler = GatewayHandler(
             context, self._configuration, self._confirm_current, random.Random(), self._started
         )
-        self._server = HttpServer(handler, self._limits, self._record_rejection)
+        self._server = HttpServer(handler, self._limits, self._record_rejection, self._intake)
         self._suspension_detector = SuspensionDetector()
 
     def _build_spans(self) -> SpanSource:
@@ -182,8 +193,8 @@
         settings = self._settings
         readiness = ReadinessHandler(wire.READY_PATH, self._find_unready_reason)
         metrics = MetricsHandler(self._registry, self._refresh_metrics)
-        ready_server = HttpServer(readiness, ServerLimits)
-        metrics_server = HttpServer(metrics, ServerLimits)
+        ready_server = self._build_operator_server(readiness)
+        metrics_server = self._build_operator_server(metrics)
         follow = self._configuration_follower.run
         self._tasks.start_soon(supervise, "configuration", follow)
         self._tasks.start_soon(supervise, "directory", self._directory_follower.run)
@@ -195,7 +206,17 @@
         self._tasks.start_soon(supervise, "crash archive", self._archive.run)
         self._tasks.start_soon(supervise, "peers", self._receive_messages)
         self._tasks.start_soon(supervise, "housekeeping", self._run_maintenance)
-        self._log.state("started", process=os.getpid(), store=settings["store_address"])
+        self._log.state(
+            "started",
+            process=os.getpid(),
+            store=settings["store_address"],
+            **self._intake.limits._asdict(),
+        )
+
+    def _build_operator_server(self, handler: Handler) -> HttpServer:
+        return HttpServer(
+            handler, ServerLimits, self._record_rejection, self._intake, OPERATOR_CONNECTIONS
+        )
 
     async def drain(self) -> None:
         """Leave the rotation and wait for requests in flight, within the grace period."""
@@ -232,7 +253,7 @@
         if isinstance(changed, SettingsError):
             self._log.state("settings rejected, previous ones stay in force", reason=str(changed))
             return
-        fixed = [name for name in FIXED_SETTINGS if changed[name] != self._settings[name]]
+        fixed = [name for name in FIXED_SETTINGS if changed.get(name) != self._settings.get(name)]
         self._settings = changed
         retry = _read_retry_budget(changed)
         self._division.set_window(retry.window_s)
@@ -275,7 +296,11 @@
 
     def _record_rejection(self, status: int, reason: str) -> None:
         self._metrics.requests.labels("", str(status), "not-run").inc()
-        self._log.failure("request rejected", "", status=status, reason=reason)
+        self._refusals.add(status, reason)
+
+    def _record_closed(self, status: int, reason: str) -> None:
+        self._metrics.callers_closed.inc()
+        self._refusals.add(status, reason)
 
     def _find_unready_reason(self) -> str:
         if self._leaving:
@@ -323,6 +348,7 @@
             self._server_limits.maintain()
             self._connections.sweep()
             self._crashes.maintain()
+            self._refusals.write_due()
             self._log.flush()
 
     def _log_retry_part(self) -> None:
@@ -344,6 +370,8 @@
         self._metrics.store_calls.set(self._store.calls)
         self._metrics.connections_opened.set(self._connections.opened)
         self._metrics.buffered_bytes.set(self._connections.buffered_bytes)
+        self._metrics.caller_connections.set(self._intake.connections)
+        self._metrics.caller_bytes.set(self._intake.held_bytes)
         self._metrics.log_lines_dropped.set(self._log.dropped)
 
 
--- a/src/bronzerudder/processes/rank_agent.py
+++ b/src/bronzerudder/processes/rank_agent.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import os
 import signal
 import sys
@@ -17,8 +18,10 @@
 from bronzerudder.expert_maps.counts import AgentCounts, CounterName
 from bronzerudder.expert_maps.shape import ExpertShape, MapBounds
 from bronzerudder.http1 import HttpServer, Request, ResponseWriter, ServerLimits, listen
+from bronzerudder.intake import HTTP1_PROCESS_SIZE, Intake, find_limits
 from bronzerudder.observability.event_log import DEFAULT_LINES_PER_S, EventLog
 from bronzerudder.observability.ignored_entries import IgnoredEntries
+from bronzerudder.observability.refusal_log import RefusalLog
 from bronzerudder.peers.datagrams import DatagramPort
 from bronzerudder.peers.messages import RankLoad
 from bronzerudder.peers.registry import GatewayRegistry
@@ -31,6 +34,7 @@
 
 SETTINGS = RankAgentSettings
 FLUSH_INTERVAL_S = 0.5
+METRICS_CONNECTIONS = 16
 STEP_TARGET_FRACTION = 0.5
 """Fraction of the smallest target token gap that a step may take; the rest is for prefill."""
 DEFAULT_GAP_S = 0.1
@@ -76,6 +80,10 @@
             log.get("lines_per_s", DEFAULT_LINES_PER_S),
             log.get("sample_share", 1.0),
         )
+        self._refusals = RefusalLog(functools.partial(self._log.failure, "request rejected", ""))
+        self._intake = Intake(
+            find_limits(settings.get("machine"), HTTP1_PROCESS_SIZE), self._record_refusal
+        )
         self._ignored = IgnoredEntries(self._log, "backend server entry ignored")
         self._store = RemoteObjectStore(settings["store_address"])
         self._gateways = GatewayRegistry(self._store, self._log)
@@ -99,14 +107,22 @@
 
     def start(self) -> None:
         """Start to serve rank reports and metrics, and to manage the rank."""
-        server = HttpServer(self._agent.handle, ServerLimits)
-        metrics_server = HttpServer(self._serve_metrics, ServerLimits)
+        record, intake = self._record_refusal, self._intake
+        server = HttpServer(self._agent.handle, ServerLimits, record, intake)
+        metrics_server = HttpServer(
+            self._serve_metrics, ServerLimits, record, intake, METRICS_CONNECTIONS
+        )
         self._tasks.start_soon(server.serve, listen(self._settings["peer_address"]))
         self._tasks.start_soon(metrics_server.serve, listen(self._settings["metrics_address"]))
         self._tasks.start_soon(supervise, "agent", self._agent.run)
         self._tasks.start_soon(supervise, "list of gateways", self._gateways.run)
         self._tasks.start_soon(supervise, "log", self._flush_log)
-        self._log.state("started", process=os.getpid(), rank=self._settings["rank_address"])
+        self._log.state(
+            "started",
+            process=os.getpid(),
+            rank=self._settings["rank_address"],
+            **self._intake.limits._asdict(),
+        )
 
     def log_reload(self) -> None:
         """Log a reload request; no setting changes while the process runs."""
@@ -117,6 +133,10 @@
         self._log.state("stopped")
         self._log.flush()
 
+    def _record_refusal(self, status: int, reason: str) -> None:
+        self._counts.increment(CounterName.REFUSALS, str(status))
+        self._refusals.add(status, reason)
+
     def _report_load(self, state: RankState) -> None:
         """Send the load of the rank to the gateways when it changes, and periodically."""
         load = RankLoad(state.address, state.requests, state.is_open, state.pace, state.group)
@@ -148,6 +168,8 @@
                 self._agent.map_version,
                 self._store.calls,
                 self._log.dropped,
+                self._intake.connections,
+                self._intake.held_bytes,
             )
 
         return MetricsHandler(metrics.build_registry(self._counts, read_gauges))
@@ -193,4 +215,5 @@
     async def _flush_log(self) -> None:
         while True:
             await anyio.sleep(FLUSH_INTERVAL_S)
+            self._refusals.write_due()
             self._log.flush()
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -17,6 +17,8 @@
     listen,
 )
 from bronzerudder.http1.server import MAX_READ_AHEAD_BYTES
+from bronzerudder.intake import HTTP1_PROCESS_SIZE, Intake, IntakeLimits, find_limits
+from bronzerudder.intake.accounts import SMALL_BYTES, STALLED_S
 
 TIMEOUT_S = 5.0
 LIMITS = ServerLimits(
@@ -41,10 +43,10 @@
 class Served:
     """A server on a free port, and the requests that it rejected; an async context manager."""
 
-    def __init__(self, handler=echo, limits=LIMITS):
+    def __init__(self, handler=echo, limits=LIMITS, intake=None):
         self.rejected = []
         on_rejected = lambda status, reason: self.rejected.append((status, reason))  # noqa: E731
-        self.server = HttpServer(handler, lambda: limits, on_rejected)
+        self.server = HttpServer(handler, lambda: limits, on_rejected, intake)
 
     async def __aenter__(self):
         self._listener = listen("127.0.0.1:0")
@@ -222,6 +224,85 @@
                 await cancelled.wait()
 
 
+class RoomTest(unittest.IsolatedAsyncioTestCase):
+    """Callers that hold more than the process has room for."""
+
+    def setUp(self):
+        self.closed = []
+        self.limits = ServerLimits(body_bytes=8 * SMALL_BYTES, header_timeout_s=TIMEOUT_S)
+
+    def make_intake(self, connections=8, held_bytes=8 * SMALL_BYTES) -> Intake:
+        limits = IntakeLimits(connections, held_bytes, answer_bytes=0, peer_connections=0)
+        return Intake(limits, lambda status, reason: self.closed.append((status, reason)))
+
+    async def test_a_stalled_body_is_refused_for_another_one_and_says_when_to_retry(self):
+        head = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n"
+        size = 5 * SMALL_BYTES
+        async with Served(limits=self.limits, intake=self.make_intake()) as served:
+            stalled, whole = await served.open(), await served.open()
+            await stalled.send(head % size + b"x" * (size - 1))
+            await anyio.sleep(STALLED_S + 0.1)
+            await whole.send(head % size + b"x" * size)
+            refusal = await read_until_closed(stalled)
+            self.assertTrue(refusal.startswith(b"HTTP/1.1 503"), refusal)
+            self.assertIn(b"retry-after: 1\r\n", refusal.lower())
+            self.assertIn(b"connection: close\r\n", refusal.lower())
+            answer = await read_answer(whole, b"x" * size)
+            self.assertTrue(answer.startswith(b"HTTP/1.1 200"), answer[:40])
+            self.assertEqual(len(served.rejected), 1)
+
+    async def test_a_body_longer_than_there_is_room_for_is_refused_for_good(self):
+        head = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n" % (7 * SMALL_BYTES)
+        async with Served(limits=self.limits, intake=self.make_intake()) as served:
+            connection = await served.open()
+            await connection.send(head)
+            answer = await read_until_closed(connection)
+            self.assertTrue(answer.startswith(b"HTTP/1.1 413"), answer)
+
+    async def test_a_new_connection_takes_the_place_of_the_one_that_waited_longest(self):
+        async with Served(limits=self.limits, intake=self.make_intake(connections=2)) as served:
+            first, second = await served.open(), await served.open()
+            await anyio.sleep(0.05)
+            await second.send(GET[:10])
+            third = await served.open()
+            await third.send(GET)
+            self.assertIn(b"200", await read_answer(third, b"/a "))
+            self.assertEqual(await read_until_closed(first), b"")
+            await second.send(GET[10:])
+            self.assertIn(b"200", await read_answer(second, b"/a "))
+            self.assertEqual([status for status, _ in self.closed], [0])
+
+    async def test_requests_that_are_served_keep_their_connections(self):
+        release = anyio.Event()
+
+        async def wait(request, writer):
+            await release.wait()
+            await writer.respond(200, [], b"late")
+
+        intake = self.make_intake(connections=1)
+        async with Served(wait, self.limits, intake) as served:
+            first = await served.open()
+            await first.send(GET)
+            await anyio.sleep(0.05)
+            self.assertEqual(await read_until_closed(await served.open()), b"")
+            release.set()
+            self.assertTrue((await read_answer(first, b"late")).startswith(b"HTTP/1.1 200"))
+
+    async def test_nothing_is_held_after_requests_of_all_kinds(self):
+        intake = self.make_intake()
+        async with Served(limits=self.limits, intake=intake) as served:
+            connection = await served.open()
+            await connection.send(GET + GET)
+            await read_answer(connection, b"/a ")
+            await connection.send(b"POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nx")
+            await anyio.sleep(0.05)
+            connection.close()
+            with anyio.fail_after(TIMEOUT_S):
+                while intake.connections:
+                    await anyio.sleep(0.01)
+            self.assertEqual(intake.held_bytes, 0)
+
+
 class DrainTest(unittest.IsolatedAsyncioTestCase):
     async def test_an_answer_tells_the_caller_to_close(self):
         async with Served() as served:
@@ -303,7 +384,10 @@
         self.assertIsInstance(http.next_event(), h11.Request)
         self.assertIsInstance(http.next_event(), h11.EndOfMessage)
         connection = StuckConnection()
-        writer = ResponseWriter(http, connection, closing=False)
+        account = Intake(find_limits(None, HTTP1_PROCESS_SIZE)).open(
+            lambda reason: None, lambda reset: None
+        )
+        writer = ResponseWriter(http, connection, False, account)
         await writer.start(200, [])
         await writer.write(b"event")
         connection.stuck = True
--- /dev/null
+++ b/tests/intake/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of what a process holds for its callers."""
