A status above 599 is no answer

A backend server's answers with status 600 and 999 reached callers as they were, on plain and streamed routes, first and second attempts, and through entries and agents. 000, 099, 0, 2000 and other odd status lines did not: the parser rejects them, which the new tests pin.

Cause: the parser takes any three digits from 200 on for a status, and so did the client. RFC 9110 allows 100 to 599. The client now reports a higher one as malformed, and an agent as a broken answer, so that a request which may be repeated goes elsewhere and any other ends as 502. An answer to a resumed stream was cut off before, too.

--- a/src/bronzerudder/backend_server/http_server.py
+++ b/src/bronzerudder/backend_server/http_server.py
@@ -11,6 +11,8 @@
 from bronzerudder.backend_server.errors import BackendError, BackendErrorKind
 from bronzerudder.web.client import open_client
 
+MAX_STATUS = 599
+"""Highest status of RFC 9110; the parser accepts all of three digits from 200."""
 CONNECT_TIMEOUT_S = 1.0
 # Of the whole call. A limit for each read would not end one whose answer trickles.
 PROBE_TIMEOUT_S = 1.0
@@ -94,7 +96,7 @@
         )
         try:
             with anyio.fail_after(self._head_timeout_s):
-                return HttpAnswer(await self._client.send(request, stream=True))
+                response = await self._client.send(request, stream=True)
         except (httpx.ConnectError, httpx.ConnectTimeout) as error:
             return BackendError(BackendErrorKind.UNREACHABLE, f"cannot connect: {error}")
         except (httpx.ReadTimeout, TimeoutError):
@@ -103,6 +105,11 @@
             return BackendError(
                 BackendErrorKind.BROKEN, f"connection failed before the answer: {error!r}"
             )
+        if response.status_code > MAX_STATUS:
+            await response.aclose()
+            reason = f"status {response.status_code} is none of HTTP"
+            return BackendError(BackendErrorKind.BROKEN, reason)
+        return HttpAnswer(response)
 
     async def cancel(self, request_id: str) -> None:
         """Ask the backend server to stop generating; best effort, so errors are ignored."""
--- a/src/bronzerudder/http1/client.py
+++ b/src/bronzerudder/http1/client.py
@@ -36,6 +36,8 @@
 """Largest body that is sent together with its head."""
 EMPTY_STATUSES = (204, 304)
 """Answers that never have a body."""
+MAX_STATUS = 599
+"""Highest status of RFC 9110; the parser accepts all of three digits from 200."""
 MAX_INFORMATIONAL_HEADS = 8
 """``1xx`` heads before an answer: one or two are usual, a faulty peer may send them without end."""
 MAX_ANSWER_BYTES = 1_048_576
@@ -165,6 +167,9 @@
                     return self._fail(HttpErrorKind.MALFORMED, reason)
                 continue
             if isinstance(event, h11.Response):
+                if event.status_code > MAX_STATUS:
+                    reason = f"status {event.status_code} is none of HTTP"
+                    return self._fail(HttpErrorKind.MALFORMED, reason)
                 self._head = ResponseHead(event.status_code, tuple(event.headers))
                 return self._head
             return self._fail(HttpErrorKind.BROKEN, "connection closed before the answer")
--- a/tests/backend_server/test_http_server.py
+++ b/tests/backend_server/test_http_server.py
@@ -84,6 +84,12 @@
         head = b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 5\r\n\r\n"
         await self.check_broken([head + b"abcde", CLOSE], b"")
 
+    async def test_a_status_that_is_none_is_no_answer(self):
+        for status in (b"000", b"099", b"2000", b"600", b"999"):
+            with self.subTest(status=status):
+                head = b"HTTP/1.1 " + status + b" Odd\r\nContent-Length: 3\r\n\r\n"
+                await self.check_broken([head + b"abc", CLOSE], b"")
+
     async def test_a_probe_does_not_read_a_body_without_end(self):
         async with serve([UNFRAMED, ENDLESS, b"x" * 1_000]) as (server, backend_server):
             self.assertIsNone(await backend_server.probe())
--- a/tests/gateway/test_answer_integrity.py
+++ b/tests/gateway/test_answer_integrity.py
@@ -414,5 +414,69 @@
         self.assertEqual([self.received, self.servers[0].accepted], [2, 2])
 
 
+class StatusTest(AnswerIntegrityCase):
+    """Answers whose status is none by RFC 9110: it is outside 100 to 599."""
+
+    STATUSES = (b"000", b"099", b"600", b"999")
+
+    @staticmethod
+    def make_reply(status: bytes) -> RawReply:
+        head = b"HTTP/1.1 " + status + b" Odd\r\nAttempt-Id: r1\r\nResponse-Signature: signed\r\n"
+        return RawReply(head + b"Content-Length: 3\r\n\r\nodd")
+
+    async def test_they_reach_no_caller_of_a_plain_route(self):
+        for status in self.STATUSES:
+            reply = self.make_reply(status)
+            await self.start(lambda number, request_id, head, reply=reply: reply)
+            with self.subTest(status=status):
+                received, _, body = await self.send("/book/")
+                self.assertEqual(received, 502)
+                self.assertNotIn(b"odd", body)
+
+    async def test_they_reach_no_caller_of_a_stream(self):
+        for status in self.STATUSES:
+            reply = self.make_reply(status)
+            await self.start(lambda number, request_id, head, reply=reply: reply)
+            with self.subTest(status=status):
+                received, body, _ = await self.read_stream("/once/")
+                self.assertEqual(received, 502)
+                self.assertNotIn(b"odd", body)
+
+    async def test_a_request_that_may_be_repeated_is_answered_by_another_server(self):
+        for status in self.STATUSES:
+            sound = lambda number, request_id, head: RawReply(  # noqa: E731
+                make_plain(request_id, b"sound")
+            )
+            reply = FailsOnce(self.make_reply(status), sound)
+            await self.start(reply, reply)
+            with self.subTest(status=status):
+                received, _, body = await self.send("/read/")
+                self.assertEqual((received, body), (200, b"sound"))
+
+    async def test_a_second_answer_of_that_kind_reaches_no_caller(self):
+        for status in self.STATUSES:
+            reply = self.make_reply(status)
+            answer = lambda number, request_id, head, reply=reply: reply  # noqa: E731
+            await self.start(answer, answer)
+            with self.subTest(status=status):
+                received, _, body = await self.send("/read/")
+                self.assertEqual(received, 502)
+                self.assertNotIn(b"odd", body)
+                self.assertEqual(self.received, 2)
+
+    async def test_one_that_answers_a_resumed_stream_does_not_complete_it(self):
+        for status in self.STATUSES:
+            odd = self.make_reply(status)
+            part = CHUNKED % b"r1" + make_chunk(make_events(1, 2))
+            reply = FailsOnce(
+                RawReply(part, "close"), lambda number, request_id, head, odd=odd: odd
+            )
+            await self.start(reply, reply)
+            with self.subTest(status=status):
+                received, body, complete = await self.read_stream("/stream/")
+                self.assertEqual((received, body), (200, make_events(1, 2)))
+                self.assertFalse(complete)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/http1/test_client.py
+++ b/tests/http1/test_client.py
@@ -332,6 +332,17 @@
             answer = await self.call(ClientPool(), peer.address)
         self.assertIs(answer.kind, HttpErrorKind.MALFORMED)
 
+    async def test_a_status_that_is_none_is_malformed(self):
+        statuses = (b"000", b"0", b"099", b"20", b"-20", b"2000", b"600", b"999")
+        for status in statuses:
+            for version in (b"1.1", b"1.0"):
+                with self.subTest(status=status, version=version):
+                    head = b"HTTP/" + version + b" " + status + b" Odd\r\n"
+                    async with Peer(head + b"Content-Length: 2\r\n\r\nok") as peer:
+                        error = await self.call(ClientPool(), peer.address)
+                    self.assertIsInstance(error, HttpError)
+                    self.assertEqual(error.kind, HttpErrorKind.MALFORMED)
+
     async def test_a_late_answer_without_a_body_is_skipped(self):
         for status in (b"204 No Content", b"304 Not Modified"):
             late = b"HTTP/1.1 " + status + b"\r\nContent-Length: 5\r\n\r\n"
