Bound what entries, agents and stand-ins hold for their callers

The same crowds took an entry of 192 MB to 788 MiB and all its descriptors, and left status pages unanswered. Three causes: Hypercorn bounds neither connections nor bytes; an application that answers without reading the request blocks its connection, as the server then waits for room in a queue that nobody reads; and a connection that its caller has closed is kept for the idle timeout of 75 s.

A listener of our own accepts up to the limits of the process's intake, and an application around each ASGI application counts bytes, refuses with 503 what there is no room for, and reads the rest of a request that was answered early. A connection ends with its caller's close. A body that is announced too long is rejected at its head. gRPC listeners are bounded in connections.

--- a/src/bronzerudder/caller/app.py
+++ b/src/bronzerudder/caller/app.py
@@ -16,8 +16,10 @@
 from bronzerudder.observability import Tracing
 from bronzerudder.observability.traces import TRACEPARENT
 from bronzerudder.web import CallerGone, read_headers
+from bronzerudder.web.bounded_app import RETRY_AFTER_S
 
 STATUS_INTERNAL_ERROR = 500
+STATUS_NO_ROOM = 503
 SEND_TIMEOUT_S = 60.0
 """Time for the last part of an answer; a caller that doesn't read is disconnected after it."""
 DURATION_BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60)
@@ -84,6 +86,11 @@
         span.set_attribute("outcome", name)
         span.end()
 
+    async def send_refusal(self, send: Any, reason: str) -> None:
+        """Answer a request that was not read completely, as there was no room for it."""
+        outcome = Outcome(OutcomeKind.NOT_RUN, STATUS_NO_ROOM, reason, RETRY_AFTER_S)
+        await _conclude(CallerSink(send, self._headers), outcome)
+
     async def _serve(
         self, scope: dict[str, Any], receive: Any, send: Any, traceparent: str
     ) -> Outcome | None:
--- a/src/bronzerudder/caller/reader.py
+++ b/src/bronzerudder/caller/reader.py
@@ -67,6 +67,9 @@
         key = fields.get(IDEMPOTENCY_KEY, "")
         if len(key) > MAX_KEY_LENGTH:
             return BadRequest(400, f"idempotency key longer than {MAX_KEY_LENGTH} characters")
+        length = fields.get("content-length", "")
+        if length.isdecimal() and int(length) > self._max_body_bytes:
+            return BadRequest(413, f"body longer than {self._max_body_bytes} bytes")
         body: bytes | BodyTooLarge | CallerGone | None = None
         with anyio.move_on_after(BODY_TIMEOUT_S):
             body = await read_body(receive, self._max_body_bytes)
--- a/src/bronzerudder/intake/accounts.py
+++ b/src/bronzerudder/intake/accounts.py
@@ -188,11 +188,18 @@
         self._connections -= account.is_connection
 
     def end_longest_waiting(self, accounts: list[Account], reason: str) -> bool:
-        """End the connection that has waited longest for its caller; False if none waits."""
+        """End the connection that has waited longest for its caller; False if none waits.
+
+        Connections that are being closed come first.
+        """
+
+        def rank(account: Account) -> tuple[bool, float]:
+            return account.state is not CallerState.CLOSING, account.since_s
+
         waiting = [account for account in accounts if account.is_waiting]
         if not waiting:
             return False
-        self._end(min(waiting, key=lambda account: account.since_s), reason)
+        self._end(min(waiting, key=rank), reason)
         return True
 
     def hold(self, account: Account, held_bytes: int) -> str:
--- a/src/bronzerudder/processes/agent.py
+++ b/src/bronzerudder/processes/agent.py
@@ -27,6 +27,7 @@
 from bronzerudder.observability import AdminApp, Tracing, configure_logs, log_event
 from bronzerudder.observability.traces import DEFAULT_SAMPLE_RATIO
 from bronzerudder.policy.admission import STALL_THRESHOLD_S, FairQueue, FairQueueLimits
+from bronzerudder.processes.intake import OPERATOR_CONNECTIONS, ProcessIntake, grpc_bounds
 from bronzerudder.processes.platform import open_store
 from bronzerudder.processes.signals import set_on_termination
 from bronzerudder.quarantine import QuarantineFeed
@@ -86,6 +87,8 @@
             settings.get("trace_sample_ratio", DEFAULT_SAMPLE_RATIO),
         )
         self._registry = CollectorRegistry()
+        self._process_intake = ProcessIntake(settings.get("machine"), self._registry)
+        self._intake = self._process_intake.intake
         self._backend_server = self._build_backend_server()
         self._store = open_store(settings["platform"], settings["agent_id"])
         self._register = StoredClaimRegister(
@@ -107,7 +110,8 @@
                 identity, self._executor, self._source, self._feed, build_packing(settings)
             )
         )
-        self._server = grpc.aio.server(options=GRPC_OPTIONS)
+        bounds = grpc_bounds(self._intake.limits.connections)
+        self._server = grpc.aio.server(options=(*GRPC_OPTIONS, *bounds))
         self._rank_group = self._build_rank_group()
 
     async def start(self, stopped: anyio.Event) -> None:
@@ -125,7 +129,16 @@
             settings["admin_listener"]["host"], settings["admin_listener"]["port"]
         )
         app = AdminApp(self._registry, self._find_unready_reason, self._describe)
-        self._tasks.start_soon(serve_http, app, admin, stopped, GRPC_STOP_TIMEOUT_S)
+        self._tasks.start_soon(
+            serve_http,
+            app,
+            admin,
+            stopped,
+            GRPC_STOP_TIMEOUT_S,
+            self._intake,
+            OPERATOR_CONNECTIONS,
+        )
+        self._tasks.start_soon(supervise, "refusals", self._process_intake.run)
         self._tasks.start_soon(supervise, "sweep", self._executor.sweep)
         watch = self._executor.watch_backend_server
         self._tasks.start_soon(supervise, "backend server watch", watch)
--- a/src/bronzerudder/processes/entry.py
+++ b/src/bronzerudder/processes/entry.py
@@ -23,6 +23,7 @@
 from bronzerudder.policy.limits import RecentUseLimiter
 from bronzerudder.policy.retry import ShareBudget
 from bronzerudder.policy.routing import TokenLoadRouting
+from bronzerudder.processes.intake import OPERATOR_CONNECTIONS, ProcessIntake, grpc_bounds
 from bronzerudder.processes.platform import open_store
 from bronzerudder.processes.signals import set_on_termination
 from bronzerudder.quarantine import QuarantineFeed
@@ -67,6 +68,8 @@
         self._tasks = tasks
         self._leaving = False
         self._registry = CollectorRegistry()
+        self._process_intake = ProcessIntake(settings.get("machine"), self._registry)
+        self._intake = self._process_intake.intake
         self._tracing = Tracing(
             "entry",
             settings["entry_id"],
@@ -89,7 +92,8 @@
             self._limiter,
         )
         self._app = self._build_app()
-        self._server = grpc.aio.server(options=GRPC_OPTIONS)
+        bounds = grpc_bounds(self._intake.limits.peer_connections)
+        self._server = grpc.aio.server(options=(*GRPC_OPTIONS, *bounds))
 
     async def start(self) -> None:
         """Start to follow the configuration and to serve it to peers."""
@@ -112,7 +116,16 @@
         )
         admin_app = AdminApp(self._registry, self._find_unready_reason, self._describe)
         closing = anyio.Event()
-        self._tasks.start_soon(serve_http, admin_app, admin, anyio.Event(), GRPC_STOP_TIMEOUT_S)
+        self._tasks.start_soon(
+            serve_http,
+            admin_app,
+            admin,
+            anyio.Event(),
+            GRPC_STOP_TIMEOUT_S,
+            self._intake,
+            OPERATOR_CONNECTIONS,
+        )
+        self._tasks.start_soon(supervise, "refusals", self._process_intake.run)
         self._tasks.start_soon(self._leave, stopping, closing)
         address = format_address(listener)
         announce_listening(
@@ -122,7 +135,14 @@
         )
         log_event("listening", address=address)
         drain_timeout_s = settings.get("drain_timeout_s", DEFAULT_DRAIN_TIMEOUT_S)
-        await serve_http(self._app, listener, closing, drain_timeout_s)
+        await serve_http(
+            self._app,
+            listener,
+            closing,
+            drain_timeout_s,
+            self._intake,
+            send_refusal=self._app.send_refusal,
+        )
         log_event("drained")
 
     async def close(self) -> None:
