Settings: report a file that cannot be read once, not four times a second

While a gateway had no descriptor left, its log had 'settings rejected, previous ones stay in force' at each check of the file, 119 times in 24 s. The error is now returned when it begins.

--- a/src/bronzerudder/settings/file.py
+++ b/src/bronzerudder/settings/file.py
@@ -26,13 +26,16 @@
         self._content = self._load()
 
     def read_change(self) -> Any | SettingsError | None:
-        """Return the settings if the file's content has changed since the last read, else None."""
+        """Return the settings if the file's content has changed since the last read, else None.
+
+        An error is returned once, and not again while it lasts.
+        """
         content = self._load()
-        if isinstance(content, SettingsError):
-            return content
         if content == self._content:
             return None
         self._content = content
+        if isinstance(content, SettingsError):
+            return content
         return decode_document(content, self._expected)
 
     def _load(self) -> bytes | SettingsError:
