--- a/src/bronzerudder/http1/server.py
+++ b/src/bronzerudder/http1/server.py
@@ -189,17 +189,18 @@
         self._sending = True
         account = self._account
         state = account.state
-        unsent = len(data)
-        account.add(unsent)
+        unsent = memoryview(data)
+        account.enter(CallerState.SENDING)
+        account.add(len(unsent))
         try:
             while unsent and not self._failed:
                 account.enter(CallerState.SENDING)
-                part = data[-unsent:][:WRITE_BYTES]
+                part = unsent[:WRITE_BYTES]
                 self._failed = await self._connection.send(part) is not None
                 account.add(-len(part))
-                unsent -= len(part)
+                unsent = unsent[len(part) :]
         finally:
-            account.add(-unsent)
+            account.add(-len(unsent))
             if account.state is CallerState.SENDING:
                 account.enter(state)
         self._sending = False
--- a/src/bronzerudder/http1/sockets.py
+++ b/src/bronzerudder/http1/sockets.py
@@ -82,7 +82,7 @@
             except OSError as error:
                 return TransportError(_name_error(error))
 
-    async def send(self, data: bytes) -> TransportError | None:
+    async def send(self, data: bytes | memoryview) -> TransportError | None:
         """Send all of the data; waits while the peer does not read."""
         self._immediate_calls += 1
         if self._immediate_calls > MAX_IMMEDIATE_CALLS:
--- a/tests/cli/test_check.py
+++ b/tests/cli/test_check.py
@@ -32,12 +32,20 @@
         self.assertEqual((code, errors), (0, ""))
         self.assertIn("valid settings of an entry", output)
 
+    def test_it_prints_what_the_process_holds_for_callers(self):
+        machine = {"memory_mb": 192, "max_descriptors": 120}
+        code, output, _ = self.check({**ENTRY, "machine": machine})
+        self.assertEqual(code, 0)
+        self.assertIn("at most 40 connections of callers, 25165824 bytes", output)
+
     def test_each_fault_is_one_line_with_the_path_of_the_field(self):
         faults = {
             "$.drain_timeout_ms": {**ENTRY, "drain_timeout_ms": 30_000},
             "$.drain_timeout_s": {**ENTRY, "drain_timeout_s": "30s"},
             "$.listener.port": {**ENTRY, "listener": {"host": "127.0.0.1", "port": 70_000}},
             "$.platform.adress": {**ENTRY, "platform": {"adress": "127.0.0.1:1"}},
+            "$.machine.memory_mb": {**ENTRY, "machine": {"memory_mb": 100}},
+            "$.machine.max_descriptors": {**ENTRY, "machine": {"max_descriptors": 10}},
             "$": "{",
         }
         for path, settings in faults.items():
