--- a/src/bronzerudder/web/bounded_app.py
+++ b/src/bronzerudder/web/bounded_app.py
@@ -13,6 +13,7 @@
 from bronzerudder.web.response import TEXT_TYPE, send_body
 
 STATUS_NO_ROOM = 503
+HTTP1_VERSIONS = ("1.0", "1.1")
 RETRY_AFTER_S = 1
 """When to retry a request for which there was no room; stalled requests are ended by then."""
 
@@ -53,6 +54,7 @@
         """Serve one request."""
         connection = self._listener.find(tuple(scope["client"] or ())[:2])
         request = _CountedRequest(self._listener.intake, connection, receive, send)
+        request.ends_connection = scope["http_version"] in HTTP1_VERSIONS
         if not _may_have_body(scope):
             request.complete()
         try:
@@ -83,6 +85,8 @@
         self._read = False
         self.has_answer = False
         self.refusal = ""
+        self.ends_connection = False
+        """Whether the connection closes after an answer to a request that was not read."""
         self.scope = anyio.CancelScope()
         self._account: Account = intake.open(self._refuse, self.abort, False)
         self._account.enter(CallerState.READING)
@@ -131,11 +135,11 @@
         if self._read:
             await self._send(message)
             return
-        # The server closes the connection with the last message. Closing it with unread bytes would
-        # reset it, and the caller could lose the answer.
+        # With HTTP/1 the server closes the connection with the last message. Closing it with unread
+        # bytes would reset it, and the caller could lose the answer.
         await self._send({**message, "more_body": True})
         self._account.enter(CallerState.CLOSING)
-        if self._connection is not None:
+        if self._connection is not None and self.ends_connection:
             self._connection.account.enter(CallerState.CLOSING)
         with anyio.move_on_after(LINGERING_CLOSE_S):
             await self._skip_request()
@@ -168,6 +172,6 @@
 
 
 def _may_have_body(scope: dict[str, Any]) -> bool:
-    if scope["http_version"] not in ("1.0", "1.1"):
+    if scope["http_version"] not in HTTP1_VERSIONS:
         return True
     return any(name in (b"content-length", b"transfer-encoding") for name, _ in scope["headers"])
