Stand-ins take the memory and descriptors of their machine

They used the same bounds, but with the defaults only, so that a crowd still took the stand-in of the platform to 218 MiB of 192 and to its 200 descriptors.

--- a/src/bronzerudder/processes/standin_engine.py
+++ b/src/bronzerudder/processes/standin_engine.py
@@ -5,6 +5,7 @@
 import anyio
 
 from bronzerudder.cli.api import EXIT_OK
+from bronzerudder.intake import WEB_PROCESS_SIZE, Intake, find_limits
 from bronzerudder.processes.signals import set_on_termination
 from bronzerudder.standin.engine import ContinuousBatch, EngineApp, EngineSettings
 from bronzerudder.web import announce_listening, bind_listener, format_address, serve_http
@@ -22,11 +23,12 @@
         settings.get("max_batch", DEFAULT_MAX_BATCH),
     )
     listener = bind_listener(settings["host"], settings["port"])
+    intake = Intake(find_limits(settings.get("machine"), WEB_PROCESS_SIZE))
     stopping = anyio.Event()
     async with anyio.create_task_group() as tasks:
         await tasks.start(set_on_termination, stopping)
         tasks.start_soon(batch.run)
         announce_listening(format_address(listener))
-        await serve_http(EngineApp(settings, batch), listener, stopping, drain_timeout_s=1.0)
+        await serve_http(EngineApp(settings, batch), listener, stopping, 1.0, intake)
         tasks.cancel_scope.cancel()
     return EXIT_OK
--- a/src/bronzerudder/processes/standin_rank.py
+++ b/src/bronzerudder/processes/standin_rank.py
@@ -8,6 +8,7 @@
 import anyio
 
 from bronzerudder.cli.api import EXIT_OK
+from bronzerudder.intake import WEB_PROCESS_SIZE, Intake, find_limits
 from bronzerudder.processes.signals import set_on_termination
 from bronzerudder.standin.rank.app import RankApp
 from bronzerudder.standin.rank.barrier import Barrier
@@ -39,6 +40,7 @@
     maps = RankMaps(settings.get("honours_terms", True))
     barrier = Barrier(settings["rank"], tuple(settings["step_peers"]))
     step_time_s = settings.get("step_time_s", DEFAULT_STEP_TIME_S)
+    intake = Intake(find_limits(settings.get("machine"), WEB_PROCESS_SIZE))
     stopping = anyio.Event()
     stepper = Stepper(settings["rank"], maps, barrier, step_time_s, history)
     async with anyio.create_task_group() as tasks:
@@ -47,5 +49,5 @@
         announce_listening(format_address(listener))
         tasks.start_soon(stepper.run)
         app = RankApp(maps, stepper, settings.get("stage_time_s", 0.0), tasks)
-        await serve_http(app, listener, stopping, DRAIN_TIMEOUT_S)
+        await serve_http(app, listener, stopping, DRAIN_TIMEOUT_S, intake)
         tasks.cancel_scope.cancel()
--- a/src/bronzerudder/standin/engine/settings.py
+++ b/src/bronzerudder/standin/engine/settings.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from bronzerudder.settings.machine import MachineSettings
+
 Port = Annotated[int, msgspec.Meta(ge=0, le=65535)]
 
 
@@ -23,3 +25,4 @@
     max_batch: NotRequired[Annotated[int, msgspec.Meta(ge=1, le=4096)]]
     default_max_tokens: NotRequired[Annotated[int, msgspec.Meta(ge=1, le=100_000)]]
     crash_text: NotRequired[str]
+    machine: NotRequired[MachineSettings]
--- a/src/bronzerudder/standin/rank/settings.py
+++ b/src/bronzerudder/standin/rank/settings.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from bronzerudder.settings.machine import MachineSettings
+
 
 class StandinRankSettings(TypedDict):
     """Settings of one stand-in rank.
@@ -22,3 +24,4 @@
     stage_time_s: NotRequired[Annotated[float, msgspec.Meta(ge=0, le=600)]]
     honours_terms: NotRequired[bool]
     history: NotRequired[str]
+    machine: NotRequired[MachineSettings]
--- a/src/bronzerudder/standin/service/behaviour.py
+++ b/src/bronzerudder/standin/service/behaviour.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from bronzerudder.settings.machine import MachineSettings
+
 FaultPoint = Literal["never", "before", "after"]
 
 
@@ -29,3 +31,4 @@
     address: Annotated[str, msgspec.Meta(pattern=r"^[^\s:/]+:[0-9]{1,5}$")]
     name: NotRequired[str]
     behaviour: NotRequired[Behaviour]
+    machine: NotRequired[MachineSettings]
--- a/tests/crowds/test_entry.py
+++ b/tests/crowds/test_entry.py
@@ -20,7 +20,7 @@
 
     async def start(self) -> None:
         machine = {"machine": self.machine}
-        shape = Shape(services=1, entry=machine, agent=machine)
+        shape = Shape(services=1, entry=machine, agent=machine, platform=machine)
         self.deployment = self.enterContext(Deployment(shape))
 
     def call_at(self, address: str, method: bytes, path: bytes, *served: int) -> Call:
