Tests: early answers on HTTP/2, answers that are never read; one more listed red

- An answer is counted while it is sent, in parts of 64 KiB of one buffer (formerly a copy of the rest for each part): its bytes leave the account as the caller takes them, and an answer that is not read is reset for another request's sake.

--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -288,6 +288,27 @@
             release.set()
             self.assertTrue((await read_answer(first, b"late")).startswith(b"HTTP/1.1 200"))
 
+    async def test_an_answer_that_is_not_read_is_counted_and_reset_for_another_request(self):
+        async def answer(request, writer):
+            await writer.respond(200, [], b"x" * (128 * SMALL_BYTES if not request.body else 1))
+
+        intake = self.make_intake(held_bytes=150 * SMALL_BYTES)
+        limits = self.limits._replace(body_bytes=110 * SMALL_BYTES)
+        async with Served(answer, limits, intake) as served:
+            unread, whole = await served.open(), await served.open()
+            await unread.send(GET)
+            with anyio.fail_after(TIMEOUT_S):
+                while not intake.held_bytes:
+                    await anyio.sleep(0.01)
+            await anyio.sleep(STALLED_S + 0.1)
+            self.assertLess(intake.held_bytes, 128 * SMALL_BYTES)
+            size = 100 * SMALL_BYTES
+            head = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n" % size
+            await whole.send(head + b"x" * size)
+            self.assertIn(b"200", await read_answer(whole, b"x"))
+            self.assertEqual([status for status, _ in self.closed], [0])
+            self.assertLess(len(await read_until_closed(unread)), 128 * SMALL_BYTES)
+
     async def test_nothing_is_held_after_requests_of_all_kinds(self):
         intake = self.make_intake()
         async with Served(limits=self.limits, intake=intake) as served:
--- a/tests/web/test_bounded_server.py
+++ b/tests/web/test_bounded_server.py
@@ -125,3 +125,32 @@
         release.set()
         with anyio.fail_after(TIMEOUT_S):
             self.assertIn(b"200", await first.receive())
+
+    async def check_early_answer(self, size: int) -> None:
+        """Answer a request early, and check that another one of its connection is served."""
+        release = anyio.Event()
+
+        async def answer(scope, receive, send):
+            if scope["path"] == "/unread":
+                await answer_unread(scope, receive, send)
+                return
+            await read_body(receive, SMALL_BYTES)
+            await release.wait()
+            await send_text(send, 200, "late")
+
+        self.serve(answer, LIMITS._replace(connections=1))
+        url = f"http://{self.address}"
+        async with httpx.AsyncClient(http1=False, http2=True, timeout=TIMEOUT_S) as client:
+            served = asyncio.create_task(client.get(f"{url}/wait"))
+            await anyio.sleep(0.1)
+            unread = await client.post(f"{url}/unread", content=b"x" * size)
+            self.assertEqual(unread.text, "unread")
+            self.assertEqual(await read_until_closed(await self.open()), b"")
+            release.set()
+            self.assertEqual((await served).text, "late")
+
+    async def test_an_early_answer_does_not_end_other_requests_of_an_http_2_connection(self):
+        await self.check_early_answer(SMALL_BYTES // 2)
+
+    async def test_bytes_that_follow_an_early_answer_do_not_end_an_http_2_connection(self):
+        await self.check_early_answer(SMALL_BYTES)
