Read ahead only while half of the room for bodies is free

Cause: what callers send while their requests are served is read ahead up to 64 KiB a connection, and counted as long as these requests last; it could fill the whole room for large requests, of which none that is served is ended. These bytes are not needed yet, so they may fill half of it only; a caller's close is then noticed by polling, as it was for longer ones.

The new test of the server, without processes, failed before.

--- a/src/bronzerudder/intake/accounts.py
+++ b/src/bronzerudder/intake/accounts.py
@@ -221,8 +221,8 @@
             self._end(victim, reason)
 
     def has_room(self, added_bytes: int) -> bool:
-        """Whether further bytes can be held without ending a connection."""
-        return self._held_bytes + added_bytes <= self._limits.large_bytes
+        """Whether bytes that are not needed yet can be held; half of the room is for bodies."""
+        return self._held_bytes + added_bytes <= self._limits.large_bytes // 2
 
     def _find_excess(self, account: Account) -> str:
         limits = self._limits
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -309,6 +309,26 @@
             self.assertEqual([status for status, _ in self.closed], [0])
             self.assertLess(len(await read_until_closed(unread)), 128 * SMALL_BYTES)
 
+    async def test_bytes_behind_served_requests_leave_room_for_a_body(self):
+        async def wait(request, writer):
+            if not request.body:
+                await anyio.sleep_forever()
+            await writer.respond(200, [], b"whole")
+
+        size = 8 * SMALL_BYTES
+        head = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n" % size
+        intake = self.make_intake(connections=32, held_bytes=32 * SMALL_BYTES)
+        async with Served(wait, self.limits, intake) as served:
+            connections = [await served.open() for _ in range(24)]
+            for connection in connections:
+                await connection.send(GET)
+                await anyio.sleep(0.01)
+                await connection.send(b"x" * SMALL_BYTES)
+            await anyio.sleep(0.1)
+            whole = await served.open()
+            await whole.send(head + b"x" * size)
+            self.assertIn(b" 200 ", await read_answer(whole, b"whole"))
+
     async def test_nothing_is_held_after_requests_of_all_kinds(self):
         intake = self.make_intake()
         async with Served(limits=self.limits, intake=intake) as served:
